--- /dev/null
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/Commands.java
@@ -0,0 +1,250 @@
+package org.radishpass.cli.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.radishpass.cli.CliSettings;
+import org.radishpass.platform.configuration.ConfigurationStore;
+import org.radishpass.platform.configuration.ConfigurationWriter;
+import org.radishpass.platform.configuration.StoreUnavailableException;
+import org.radishpass.platform.configuration.WriteResult;
+import org.radishpass.platform.table.HttpTableService;
+import org.radishpass.records.Configuration;
+import org.radishpass.records.ConfigurationChange;
+import org.radishpass.records.RecordDocument;
+import org.radishpass.records.RecordFiles;
+import org.radishpass.records.RecordKey;
+import org.radishpass.records.StoredRecord;
+import org.radishpass.records.schema.RecordKind;
+import org.radishpass.records.schema.SchemaConversion;
+import org.radishpass.runtime.http.HttpJson;
+import org.radishpass.runtime.http.HttpRuntime;
+import org.radishpass.runtime.settings.ExitCode;
+
+/**
+ * Carries out a command.
+ *
+ * @since 0.1.0
+ */
+public final class Commands {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final Duration PLATFORM_PATIENCE = Duration.ofSeconds(3);
+    private static final int SHOWN_CHANGES = 50;
+
+    private final CliSettings settings;
+    private final HttpRuntime runtime;
+    private final Reporter reporter;
+    private final HttpTableService tables;
+
+    /**
+     * Creates the commands.
+     *
+     * @param settings the settings, checked
+     * @param runtime event loops and clients
+     * @param reporter where results and faults go
+     */
+    public Commands(CliSettings settings, HttpRuntime runtime, Reporter reporter) {
+        this.settings = settings;
+        this.runtime = runtime;
+        this.reporter = reporter;
+        this.tables = new HttpTableService(runtime.client(), settings.platform(), PLATFORM_PATIENCE);
+    }
+
+    /**
+     * Carries the command out.
+     *
+     * @throws IOException if a file cannot be read
+     */
+    public ExitCode run() throws IOException {
+        try {
+            return switch (settings.command()) {
+                case APPLY -> apply();
+                case GET -> get();
+                case DELETE -> delete();
+                case DIFF -> diff();
+                case VALIDATE -> validate();
+                case HISTORY -> history();
+                case STATUS -> status();
+                case EXPLAIN -> explain();
+            };
+        } catch (StoreUnavailableException e) {
+            reporter.fault("the platform's store gave no answer: " + e.getMessage());
+            return ExitCode.UNAVAILABLE;
+        }
+    }
+
+    private ExitCode apply() throws IOException {
+        RecordFiles.ReadResult read = RecordSources.read(settings.files());
+        if (!read.faults().isEmpty()) {
+            read.faults().forEach(reporter::fault);
+            return ExitCode.USAGE;
+        }
+        WriteResult result = writer().apply(read.documents(), settings.author(), settings.revision())
+                .blockOptional(PATIENCE)
+                .orElseThrow();
+        return report(result);
+    }
+
+    private ExitCode delete() {
+        Optional<RecordKind> kind = RecordKind.byWireName(settings.words().get(0));
+        if (kind.isEmpty()) {
+            reporter.fault("there is no kind " + settings.words().get(0));
+            return ExitCode.USAGE;
+        }
+        RecordKey key = new RecordKey(kind.get().wireName(), settings.words().get(1));
+        WriteResult result = writer().delete(List.of(key), settings.author(), settings.revision())
+                .blockOptional(PATIENCE)
+                .orElseThrow();
+        return report(result);
+    }
+
+    private ExitCode report(WriteResult result) {
+        if (result instanceof WriteResult.Accepted accepted) {
+            accepted.changes().forEach(change -> reporter.line(describe(change)));
+            reporter.line(
+                    "revision " + accepted.revision() + (accepted.changes().isEmpty() ? ", nothing to change" : ""));
+            return ExitCode.OK;
+        }
+        if (result instanceof WriteResult.Conflict conflict) {
+            reporter.fault("revision " + conflict.actual() + " is in force, not " + conflict.expected()
+                    + "; look at it with 'get' and 'history', then write again");
+            return ExitCode.CONFLICT;
+        }
+        if (result instanceof WriteResult.Refused refused) {
+            reporter.fault("nothing was written: " + refused.detail());
+            return ExitCode.UNAVAILABLE;
+        }
+        reporter.fault("the write may have been accepted: " + result + "; look with 'history'");
+        return ExitCode.FAILED;
+    }
+
+    private ExitCode get() {
+        Configuration configuration = configuration();
+        String kindWanted = settings.words().isEmpty() ? "" : settings.words().get(0);
+        String nameWanted = settings.words().size() < 2 ? "" : settings.words().get(1);
+        List<StoredRecord> found = configuration.records().stream()
+                .filter(stored -> !stored.deleted())
+                .filter(stored -> kindWanted.isEmpty() || stored.kind().equalsIgnoreCase(kindWanted))
+                .filter(stored -> nameWanted.isEmpty() || stored.name().equals(nameWanted))
+                .toList();
+        if (!nameWanted.isEmpty() && found.isEmpty()) {
+            reporter.fault("there is no " + kindWanted + ' ' + nameWanted);
+            return ExitCode.FAILED;
+        }
+        found.forEach(stored -> reporter.document(view(stored), settings.json()));
+        return ExitCode.OK;
+    }
+
+    private ObjectNode view(StoredRecord stored) {
+        ObjectNode document = JsonNodeFactory.instance.objectNode();
+        document.put("apiVersion", settings.apiVersion().wireName());
+        document.put("kind", stored.kind());
+        document.put("name", stored.name());
+        ObjectNode spec = RecordKind.byWireName(stored.kind())
+                .map(kind -> SchemaConversion.view(kind, settings.apiVersion(), stored.spec()))
+                .orElse(stored.spec());
+        document.set("spec", spec);
+        return document;
+    }
+
+    private ExitCode diff() throws IOException {
+        RecordFiles.ReadResult read = RecordSources.read(settings.files());
+        if (!read.faults().isEmpty()) {
+            read.faults().forEach(reporter::fault);
+            return ExitCode.USAGE;
+        }
+        Configuration configuration = configuration();
+        for (RecordDocument document : read.documents()) {
+            ObjectNode before = configuration.records().stream()
+                    .filter(stored -> stored.key().equals(document.key()) && !stored.deleted())
+                    .map(StoredRecord::spec)
+                    .findFirst()
+                    .orElseGet(JsonNodeFactory.instance::objectNode);
+            ObjectNode after = SchemaConversion.rewrite(document.kind(), document.version(), document.spec(), before);
+            if (!after.equals(before)) {
+                reporter.line(document.key() + ":");
+                reporter.line("- " + before);
+                reporter.line("+ " + after);
+            }
+        }
+        reporter.line("against revision " + configuration.revision());
+        return ExitCode.OK;
+    }
+
+    private ExitCode validate() throws IOException {
+        RecordFiles.ReadResult read = RecordSources.read(settings.files());
+        read.faults().forEach(reporter::fault);
+        if (!read.faults().isEmpty()) {
+            return ExitCode.USAGE;
+        }
+        reporter.line(read.documents().size() + " records are good");
+        return ExitCode.OK;
+    }
+
+    private ExitCode history() {
+        ConfigurationStore store = new ConfigurationStore(tables);
+        long head = store.head().blockOptional(PATIENCE).orElse(0L);
+        List<ConfigurationChange> changes =
+                store.newest(head, SHOWN_CHANGES).blockOptional(PATIENCE).orElse(List.of());
+        changes.forEach(change -> reporter.line(describe(change)));
+        return ExitCode.OK;
+    }
+
+    private ExitCode status() {
+        ExitCode code = ExitCode.OK;
+        for (String server : settings.servers()) {
+            Optional<JsonNode> status = fetch(server + "/v1/status");
+            if (status.isPresent()) {
+                reporter.document(status.get(), settings.json());
+            } else {
+                reporter.fault(server + " does not answer");
+                code = ExitCode.UNAVAILABLE;
+            }
+        }
+        return code;
+    }
+
+    private ExitCode explain() {
+        for (String server : settings.servers()) {
+            Optional<JsonNode> account =
+                    fetch(server + "/v1/explain/" + settings.words().get(0));
+            if (account.isPresent() && account.get().has("steps")) {
+                reporter.document(account.get(), settings.json());
+                return ExitCode.OK;
+            }
+        }
+        reporter.fault("no router asked remembers request " + settings.words().get(0));
+        return ExitCode.FAILED;
+    }
+
+    private Optional<JsonNode> fetch(String address) {
+        return runtime.client()
+                .get()
+                .uri(address)
+                .responseSingle((response, content) -> content.asByteArray())
+                .map(HttpJson::parse)
+                .onErrorComplete()
+                .blockOptional(PLATFORM_PATIENCE);
+    }
+
+    private Configuration configuration() {
+        return new ConfigurationStore(tables).snapshot().blockOptional(PATIENCE).orElseThrow();
+    }
+
+    private ConfigurationWriter writer() {
+        return new ConfigurationWriter(
+                tables, Clock.systemUTC(), () -> UUID.randomUUID().toString());
+    }
+
+    private static String describe(ConfigurationChange change) {
+        String what = change.recordAfter().deleted() ? "deleted " : "wrote ";
+        return change.revision() + " " + change.at() + " " + change.author() + " " + what
+                + change.recordAfter().key();
+    }
+}
--- /dev/null
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * The operator's command line.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-controller/src/main/java/org/radishpass/controller/internal/Convergence.java
@@ -0,0 +1,175 @@
+package org.radishpass.controller.internal;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.radishpass.core.converge.CapacityPlan;
+import org.radishpass.core.converge.EndpointGoal;
+import org.radishpass.core.converge.Order;
+import org.radishpass.core.converge.OrderPlan;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.fleet.VmKind;
+import org.radishpass.core.fleet.VmListing;
+import org.radishpass.records.Configuration;
+import org.radishpass.records.ModelSpec;
+import org.radishpass.runtime.thread.ControlThread;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Compares the engines of the held shares with the records and sends the orders that bring them together.
+ *
+ * <p>One order at a time to each engine. Confined to the control thread.
+ *
+ * @since 0.1.0
+ */
+final class Convergence {
+    private static final Logger LOG = LoggerFactory.getLogger(Convergence.class);
+    private static final int HISTORY = 500;
+
+    private final Map<String, Divergence> divergences = new HashMap<>();
+    private final Set<String> busy = new HashSet<>();
+    private final Deque<Map<String, Object>> history = new ArrayDeque<>();
+    private final DataCentre dataCentre;
+    private final ShareLeases leases;
+    private final EngineClient engines;
+    private final ControlThread control;
+    private final MeterRegistry metrics;
+    private final Clock clock;
+
+    Convergence(
+            DataCentre dataCentre,
+            ShareLeases leases,
+            EngineClient engines,
+            ControlThread control,
+            MeterRegistry metrics,
+            Clock clock) {
+        this.dataCentre = dataCentre;
+        this.leases = leases;
+        this.engines = engines;
+        this.control = control;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    /** Looks at every engine of the held shares and orders what is needed. */
+    void round(Configuration configuration, Collection<VmListing> listings) {
+        List<VmListing> own = listings.stream()
+                .filter(vm -> vm.kind() == VmKind.ENGINE && vm.dataCentre().equals(dataCentre))
+                .filter(vm -> !vm.leaving())
+                .toList();
+        if (configuration.revision() == 0 || own.isEmpty()) {
+            return;
+        }
+        Map<String, EndpointGoal> goals = CapacityPlan.of(
+                demands(configuration), own.stream().map(VmListing::id).toList());
+        divergences.keySet().retainAll(goals.keySet());
+        for (VmListing engine : own) {
+            EndpointGoal goal = goals.get(engine.id());
+            if (goal != null && leases.epochFor(engine.id()).isPresent() && !busy.contains(engine.id())) {
+                compare(configuration, engine, goal);
+            }
+        }
+    }
+
+    /** Returns what is known of the engines that differ from the records. */
+    List<Map<String, Object>> divergences() {
+        List<Map<String, Object>> all = new ArrayList<>();
+        divergences.forEach((id, divergence) ->
+                all.add(Map.of("endpoint", id, "cause", divergence.cause(), "action", divergence.action())));
+        return all;
+    }
+
+    /** Returns the newest orders, the newest first. */
+    List<Map<String, Object>> history() {
+        return List.copyOf(history);
+    }
+
+    private void compare(Configuration configuration, VmListing engine, EndpointGoal goal) {
+        busy.add(engine.id());
+        engines.status(engine)
+                .publishOn(control.scheduler())
+                .subscribe(status -> act(configuration, engine, goal, status), error -> {
+                    busy.remove(engine.id());
+                    divergences.put(
+                            engine.id(), new Divergence("it does not answer: " + error.getMessage(), "asking again"));
+                });
+    }
+
+    private void act(Configuration configuration, VmListing engine, EndpointGoal goal, EngineStatus status) {
+        var next = OrderPlan.next(goal, status.state(), status.pools(), status.running());
+        OptionalLong epoch = leases.epochFor(engine.id());
+        if (next.isEmpty() || epoch.isEmpty()) {
+            busy.remove(engine.id());
+            if (next.isEmpty()) {
+                divergences.remove(engine.id());
+            }
+            return;
+        }
+        Order order = next.get();
+        divergences.put(
+                engine.id(),
+                new Divergence(
+                        "it serves " + status.pools() + " and is " + status.state(),
+                        order.type().wireName() + ' ' + order.pool()));
+        engines.order(
+                        engine,
+                        order,
+                        epoch.getAsLong(),
+                        configuration.revision(),
+                        () -> leases.epochFor(engine.id()).equals(epoch))
+                .publishOn(control.scheduler())
+                .subscribe(
+                        code -> finished(configuration, engine, order, epoch.getAsLong(), "done"),
+                        error -> finished(
+                                configuration, engine, order, epoch.getAsLong(), String.valueOf(error.getMessage())));
+    }
+
+    private void finished(Configuration configuration, VmListing engine, Order order, long epoch, String outcome) {
+        busy.remove(engine.id());
+        metrics.counter(
+                        "radishpass.orders",
+                        "type",
+                        order.type().wireName(),
+                        "done",
+                        String.valueOf("done".equals(outcome)))
+                .increment();
+        LOG.info("order {} {} to {}: {}", order.type(), order.pool(), engine.id(), outcome);
+        Map<String, Object> entry = new LinkedHashMap<>();
+        entry.put("at", clock.instant().toString());
+        entry.put("endpoint", engine.id());
+        entry.put("type", order.type().wireName());
+        entry.put("pool", order.pool());
+        entry.put("revision", configuration.revision());
+        entry.put("epoch", epoch);
+        entry.put("outcome", outcome);
+        history.addFirst(entry);
+        if (history.size() > HISTORY) {
+            history.removeLast();
+        }
+    }
+
+    private static List<CapacityPlan.Demand> demands(Configuration configuration) {
+        List<CapacityPlan.Demand> demands = new ArrayList<>();
+        configuration
+                .capacities()
+                .forEach(capacity -> configuration
+                        .model(capacity.model())
+                        .map(ModelSpec::pools)
+                        .ifPresent(pools -> demands.add(new CapacityPlan.Demand(
+                                capacity.model(), pools, capacity.ready(), capacity.asleep()))));
+        return demands;
+    }
+
+    private record Divergence(String cause, String action) {}
+}
--- /dev/null
+++ b/radishpass-controller/src/main/java/org/radishpass/controller/internal/EngineClient.java
@@ -0,0 +1,57 @@
+package org.radishpass.controller.internal;
+
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.radishpass.core.converge.Order;
+import org.radishpass.core.fleet.VmListing;
+import org.radishpass.runtime.http.HttpJson;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Reads engines' status and sends them orders.
+ *
+ * @since 0.1.0
+ */
+final class EngineClient {
+    private static final Duration STATUS_PATIENCE = Duration.ofSeconds(1);
+    private static final Duration ORDER_PATIENCE = Duration.ofSeconds(30);
+    private static final int OK = 200;
+
+    private final HttpClient client;
+
+    EngineClient(HttpClient client) {
+        this.client = client;
+    }
+
+    /** Reads an engine's status; it ends in an error when there is none. */
+    Mono<EngineStatus> status(VmListing engine) {
+        return client.get()
+                .uri("http://" + engine.address() + "/v1/status")
+                .responseSingle((response, content) -> content.asByteArray())
+                .timeout(STATUS_PATIENCE)
+                .map(bytes -> EngineStatus.of(HttpJson.parse(bytes)));
+    }
+
+    /** Sends an order, unless at the last moment it may no longer be sent. */
+    Mono<Integer> order(VmListing engine, Order order, long epoch, long revision, BooleanSupplier maySend) {
+        byte[] body = HttpJson.bytes(
+                Map.of("type", order.type().wireName(), "pool", order.pool(), "epoch", epoch, "revision", revision));
+        return client.post()
+                .uri("http://" + engine.address() + "/v1/orders")
+                .send((request, outbound) -> {
+                    if (!maySend.getAsBoolean()) {
+                        return Mono.error(new IOException("the lease is about to end; the order is not sent"));
+                    }
+                    return outbound.send(Mono.just(Unpooled.wrappedBuffer(body)));
+                })
+                .responseSingle((response, content) ->
+                        content.asByteArray().thenReturn(response.status().code()))
+                .timeout(ORDER_PATIENCE)
+                .flatMap(code ->
+                        code == OK ? Mono.just(code) : Mono.error(new IOException("the engine answered " + code)));
+    }
+}
--- /dev/null
+++ b/radishpass-core/src/main/java/org/radishpass/core/admission/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Limits on what is let in, by workspace and by priority class.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.core.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-load/src/main/java/org/radishpass/load/LoadSettings.java
@@ -0,0 +1,90 @@
+package org.radishpass.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.radishpass.load.internal.experiment.Experiment;
+import org.radishpass.runtime.settings.CommonSettings;
+
+/**
+ * The settings of the load program.
+ *
+ * @since 0.1.0
+ */
+public final class LoadSettings extends CommonSettings {
+    private static final List<String> COMMANDS = List.of("policies", "records", "standin", "plan", "drive");
+
+    @Argument(index = 0, metaVar = "COMMAND", usage = "policies, records, standin, plan or drive")
+    private String command = "";
+
+    @Argument(index = 1, metaVar = "EXPERIMENT", usage = "experiment file")
+    private @Nullable Path file;
+
+    @Option(name = "--run-dir", metaVar = "DIR", usage = "directory where processes write their ports")
+    private @Nullable Path runDirectory;
+
+    @Option(name = "--policy", metaVar = "NAME", usage = "placement policy under which the fleet runs")
+    private String policy = "bounded-affinity";
+
+    @Option(name = "--json", metaVar = "FILE", usage = "report to write, or to add this policy to")
+    private @Nullable Path json;
+
+    private @Nullable Experiment experiment;
+
+    @Override
+    public List<String> faults() {
+        List<String> faults = new ArrayList<>();
+        if (help() || version()) {
+            return faults;
+        }
+        if (!COMMANDS.contains(command)) {
+            faults.add("COMMAND is '" + command + "'; write one of " + COMMANDS);
+        }
+        if (file == null || !Files.isRegularFile(file)) {
+            faults.add("EXPERIMENT is not a file");
+            return faults;
+        }
+        try {
+            experiment = Experiment.read(file);
+            experiment.faults().forEach(fault -> faults.add(file + ": " + fault));
+        } catch (IOException e) {
+            faults.add(file + ": " + e.getMessage());
+        }
+        boolean needsRun = !"policies".equals(command) && !"records".equals(command);
+        if (needsRun && (runDirectory == null || !Files.isDirectory(runDirectory))) {
+            faults.add("--run-dir is not a directory");
+        }
+        return faults;
+    }
+
+    /** Returns the command. */
+    public String command() {
+        return command;
+    }
+
+    /** Returns the experiment. */
+    public Experiment experiment() {
+        return Objects.requireNonNull(experiment);
+    }
+
+    /** Returns the directory of ports files. */
+    public Path runDirectory() {
+        return Objects.requireNonNull(runDirectory);
+    }
+
+    /** Returns the policy. */
+    public String policy() {
+        return policy;
+    }
+
+    /** Returns the report to write, or null. */
+    public @Nullable Path json() {
+        return json;
+    }
+}
--- /dev/null
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/drive/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Open-loop load; not API.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.load.internal.drive;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/experiment/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Experiment files; not API.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.load.internal.experiment;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/plan/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * The processes that an experiment needs; not API.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.load.internal.plan;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/report/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Audit and figures; not API.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.load.internal.report;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -0,0 +1,192 @@
+package org.radishpass.peer.message;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.radishpass.core.admission.PriorityClass;
+import org.radishpass.core.fleet.EndpointState;
+import org.radishpass.core.load.SlotAnswer;
+import org.radishpass.records.ConfigurationChange;
+import org.radishpass.records.StoredRecord;
+
+/**
+ * A message between routers.
+ *
+ * <p>Each is written as an array, so the order of components is part of the protocol: new ones are added at the end. What
+ * would be a deadline is sent as what is left of it, and becomes a deadline by the receiver's own clock.
+ *
+ * @since 0.1.0
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "h"),
+    @JsonSubTypes.Type(value = PeerMessage.Head.class, name = "v"),
+    @JsonSubTypes.Type(value = PeerMessage.ChangesWanted.class, name = "cw"),
+    @JsonSubTypes.Type(value = PeerMessage.Changes.class, name = "c"),
+    @JsonSubTypes.Type(value = PeerMessage.SlotWanted.class, name = "s"),
+    @JsonSubTypes.Type(value = PeerMessage.SlotReply.class, name = "sr"),
+    @JsonSubTypes.Type(value = PeerMessage.SlotFreed.class, name = "f"),
+    @JsonSubTypes.Type(value = PeerMessage.SlotHeld.class, name = "sh"),
+    @JsonSubTypes.Type(value = PeerMessage.PoolParts.class, name = "p"),
+    @JsonSubTypes.Type(value = PeerMessage.PoolTotals.class, name = "pt"),
+    @JsonSubTypes.Type(value = PeerMessage.EndpointReports.class, name = "e"),
+    @JsonSubTypes.Type(value = PeerMessage.Leaving.class, name = "l"),
+    @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "d")
+})
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public sealed interface PeerMessage {
+    /** Returns the name under which its bytes are counted. */
+    default String kind() {
+        return getClass().getSimpleName();
+    }
+
+    /**
+     * The first message on a connection: who speaks.
+     *
+     * @param vmId the speaker's machine
+     * @param incarnation which start of it this is
+     * @param revision the configuration it has in force
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Hello(String vmId, String incarnation, long revision) implements PeerMessage {}
+
+    /**
+     * Tells of a revision that the store has accepted.
+     *
+     * @param revision the revision
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Head(long revision) implements PeerMessage {}
+
+    /**
+     * Asks for the configuration after a revision.
+     *
+     * @param after the revision
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record ChangesWanted(long after) implements PeerMessage {}
+
+    /**
+     * The configuration as the sender has it.
+     *
+     * @param revision the sender's revision
+     * @param changes the changes since the revision asked for, if the sender still has all of them
+     * @param records else all records
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Changes(long revision, List<ConfigurationChange> changes, List<StoredRecord> records)
+            implements PeerMessage {}
+
+    /**
+     * Asks an endpoint's owner for a slot.
+     *
+     * @param slotId the slot
+     * @param endpointId the endpoint
+     * @param pool the pool whose mean load counts
+     * @param priority the class of the request
+     * @param bound the multiple of the mean
+     * @param leftMillis after how long the slot lapses
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SlotWanted(
+            String slotId, String endpointId, String pool, PriorityClass priority, double bound, long leftMillis)
+            implements PeerMessage {}
+
+    /**
+     * Answers {@link SlotWanted}.
+     *
+     * @param answer granted or why not
+     * @param running the endpoint's load
+     * @param limit the most that it may run for this pool and bound
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SlotReply(SlotAnswer answer, int running, int limit) implements PeerMessage {}
+
+    /**
+     * Frees a slot.
+     *
+     * @param slotId the slot
+     * @param endpointId the endpoint
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SlotFreed(String slotId, String endpointId) implements PeerMessage {}
+
+    /**
+     * Tells a new owner of a slot that an earlier owner granted.
+     *
+     * @param slotId the slot
+     * @param endpointId the endpoint
+     * @param priority the class of the request
+     * @param leftMillis after how long the slot lapses
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SlotHeld(String slotId, String endpointId, PriorityClass priority, long leftMillis) implements PeerMessage {}
+
+    /**
+     * An owner's parts of pools, for the router that adds them up; it answers with {@link PoolTotals}.
+     *
+     * @param parts the load of the endpoints that the sender owns
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record PoolParts(List<PoolSum> parts) implements PeerMessage {}
+
+    /**
+     * The load of whole pools.
+     *
+     * @param totals the pools that were asked about
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record PoolTotals(List<PoolSum> totals) implements PeerMessage {}
+
+    /**
+     * The load of a pool or of a part of it.
+     *
+     * @param pool the pool
+     * @param running the requests that run
+     * @param weight the sum of weights
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record PoolSum(String pool, double running, double weight) {}
+
+    /**
+     * What an owner's probes found.
+     *
+     * @param reports a report for each endpoint
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record EndpointReports(List<EndpointReport> reports) implements PeerMessage {}
+
+    /**
+     * What an endpoint said of itself.
+     *
+     * @param endpointId the endpoint
+     * @param incarnation which start of it
+     * @param sequence grows with each report of an incarnation
+     * @param state the stage of its life
+     * @param pools the pools that it serves
+     * @param running the requests that it runs
+     * @param capacity the requests that it can run at once
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record EndpointReport(
+            String endpointId,
+            String incarnation,
+            long sequence,
+            EndpointState state,
+            List<String> pools,
+            int running,
+            int capacity) {}
+
+    /**
+     * Tells that the sender is stopping.
+     *
+     * @param vmId the sender
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Leaving(String vmId) implements PeerMessage {}
+
+    /** An answer without content. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Done() implements PeerMessage {}
+}
--- /dev/null
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerChannel.java
@@ -0,0 +1,151 @@
+package org.radishpass.peer.transport;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.peer.message.Envelope;
+import org.radishpass.peer.message.PeerCodec;
+import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.runtime.metrics.TrafficMeter;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+
+/**
+ * One connection to a peer, in either direction.
+ *
+ * <p>Bytes that are not a message cost this connection alone.
+ *
+ * @since 0.1.0
+ */
+final class PeerChannel {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerChannel.class);
+    private static final int MAX_FRAME = 8 * 1024 * 1024;
+    private static final int LENGTH_BYTES = 4;
+    private static final String UNKNOWN_PEER = "";
+
+    private final Channel channel;
+    private final PeerHandler handler;
+    private final TrafficMeter meter;
+    private final AtomicLong lastId = new AtomicLong();
+    private final ConcurrentHashMap<Long, Sinks.One<PeerMessage>> waiting = new ConcurrentHashMap<>();
+    private volatile String peerId;
+
+    private PeerChannel(Channel channel, String peerId, PeerHandler handler, TrafficMeter meter) {
+        this.channel = channel;
+        this.peerId = peerId;
+        this.handler = handler;
+        this.meter = meter;
+    }
+
+    /**
+     * Puts the framing onto a connection and starts reading.
+     *
+     * @param connection the connection
+     * @param peerId the peer, or null if it has yet to say
+     * @param handler takes what it sends
+     * @param meter counts the bytes
+     */
+    static PeerChannel on(Connection connection, @Nullable String peerId, PeerHandler handler, TrafficMeter meter) {
+        PeerChannel peer =
+                new PeerChannel(connection.channel(), peerId == null ? UNKNOWN_PEER : peerId, handler, meter);
+        connection.addHandlerLast(
+                "frames-in", new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        connection.addHandlerLast("frames-out", new LengthFieldPrepender(LENGTH_BYTES));
+        connection.inbound().receive().asByteArray().subscribe(peer::received, error -> peer.close(), peer::close);
+        connection.onDispose(peer::closed);
+        return peer;
+    }
+
+    boolean open() {
+        return channel.isActive();
+    }
+
+    void send(PeerMessage message) {
+        write(new Envelope(0, message));
+    }
+
+    Mono<PeerMessage> request(PeerMessage message, Duration patience) {
+        long id = lastId.incrementAndGet();
+        Sinks.One<PeerMessage> answer = Sinks.one();
+        waiting.put(id, answer);
+        write(new Envelope(id, message));
+        if (!channel.isActive()) {
+            answer.tryEmitError(new IOException("the connection has ended"));
+        }
+        return answer.asMono().timeout(patience).doFinally(signal -> waiting.remove(id));
+    }
+
+    void close() {
+        var unused = channel.close();
+    }
+
+    private void closed() {
+        IOException gone = new IOException("the connection has ended");
+        waiting.values().forEach(answer -> answer.tryEmitError(gone));
+        if (!peerId.isEmpty()) {
+            handler.disconnected(peerId);
+        }
+    }
+
+    private void write(Envelope envelope) {
+        try {
+            byte[] bytes = PeerCodec.encode(envelope);
+            meter.sent(envelope.message().kind(), bytes.length + LENGTH_BYTES);
+            var unused = channel.writeAndFlush(Unpooled.wrappedBuffer(bytes), channel.voidPromise());
+        } catch (IOException e) {
+            LOG.error(
+                    "a message of kind {} cannot be written", envelope.message().kind(), e);
+        }
+    }
+
+    private void received(byte[] bytes) {
+        Envelope envelope;
+        try {
+            envelope = PeerCodec.decode(bytes);
+        } catch (IOException e) {
+            LOG.warn(
+                    "bytes from {} are not a message ({}); the connection is closed: {}",
+                    channel.remoteAddress(),
+                    e.getMessage(),
+                    ByteBufUtil.hexDump(bytes, 0, Math.min(bytes.length, 32)));
+            close();
+            return;
+        }
+        meter.received(envelope.message().kind(), bytes.length + LENGTH_BYTES);
+        accept(envelope);
+    }
+
+    private void accept(Envelope envelope) {
+        if (envelope.answer()) {
+            Sinks.One<PeerMessage> answer = waiting.remove(-envelope.id());
+            if (answer != null) {
+                answer.tryEmitValue(envelope.message());
+            }
+            return;
+        }
+        if (envelope.message() instanceof PeerMessage.Hello hello) {
+            peerId = hello.vmId();
+        }
+        handler.handle(peerId, envelope.message())
+                .subscribe(
+                        answer -> {
+                            if (envelope.request()) {
+                                write(new Envelope(-envelope.id(), answer));
+                            }
+                        },
+                        error -> LOG.warn(
+                                "a message of kind {} failed",
+                                envelope.message().kind(),
+                                error));
+    }
+}
--- /dev/null
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerHandler.java
@@ -0,0 +1,26 @@
+package org.radishpass.peer.transport;
+
+import org.radishpass.peer.message.PeerMessage;
+import reactor.core.publisher.Mono;
+
+/**
+ * Takes what peers send.
+ *
+ * @since 0.1.0
+ */
+public interface PeerHandler {
+    /**
+     * Takes a message. What it returns is sent back if the peer waits for an answer.
+     *
+     * @param from the peer
+     * @param message the message
+     */
+    Mono<PeerMessage> handle(String from, PeerMessage message);
+
+    /**
+     * Learns that the last connection from a peer has ended.
+     *
+     * @param from the peer
+     */
+    void disconnected(String from);
+}
--- /dev/null
+++ b/radishpass-platform/src/main/java/org/radishpass/platform/configuration/ConfigurationStore.java
@@ -0,0 +1,143 @@
+package org.radishpass.platform.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.radishpass.platform.table.TableResult;
+import org.radishpass.platform.table.TableRow;
+import org.radishpass.platform.table.TableService;
+import org.radishpass.platform.table.TableTransaction;
+import org.radishpass.records.Configuration;
+import org.radishpass.records.ConfigurationChange;
+import org.radishpass.records.RecordJson;
+import org.radishpass.records.StoredRecord;
+import reactor.core.publisher.Mono;
+
+/**
+ * Reads the configuration from the table service.
+ *
+ * @since 0.1.0
+ */
+public final class ConfigurationStore {
+    /** The row that holds the fleet-wide revision. */
+    public static final String HEAD = "config/head";
+
+    /** What the keys of records start with. */
+    public static final String RECORDS = "config/record/";
+
+    /** What the keys of changes start with. */
+    public static final String CHANGES = "config/change/";
+
+    private static final int PAGE = 500;
+    private static final String REVISION = "revision";
+
+    private final TableService tables;
+
+    /**
+     * Creates a reader.
+     *
+     * @param tables the table service
+     */
+    public ConfigurationStore(TableService tables) {
+        this.tables = tables;
+    }
+
+    /** Returns the revision that the store holds; it ends in an error when the store does not answer. */
+    public Mono<Long> head() {
+        TableTransaction read = TableTransaction.builder().read(HEAD).build();
+        return tables.transact(read)
+                .flatMap(ConfigurationStore::committed)
+                .map(rows -> revision(rows.rows().get(0)));
+    }
+
+    /**
+     * Returns the changes after a revision, in order, as many as one answer holds.
+     *
+     * @param revision the revision
+     */
+    public Mono<List<ConfigurationChange>> changesAfter(long revision) {
+        TableTransaction read = TableTransaction.builder()
+                .scan(CHANGES, changeKey(revision), PAGE)
+                .build();
+        return tables.transact(read)
+                .flatMap(ConfigurationStore::committed)
+                .map(result -> changes(result.scans().get(0)));
+    }
+
+    /**
+     * Returns the changes before a revision, the newest first.
+     *
+     * @param head the newest revision
+     * @param count the most changes
+     */
+    public Mono<List<ConfigurationChange>> newest(long head, int count) {
+        return changesAfter(Math.max(0, head - count)).map(found -> {
+            List<ConfigurationChange> reversed = new ArrayList<>(found);
+            java.util.Collections.reverse(reversed);
+            return reversed;
+        });
+    }
+
+    /** Returns the whole configuration, all of it at one revision. */
+    public Mono<Configuration> snapshot() {
+        return page("", new ArrayList<>(), -1);
+    }
+
+    private Mono<Configuration> page(String after, List<StoredRecord> found, long revisionSoFar) {
+        TableTransaction read =
+                TableTransaction.builder().read(HEAD).scan(RECORDS, after, PAGE).build();
+        return tables.transact(read).flatMap(ConfigurationStore::committed).flatMap(result -> {
+            long revision = revision(result.rows().get(0));
+            if (revisionSoFar >= 0 && revision != revisionSoFar) {
+                return page("", new ArrayList<>(), -1);
+            }
+            List<TableRow> rows = result.scans().get(0);
+            rows.forEach(row -> row.content().ifPresent(value -> found.add(convert(value, StoredRecord.class))));
+            if (rows.size() < PAGE) {
+                return Mono.just(Configuration.of(revision, found));
+            }
+            return page(rows.get(rows.size() - 1).key(), found, revision);
+        });
+    }
+
+    static String changeKey(long revision) {
+        return CHANGES + String.format(Locale.ROOT, "%012d", revision);
+    }
+
+    static String recordKey(StoredRecord stored) {
+        return RECORDS + stored.key();
+    }
+
+    static ObjectNode headValue(long revision) {
+        return JsonNodeFactory.instance.objectNode().put(REVISION, revision);
+    }
+
+    static long revision(TableRow head) {
+        return head.content().map(value -> value.path(REVISION).asLong()).orElse(0L);
+    }
+
+    static Mono<TableResult.Committed> committed(TableResult result) {
+        if (result instanceof TableResult.Committed committed) {
+            return Mono.just(committed);
+        }
+        return Mono.error(new StoreUnavailableException(String.valueOf(result)));
+    }
+
+    static <T> T convert(JsonNode value, Class<T> type) {
+        try {
+            return RecordJson.mapper().treeToValue(value, type);
+        } catch (JsonProcessingException e) {
+            throw new StoreUnavailableException("a row cannot be read: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    private static List<ConfigurationChange> changes(List<TableRow> rows) {
+        List<ConfigurationChange> changes = new ArrayList<>();
+        rows.forEach(row -> row.content().ifPresent(value -> changes.add(convert(value, ConfigurationChange.class))));
+        return changes;
+    }
+}
--- /dev/null
+++ b/radishpass-platform/src/main/java/org/radishpass/platform/table/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Transactions on the platform's table service.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.platform.table;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-platform/src/main/java/org/radishpass/platform/vmlist/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * The platform's lagging list of machines.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.platform.vmlist;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterSnapshot.java
@@ -0,0 +1,55 @@
+package org.radishpass.router.internal.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.fleet.FleetView;
+import org.radishpass.core.fleet.Vm;
+import org.radishpass.core.load.OwnerSelection;
+import org.radishpass.records.Configuration;
+
+/**
+ * What the control thread publishes for traffic: read once a request, never changed.
+ *
+ * @param fleet the routers and endpoints
+ * @param owners the owner of each endpoint's account, by the endpoint's identity
+ * @param configuration the configuration in force
+ * @param ready whether callers may be served
+ * @since 0.1.0
+ */
+public record RouterSnapshot(FleetView fleet, Map<String, Vm> owners, Configuration configuration, boolean ready) {
+    /** Returns the snapshot before anything is known. */
+    static RouterSnapshot initial() {
+        return new RouterSnapshot(FleetView.empty(), Map.of(), Configuration.empty(), false);
+    }
+
+    /** Returns the number of routers that take requests, at least 1. */
+    public int routers() {
+        return (int)
+                Math.max(1, fleet.vms().stream().filter(vm -> !vm.leaving()).count());
+    }
+
+    /**
+     * Returns the router that keeps an endpoint's account.
+     *
+     * @param endpointId the endpoint
+     */
+    public Optional<Vm> owner(String endpointId) {
+        return Optional.ofNullable(owners.get(endpointId));
+    }
+
+    /**
+     * Works out the owner of each endpoint.
+     *
+     * @param fleet the routers and endpoints
+     */
+    static Map<String, Vm> ownersIn(FleetView fleet) {
+        Map<String, Vm> owners = new HashMap<>();
+        for (Endpoint endpoint : fleet.endpoints()) {
+            OwnerSelection.ofEndpoint(endpoint.id(), endpoint.dataCentre(), fleet.vms())
+                    .ifPresent(owner -> owners.put(endpoint.id(), owner));
+        }
+        return Map.copyOf(owners);
+    }
+}
--- /dev/null
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerIdentity.java
@@ -0,0 +1,113 @@
+package org.radishpass.router.internal.traffic;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.admission.PriorityClass;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.records.WorkspaceSpec;
+import org.radishpass.router.internal.control.RouterControl;
+import org.radishpass.router.internal.control.RouterSnapshot;
+import org.radishpass.router.internal.endpoint.HeaderNames;
+import reactor.netty.http.server.HttpServerRequest;
+
+/**
+ * Finds out who asks: the workspace from the key, the class and the deadline from headers.
+ *
+ * <p>A key is {@code WORKSPACE.SECRET}; the record of the workspace holds a salted hash of the secret.
+ *
+ * @since 0.1.0
+ */
+public final class CallerIdentity {
+    private static final String BEARER = "Bearer ";
+    private static final long MOST_DEADLINE_MILLIS = 24L * 60 * 60 * 1000;
+
+    private final AtomicLong lastRequest = new AtomicLong();
+    private final RouterControl control;
+    private final Clock clock;
+
+    /**
+     * Creates it.
+     *
+     * @param control the router's control state
+     * @param clock tells the time
+     */
+    public CallerIdentity(RouterControl control, Clock clock) {
+        this.control = control;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns the request with what is known of its caller.
+     *
+     * @param request the HTTP request
+     * @throws RefusedException if the caller may not ask
+     */
+    public CallerRequest identify(HttpServerRequest request) {
+        RouterSnapshot snapshot = control.snapshot();
+        if (snapshot.configuration().revision() == 0) {
+            throw RefusedException.notRun(RefusalCode.NOT_READY, "this router has no configuration yet");
+        }
+        HttpHeaders headers = request.requestHeaders();
+        WorkspaceSpec workspace = workspace(snapshot, headers.get(HttpHeaderNames.AUTHORIZATION))
+                .orElseThrow(() -> RefusedException.notRun(
+                        RefusalCode.UNAUTHORIZED, "send Authorization: Bearer WORKSPACE.SECRET with a valid key"));
+        PriorityClass priority = priority(headers.get(HeaderNames.PRIORITY), workspace);
+        Instant now = clock.instant();
+        return new CallerRequest(
+                nextId(),
+                workspace,
+                priority,
+                now,
+                deadline(headers.get(HeaderNames.DEADLINE), priority, now),
+                snapshot);
+    }
+
+    /** Returns a request identity that no other request of the fleet has. */
+    public String nextId() {
+        return control.id() + '-' + control.incarnation() + '-' + lastRequest.incrementAndGet();
+    }
+
+    private static Optional<WorkspaceSpec> workspace(RouterSnapshot snapshot, @Nullable String authorization) {
+        if (authorization == null || !authorization.startsWith(BEARER)) {
+            return Optional.empty();
+        }
+        String key = authorization.substring(BEARER.length()).trim();
+        int dot = key.indexOf('.');
+        if (dot < 0) {
+            return Optional.empty();
+        }
+        String secret = key.substring(dot + 1);
+        return snapshot.configuration().workspace(key.substring(0, dot)).filter(found -> found.accepts(secret));
+    }
+
+    private static PriorityClass priority(@Nullable String header, WorkspaceSpec workspace) {
+        if (header == null) {
+            return workspace.defaultClass();
+        }
+        return PriorityClass.byWireName(header)
+                .orElseThrow(() -> RefusedException.notRun(
+                        RefusalCode.BAD_REQUEST, HeaderNames.PRIORITY + " is interactive, check or batch"));
+    }
+
+    private static Instant deadline(@Nullable String header, PriorityClass priority, Instant now) {
+        if (header == null) {
+            return now.plus(priority.patience());
+        }
+        try {
+            long millis = Long.parseLong(header.trim());
+            if (millis > 0 && millis <= MOST_DEADLINE_MILLIS) {
+                return now.plusMillis(millis);
+            }
+        } catch (NumberFormatException e) {
+            throw RefusedException.notRun(
+                    RefusalCode.BAD_REQUEST, HeaderNames.DEADLINE + " is not a number: " + e.getMessage());
+        }
+        throw RefusedException.notRun(
+                RefusalCode.BAD_REQUEST, HeaderNames.DEADLINE + " is 1 to " + MOST_DEADLINE_MILLIS);
+    }
+}
--- /dev/null
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerServer.java
@@ -0,0 +1,173 @@
+package org.radishpass.router.internal.traffic;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.outcome.Refusal;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.records.ModelSpec;
+import org.radishpass.router.internal.control.RouterControl;
+import org.radishpass.router.internal.control.RouterSnapshot;
+import org.radishpass.runtime.http.HttpJson;
+import org.radishpass.runtime.http.HttpRuntime;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * The HTTP server that callers, operators and the platform's balancer speak to.
+ *
+ * @since 0.1.0
+ */
+final class CallerServer {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final String PROMETHEUS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+    private final TrafficTools tools;
+    private final RouterControl control;
+    private final PrometheusMeterRegistry metrics;
+    private final ChatHandler chats;
+    private final ServiceHandler services;
+    private final DisposableServer server;
+
+    CallerServer(
+            HttpRuntime runtime,
+            String host,
+            int port,
+            TrafficTools tools,
+            OnceGuard guard,
+            RouterControl control,
+            PrometheusMeterRegistry metrics) {
+        this.tools = tools;
+        this.control = control;
+        this.metrics = metrics;
+        this.chats = new ChatHandler(tools);
+        this.services = new ServiceHandler(tools, guard);
+        this.server = runtime.server(host, port)
+                .idleTimeout(Duration.ofSeconds(75))
+                .handle(this::route)
+                .bindNow();
+    }
+
+    int port() {
+        return server.port();
+    }
+
+    void close() {
+        server.disposeNow(Duration.ofSeconds(2));
+    }
+
+    private Publisher<Void> route(HttpServerRequest request, HttpServerResponse response) {
+        String path = request.path();
+        return switch (request.method().name() + " /" + path) {
+            case "POST /v1/chat/completions" -> guarded(request, response, chats::handle);
+            case "GET /v1/models" -> guarded(request, response, this::models);
+            case "GET /healthz" -> HttpJson.send(response, OK, Map.of("status", "alive"));
+            case "GET /readyz" -> ready(response);
+            case "GET /metrics" ->
+                response.header("Content-Type", PROMETHEUS_TYPE).sendString(Mono.fromCallable(metrics::scrape));
+            case "GET /v1/status" -> HttpJson.send(response, OK, status());
+            default -> otherwise(path, request, response);
+        };
+    }
+
+    private Publisher<Void> otherwise(String path, HttpServerRequest request, HttpServerResponse response) {
+        if (path.startsWith("services/")) {
+            return guarded(request, response, services::handle);
+        }
+        if (path.startsWith("v1/explain/")) {
+            return explain(path.substring("v1/explain/".length()), response);
+        }
+        Refusal refusal = Refusal.notRun(RefusalCode.NOT_FOUND, "there is no " + request.method() + " /" + path);
+        return tools.refusals().write(response, tools.identity().nextId(), refusal);
+    }
+
+    private Publisher<Void> guarded(HttpServerRequest request, HttpServerResponse response, Handler handler) {
+        CallerRequest caller;
+        try {
+            caller = tools.identity().identify(request);
+        } catch (RefusedException e) {
+            return tools.refusals().write(response, tools.identity().nextId(), e.refusal());
+        }
+        tools.metrics().started();
+        return Mono.defer(() -> Mono.from(handler.handle(caller, request, response)))
+                .onErrorResume(error -> answerError(caller, error, response))
+                .doFinally(signal -> tools.metrics().ended());
+    }
+
+    private Mono<Void> answerError(CallerRequest caller, Throwable error, HttpServerResponse response) {
+        if (response.hasSentHeaders()) {
+            return Mono.error(error);
+        }
+        Refusal refusal = RefusalWriter.refusalOf(error);
+        tools.decisions().find(caller.id()).ifPresent(decision -> decision.refused(refusal));
+        return Mono.from(tools.refusals().write(response, caller.id(), refusal));
+    }
+
+    private Publisher<Void> ready(HttpServerResponse response) {
+        boolean ready = control.snapshot().ready();
+        return HttpJson.send(response, ready ? OK : UNAVAILABLE, Map.of("ready", ready));
+    }
+
+    private Publisher<Void> models(CallerRequest caller, HttpServerRequest request, HttpServerResponse response) {
+        List<Map<String, String>> models = caller.snapshot().configuration().models().stream()
+                .map(ModelSpec::name)
+                .sorted()
+                .map(name -> Map.of("id", name, "object", "model"))
+                .toList();
+        return HttpJson.send(response, OK, Map.of("object", "list", "data", models));
+    }
+
+    private Publisher<Void> explain(String requestId, HttpServerResponse response) {
+        return tools.decisions()
+                .find(requestId)
+                .map(decision -> HttpJson.send(response, OK, decision.view()))
+                .orElseGet(() -> tools.refusals()
+                        .write(
+                                response,
+                                requestId,
+                                Refusal.notRun(RefusalCode.NOT_FOUND, "this router does not remember the request")));
+    }
+
+    private Map<String, Object> status() {
+        RouterSnapshot snapshot = control.snapshot();
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("id", control.id());
+        status.put("incarnation", control.incarnation());
+        status.put("ready", snapshot.ready());
+        status.put("revision", snapshot.configuration().revision());
+        status.put("requestsInProgress", tools.metrics().inProgress());
+        status.put(
+                "routers",
+                snapshot.fleet().vms().stream().map(vm -> vm.id()).sorted().toList());
+        status.put(
+                "endpoints",
+                snapshot.fleet().endpoints().stream()
+                        .sorted(java.util.Comparator.comparing(Endpoint::id))
+                        .map(endpoint -> Map.of(
+                                "id",
+                                endpoint.id(),
+                                "dataCentre",
+                                endpoint.dataCentre().name(),
+                                "state",
+                                endpoint.state().name(),
+                                "pools",
+                                endpoint.pools().stream().sorted().toList(),
+                                "owner",
+                                snapshot.owner(endpoint.id()).map(vm -> vm.id()).orElse("")))
+                        .toList());
+        return status;
+    }
+
+    /** Serves a request whose caller is known. */
+    @FunctionalInterface
+    private interface Handler {
+        Publisher<Void> handle(CallerRequest caller, HttpServerRequest request, HttpServerResponse response);
+    }
+}
--- /dev/null
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatHandler.java
@@ -0,0 +1,126 @@
+package org.radishpass.router.internal.traffic;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Set;
+import org.radishpass.core.outcome.Refusal;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.records.WorkspaceSpec;
+import org.radishpass.router.internal.endpoint.HeaderNames;
+import org.radishpass.router.internal.endpoint.SseEvent;
+import org.radishpass.router.internal.endpoint.WholeAnswer;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Signal;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves {@code POST /v1/chat/completions}, streamed or whole.
+ *
+ * @since 0.1.0
+ */
+final class ChatHandler {
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final TrafficTools tools;
+
+    ChatHandler(TrafficTools tools) {
+        this.tools = tools;
+    }
+
+    Publisher<Void> handle(CallerRequest caller, HttpServerRequest request, HttpServerResponse response) {
+        String chatId = request.requestHeaders().get(HeaderNames.CHAT_ID);
+        return Bodies.read(request).flatMap(body -> {
+            ChatPrompt prompt = ChatPrompt.read(body, chatId);
+            return Mono.from(admitted(caller, prompt, body, response));
+        });
+    }
+
+    private Publisher<Void> admitted(
+            CallerRequest caller, ChatPrompt prompt, byte[] body, HttpServerResponse response) {
+        WorkspaceSpec workspace = caller.workspace();
+        String pool = caller.snapshot()
+                .configuration()
+                .poolOf(prompt.model())
+                .orElseThrow(() -> RefusedException.notRun(
+                        RefusalCode.NOT_FOUND, "no record declares the model " + prompt.model()));
+        if (!tools.gate()
+                .tryEnter(
+                        workspace.name(),
+                        workspace.inFlight(),
+                        caller.snapshot().routers())) {
+            throw RefusedException.notRun(
+                    RefusalCode.WORKSPACE_LIMIT, "the workspace has as many requests in progress as it may");
+        }
+        PlaceRequest place = new PlaceRequest(
+                workspace.name(),
+                prompt.chat(),
+                pool,
+                caller.priority(),
+                workspace.bound(),
+                workspace.spread(),
+                workspace.queued(),
+                caller.deadline(),
+                Set.of());
+        DecisionLog.Decision decision = tools.decisions().start(caller, pool, prompt.chat());
+        ChatRun run = new ChatRun(caller, place, body, tools, decision);
+        response.header(HeaderNames.REQUEST_ID, caller.id());
+        Publisher<Void> answer =
+                prompt.streamed() ? stream(caller, run, decision, response) : whole(caller, run, decision, response);
+        return Mono.from(answer).doFinally(signal -> tools.gate().leave(workspace.name()));
+    }
+
+    private Publisher<Void> stream(
+            CallerRequest caller, ChatRun run, DecisionLog.Decision decision, HttpServerResponse response) {
+        TokenClock tokens = new TokenClock(caller, tools.metrics());
+        return run.events()
+                .doOnNext(event -> tokens.event())
+                .doOnComplete(() -> {
+                    tools.metrics().answered(caller);
+                    decision.answered();
+                })
+                .switchOnFirst((first, events) -> begin(caller, decision, first, events, response));
+    }
+
+    private Publisher<Void> begin(
+            CallerRequest caller,
+            DecisionLog.Decision decision,
+            Signal<? extends SseEvent> first,
+            Flux<SseEvent> events,
+            HttpServerResponse response) {
+        if (!first.isOnNext()) {
+            return events.thenMany(Flux.<Void>empty());
+        }
+        response.header(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
+        response.header(HttpHeaderNames.CACHE_CONTROL, "no-cache");
+        Flux<byte[]> bytes = events.map(SseEvent::raw).onErrorResume(error -> {
+            Refusal refusal = RefusalWriter.refusalOf(error);
+            decision.refused(refusal);
+            byte[] last = tools.refusals().lastEvent(caller.id(), refusal);
+            return Flux.just(last).concatWith(Flux.error(error));
+        });
+        return response.send(bytes.map(Unpooled::wrappedBuffer), buffer -> true);
+    }
+
+    private Publisher<Void> whole(
+            CallerRequest caller, ChatRun run, DecisionLog.Decision decision, HttpServerResponse response) {
+        long started = System.nanoTime();
+        return run.whole().flatMap(answer -> {
+            tools.metrics().wholeAnswer(caller, System.nanoTime() - started);
+            tools.metrics().answered(caller);
+            decision.answered();
+            return Mono.from(send(answer, response));
+        });
+    }
+
+    static Publisher<Void> send(WholeAnswer answer, HttpServerResponse response) {
+        response.status(answer.status());
+        if (answer.contentType() != null) {
+            response.header(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+        }
+        response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(answer.body().length));
+        return response.sendByteArray(Mono.just(answer.body()));
+    }
+}
--- /dev/null
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Callers' requests, on the event loops; not API.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.router.internal.traffic;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/http/HttpRuntime.java
@@ -0,0 +1,72 @@
+package org.radishpass.runtime.http;
+
+import java.time.Duration;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The event loops and connection pools of a process.
+ *
+ * @since 0.1.0
+ */
+public final class HttpRuntime implements AutoCloseable {
+    private static final Duration POOL_IDLE = Duration.ofSeconds(20);
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int MAX_CONNECTIONS = 2_000;
+    private static final int MAX_PENDING = 4_000;
+
+    private final LoopResources loops;
+    private final ConnectionProvider pool;
+
+    /**
+     * Creates them.
+     *
+     * @param name the prefix of thread names
+     * @param workers the number of event loops
+     */
+    public HttpRuntime(String name, int workers) {
+        this.loops = LoopResources.create(name, workers, true);
+        this.pool = ConnectionProvider.builder(name)
+                .maxConnections(MAX_CONNECTIONS)
+                .pendingAcquireMaxCount(MAX_PENDING)
+                .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+                .maxIdleTime(POOL_IDLE)
+                .lifo()
+                .build();
+    }
+
+    /** Returns the event loops. */
+    public LoopResources loops() {
+        return loops;
+    }
+
+    /**
+     * Returns a client that never sends a request again by itself.
+     *
+     * @see HttpClient#disableRetry(boolean)
+     */
+    public HttpClient client() {
+        return HttpClient.create(pool)
+                .runOn(loops, false)
+                .disableRetry(true)
+                .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Returns a server that is not bound yet.
+     *
+     * @param host the address to listen on
+     * @param port the port; 0 lets the system choose
+     */
+    public HttpServer server(String host, int port) {
+        return HttpServer.create().runOn(loops, false).host(host).port(port);
+    }
+
+    @Override
+    public void close() {
+        pool.disposeLater().block(Duration.ofSeconds(2));
+        loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block(Duration.ofSeconds(2));
+    }
+}
--- /dev/null
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/metrics/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Metrics that several programs keep.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.runtime.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/settings/SettingsParser.java
@@ -0,0 +1,95 @@
+package org.radishpass.runtime.settings;
+
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.NamedOptionDef;
+import org.kohsuke.args4j.OptionDef;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.OptionHandler;
+
+/**
+ * Fills settings from flags and, where a flag is not given, from its environment twin.
+ *
+ * <p>The twin of {@code --data-centre} is {@code RADISHPASS_DATA_CENTRE}.
+ *
+ * @since 0.1.0
+ */
+public final class SettingsParser {
+    private static final String ENVIRONMENT_PREFIX = "RADISHPASS_";
+    private static final int USAGE_WIDTH = 110;
+
+    private final CmdLineParser parser;
+    private final Settings settings;
+
+    /**
+     * Creates a parser.
+     *
+     * @param settings the settings to fill
+     */
+    public SettingsParser(Settings settings) {
+        this.settings = settings;
+        this.parser = new CmdLineParser(
+                settings,
+                ParserProperties.defaults().withUsageWidth(USAGE_WIDTH).withShowDefaults(true));
+    }
+
+    /**
+     * Fills the settings.
+     *
+     * @param arguments the command line
+     * @param environment the environment
+     * @return one line for each fault; none when the settings are good
+     */
+    public List<String> parse(List<String> arguments, Map<String, String> environment) {
+        List<String> all = new ArrayList<>(fromEnvironment(arguments, environment));
+        all.addAll(arguments);
+        try {
+            parser.parseArgument(all);
+        } catch (CmdLineException e) {
+            return List.of(String.valueOf(e.getMessage()));
+        }
+        return settings.faults();
+    }
+
+    /** Returns the description of all flags, one a line. */
+    public String usage() {
+        StringWriter text = new StringWriter();
+        parser.printUsage(text, null);
+        return text.toString();
+    }
+
+    /**
+     * Returns the environment variable that stands for a flag.
+     *
+     * @param flag the flag, with its dashes
+     */
+    public static String environmentName(String flag) {
+        String bare = flag.replaceFirst("^-+", "");
+        return ENVIRONMENT_PREFIX + bare.toUpperCase(Locale.ROOT).replace('-', '_');
+    }
+
+    private List<String> fromEnvironment(List<String> arguments, Map<String, String> environment) {
+        List<String> found = new ArrayList<>();
+        for (OptionHandler<?> handler : parser.getOptions()) {
+            OptionDef option = handler.option;
+            if (option instanceof NamedOptionDef named && !arguments.contains(named.name())) {
+                addTwin(named, environment, found);
+            }
+        }
+        return found;
+    }
+
+    private static void addTwin(NamedOptionDef option, Map<String, String> environment, List<String> found) {
+        String value = environment.get(environmentName(option.name()));
+        if (value == null || option.help()) {
+            return;
+        }
+        found.add(option.name());
+        found.add(value);
+    }
+}
--- /dev/null
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/settings/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Flags with environment twins, checked at start, and the exit codes of programs.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.runtime.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
@@ -0,0 +1,99 @@
+package org.radishpass.runtime.thread;
+
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * The thread that owns a process's control state. All that runs here runs one after another.
+ *
+ * @since 0.1.0
+ */
+public final class ControlThread implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(ControlThread.class);
+
+    private final ScheduledExecutorService executor;
+    private final Scheduler scheduler;
+
+    /**
+     * Starts the thread.
+     *
+     * @param name its name
+     */
+    public ControlThread(String name) {
+        this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+        this.scheduler = Schedulers.fromExecutorService(executor, name);
+    }
+
+    /** Returns the thread as a scheduler. */
+    public Scheduler scheduler() {
+        return scheduler;
+    }
+
+    /**
+     * Runs a task soon.
+     *
+     * @param task the task
+     */
+    public void run(Runnable task) {
+        executor.execute(guarded(task));
+    }
+
+    /**
+     * Computes a value here.
+     *
+     * @param task computes it
+     * @param <T> its type
+     */
+    public <T> Mono<T> call(Callable<T> task) {
+        return Mono.fromCallable(task).subscribeOn(scheduler);
+    }
+
+    /**
+     * Runs a task again and again.
+     *
+     * @param period the time from one run's start to the next
+     * @param task the task
+     */
+    public void every(Duration period, Runnable task) {
+        long millis = period.toMillis();
+        scheduler.schedulePeriodically(guarded(task), millis, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Runs a task once, later.
+     *
+     * @param delay the time until then
+     * @param task the task
+     */
+    public void after(Duration delay, Runnable task) {
+        scheduler.schedule(guarded(task), delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+        scheduler.dispose();
+    }
+
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("a control task failed", e);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/deployment/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Whole deployments made of stand-ins.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.standin.deployment;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/engine/EngineStandIn.java
@@ -0,0 +1,290 @@
+package org.radishpass.standin.engine;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.radishpass.core.cache.PromptBlocks;
+import org.radishpass.runtime.http.HttpJson;
+import org.radishpass.runtime.http.HttpRuntime;
+import org.radishpass.standin.platform.WeightStoreStandIn;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * A model engine that takes the time of one, caches prefixes like one, and fails like one.
+ *
+ * @since 0.1.0
+ */
+public final class EngineStandIn implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final String REQUEST_ID = "X-Request-Id";
+    private static final String ATTEMPT = "X-Attempt";
+    private static final double LOAD_SLOWDOWN = 0.5;
+
+    private final AtomicLong sequence = new AtomicLong();
+    private final String id;
+    private final String incarnation;
+    private final EngineSettings settings;
+    private final Batch batch;
+    private final CacheEvents events;
+    private final PrefixCache cache;
+    private final EngineOrders orders;
+    private final EngineAudit audit = new EngineAudit();
+    private final Random random;
+    private final DisposableServer server;
+    private volatile EngineFaults faults = EngineFaults.NONE;
+
+    /**
+     * Starts an engine.
+     *
+     * @param id its identity
+     * @param incarnation which start of it this is
+     * @param settings how it behaves
+     * @param runtime the event loops
+     * @param weights where it gets weights from
+     * @param seed the seed of its chance
+     */
+    public EngineStandIn(
+            String id,
+            String incarnation,
+            EngineSettings settings,
+            HttpRuntime runtime,
+            WeightStoreStandIn weights,
+            long seed) {
+        this.id = id;
+        this.incarnation = incarnation;
+        this.settings = settings;
+        this.batch = new Batch(
+                settings.capacity(),
+                Duration.ofMillis(settings.reportLagMillis()).toNanos());
+        this.events = new CacheEvents(seed);
+        this.cache = new PrefixCache(settings.cacheBlocks(), events);
+        this.orders = new EngineOrders(settings.checksOrders(), weights, cache);
+        this.random = new Random(seed);
+        this.server = runtime.server("127.0.0.1", 0).route(this::routes).bindNow();
+    }
+
+    /** Returns its identity. */
+    public String id() {
+        return id;
+    }
+
+    /** Returns which start of it this is. */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Returns the requests that run now. */
+    public int running() {
+        return batch.running();
+    }
+
+    /** Tells whether it is there to take work. */
+    public boolean serving() {
+        return "READY".equals(orders.state())
+                && !faults.down()
+                && !orders.pools().isEmpty();
+    }
+
+    /** Returns what it did. */
+    public EngineAudit audit() {
+        return audit;
+    }
+
+    /** Returns the orders that it was given. */
+    public List<Map<String, Object>> orders() {
+        return orders.ledger();
+    }
+
+    /**
+     * Switches faults.
+     *
+     * @param newFaults the faults from now on
+     */
+    public void faults(EngineFaults newFaults) {
+        this.faults = newFaults;
+    }
+
+    @Override
+    public void close() {
+        server.disposeNow(Duration.ofSeconds(1));
+    }
+
+    private void routes(HttpServerRoutes routes) {
+        routes.post("/v1/chat/completions", faulty(this::chat))
+                .get("/v1/status", faulty((request, response) -> HttpJson.send(response, OK, status())))
+                .post("/v1/orders", faulty(this::order))
+                .get("/v1/cache-events", faulty(this::cacheEvents))
+                .get("/v1/kv", faulty((request, response) -> HttpJson.send(response, OK, cache.export())))
+                .post("/v1/kv", faulty(this::importCache));
+    }
+
+    private java.util.function.BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> faulty(
+            java.util.function.BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+        return (request, response) -> {
+            if (faults.down()) {
+                response.withConnection(connection -> connection.dispose());
+                return Mono.never();
+            }
+            return faults.frozen() ? Mono.never() : handler.apply(request, response);
+        };
+    }
+
+    private Map<String, Object> status() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("incarnation", incarnation);
+        status.put("sequence", sequence.incrementAndGet());
+        status.put("state", orders.state());
+        status.put("pools", orders.pools());
+        status.put("running", batch.reportedRunning(System.nanoTime()));
+        status.put("queued", batch.queued());
+        status.put("capacity", settings.capacity());
+        return status;
+    }
+
+    private Publisher<Void> order(HttpServerRequest request, HttpServerResponse response) {
+        return HttpJson.read(request)
+                .flatMap(orders::carryOut)
+                .flatMap(code -> Mono.from(HttpJson.send(response, code, Map.of("status", code))));
+    }
+
+    private Publisher<Void> cacheEvents(HttpServerRequest request, HttpServerResponse response) {
+        int equals = request.uri().indexOf("after=");
+        long after = equals < 0 ? 0 : Long.parseLong(request.uri().substring(equals + "after=".length()));
+        return HttpJson.send(response, OK, events.after(after, System.nanoTime()));
+    }
+
+    private Publisher<Void> importCache(HttpServerRequest request, HttpServerResponse response) {
+        return HttpJson.read(request).flatMap(json -> {
+            List<Long> blocks = new java.util.ArrayList<>();
+            json.forEach(block -> blocks.add(block.asLong()));
+            cache.add(blocks);
+            return Mono.from(HttpJson.send(response, OK, Map.of("imported", blocks.size())));
+        });
+    }
+
+    private Publisher<Void> chat(HttpServerRequest request, HttpServerResponse response) {
+        String requestId = String.valueOf(request.requestHeaders().get(REQUEST_ID));
+        boolean crossed = random.nextDouble() < faults.crossed();
+        response.header(REQUEST_ID, crossed ? requestId + "-other" : requestId);
+        response.header(ATTEMPT, String.valueOf(request.requestHeaders().get(ATTEMPT)));
+        int priority = request.requestHeaders().getInt("X-Priority", 0);
+        int resumeFrom = request.requestHeaders().getInt("X-Resume-From", 0);
+        return HttpJson.read(request).flatMap(body -> {
+            if (faults.declining() || !"READY".equals(orders.state())) {
+                return decline(response);
+            }
+            return batch.enter(priority)
+                    .map(entered -> run(Prompt.read(body), resumeFrom, response))
+                    .switchIfEmpty(Mono.fromCallable(() -> decline(response)))
+                    .flatMap(answer -> answer);
+        });
+    }
+
+    private static Mono<Void> decline(HttpServerResponse response) {
+        response.header("X-Not-Run", "true");
+        return Mono.from(HttpJson.send(response, UNAVAILABLE, Map.of("error", "declined")));
+    }
+
+    private Mono<Void> run(Prompt prompt, int resumeFrom, HttpServerResponse response) {
+        int cachedTokens = Math.min(prompt.tokens(), cache.cachedBlocks(prompt.chain()) * PromptBlocks.BLOCK_TOKENS);
+        cache.add(prompt.chain());
+        audit.started(prompt.tokens(), cachedTokens);
+        AtomicBoolean left = new AtomicBoolean();
+        Duration prefill =
+                Duration.ofNanos((long) (prompt.tokens() - cachedTokens) * settings.prefillMicrosPerToken() * 1_000L);
+        Flux<String> tokens = Flux.range(resumeFrom, Math.max(0, prompt.maxTokens() - resumeFrom))
+                .concatMap(index -> Mono.delay(index == resumeFrom ? prefill.plus(gap()) : gap())
+                        .map(tick -> prompt.token(index)));
+        Mono<Void> answer = prompt.streamed()
+                ? streamed(prompt, cachedTokens, resumeFrom, tokens, response)
+                : whole(prompt, cachedTokens, tokens, response);
+        return answer.doOnSuccess(done -> audit.finished())
+                .doOnCancel(audit::cancelled)
+                .doFinally(signal -> {
+                    if (left.compareAndSet(false, true)) {
+                        batch.leave();
+                    }
+                });
+    }
+
+    private Duration gap() {
+        double share = (double) batch.running() / settings.capacity();
+        return Duration.ofNanos((long) (settings.decodeMicrosPerToken() * 1_000L * (1 + LOAD_SLOWDOWN * share)));
+    }
+
+    private Mono<Void> streamed(
+            Prompt prompt, int cachedTokens, int resumeFrom, Flux<String> tokens, HttpServerResponse response) {
+        response.header(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
+        boolean cut = random.nextDouble() < faults.cut();
+        Flux<String> events = tokens.index()
+                .map(token -> chunk(resumeFrom + token.getT1(), token.getT2()))
+                .concatWith(Flux.just(usage(prompt, cachedTokens), "data: [DONE]\n\n"));
+        if (cut) {
+            events = events.take(Math.max(1, prompt.maxTokens() / 2)).concatWith(Mono.defer(() -> {
+                response.withConnection(connection -> connection.dispose());
+                return Mono.never();
+            }));
+        }
+        Flux<String> watched = events.handle((event, sink) -> {
+            if (faults.down()) {
+                sink.error(new IllegalStateException("the engine is down"));
+            } else {
+                sink.next(event);
+            }
+        });
+        return response.send(
+                        watched.filterWhen(event -> faults.frozen() ? Mono.never() : Mono.just(true))
+                                .map(event -> Unpooled.wrappedBuffer(event.getBytes(StandardCharsets.UTF_8))),
+                        buffer -> true)
+                .then();
+    }
+
+    private Mono<Void> whole(Prompt prompt, int cachedTokens, Flux<String> tokens, HttpServerResponse response) {
+        return tokens.collect(StringBuilder::new, StringBuilder::append).flatMap(text -> {
+            Map<String, Object> message = Map.of("role", "assistant", "content", text.toString());
+            Map<String, Object> answer = new LinkedHashMap<>();
+            answer.put("object", "chat.completion");
+            answer.put("choices", List.of(Map.of("index", 0, "message", message, "finish_reason", "stop")));
+            answer.put("usage", usageCounts(prompt, cachedTokens));
+            return Mono.from(HttpJson.send(response, OK, answer));
+        });
+    }
+
+    private static String chunk(long index, String token) {
+        return "id: " + index + "\ndata: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,"
+                + "\"delta\":{\"content\":\"" + token + "\"},\"finish_reason\":null}]}\n\n";
+    }
+
+    private static String usage(Prompt prompt, int cachedTokens) {
+        String counts = new String(HttpJson.bytes(usageCounts(prompt, cachedTokens)), StandardCharsets.UTF_8);
+        return "id: " + prompt.maxTokens() + "\ndata: {\"object\":\"chat.completion.chunk\",\"choices\":[],"
+                + "\"usage\":" + counts + "}\n\n";
+    }
+
+    private static Map<String, Object> usageCounts(Prompt prompt, int cachedTokens) {
+        Map<String, Object> usage = new LinkedHashMap<>();
+        usage.put("prompt_tokens", prompt.tokens());
+        usage.put("completion_tokens", prompt.maxTokens());
+        usage.put("prompt_tokens_details", Map.of("cached_tokens", cachedTokens));
+        return usage;
+    }
+}
--- /dev/null
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/link/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * A stand-in for the network between data centres, which can be cut.
+ *
+ * @since 0.1.0
+ */
+@NullMarked
+package org.radishpass.standin.link;
+
+import org.jspecify.annotations.NullMarked;
