Whole path: a chat enters at a router, is placed and streams back

Cause: nothing had run end to end yet. The first run hung: the stand-in VM list made links, which binds a port and waits, on an event loop; the second hung because it did so while holding the lock that event loops wait for. Ruled out: the platform client and the store, whose logs were clean.

--- a/radishpass-controller/src/main/java/org/radishpass/controller/internal/ControllerLoop.java
+++ b/radishpass-controller/src/main/java/org/radishpass/controller/internal/ControllerLoop.java
@@ -52,8 +52,13 @@
         this.store = new ConfigurationStore(tables);
         this.vmList = new VmListClient(runtime.client(), settings.platform(), settings.dataCentre(), PLATFORM_PATIENCE);
         String holder = settings.id() + '.' + Long.toString(clock.millis(), Character.MAX_RADIX);
-        this.leases =
-                new ShareLeases(holder, settings.dataCentre(), tables, LeaseRules.DEFAULT, clock, System::nanoTime);
+        this.leases = new ShareLeases(
+                holder,
+                settings.dataCentre(),
+                transaction -> tables.transact(transaction).publishOn(control.scheduler()),
+                LeaseRules.DEFAULT,
+                clock,
+                System::nanoTime);
         this.convergence = new Convergence(
                 settings.dataCentre(), leases, new EngineClient(runtime.client()), control, metrics, clock);
     }
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Driver.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Driver.java
@@ -76,7 +76,7 @@
         List<Arrival> arrivals = Schedule.of(experiment);
         Caller caller = new Caller(runtime.client(), fleet.routers(), experiment.seed());
         List<Result> results = Collections.synchronizedList(new ArrayList<>());
-        CountDownLatch open = new CountDownLatch(arrivals.size());
+        CountDownLatch open = new CountDownLatch(arrivals.size() + 1);
         ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
         long start = System.nanoTime();
         for (Arrival arrival : arrivals) {
@@ -93,7 +93,10 @@
         }
         at(timer, start + (long) (experiment.warmupSeconds() * NANOS), atFigures);
         double end = experiment.warmupSeconds() + (double) experiment.seconds();
-        at(timer, start + (long) (end * NANOS), atEnd);
+        at(timer, start + (long) (end * NANOS), () -> {
+            atEnd.run();
+            open.countDown();
+        });
         boolean all = open.await((long) end + TAIL_SECONDS, TimeUnit.SECONDS);
         timer.shutdownNow();
         if (!all) {
--- a/radishpass-standin/src/main/java/org/radishpass/standin/deployment/StandInDeployment.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/deployment/StandInDeployment.java
@@ -71,7 +71,7 @@
         this.runtime = new HttpRuntime("standin", 3);
         this.table = new TableStandIn(seed);
         this.network = new Network(runtime.loops());
-        this.vms = new VmListStandIn(runDirectory, network, Clock.systemUTC());
+        this.vms = new VmListStandIn(kind.dataCentres(), runDirectory, network, Clock.systemUTC());
         this.platform = new PlatformServer(runtime, table, new ObjectStoreStandIn(), vms);
         startEndpoints(kind, engineSettings, seed);
         this.faultServer = runtime.server(HOST, 0).route(this::routes).bindNow();
--- a/radishpass-standin/src/main/java/org/radishpass/standin/platform/VmListStandIn.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/platform/VmListStandIn.java
@@ -30,6 +30,7 @@
     private final ConcurrentHashMap<String, VmEntry> endpoints = new ConcurrentHashMap<>();
     private final ConcurrentHashMap<String, Boolean> leaving = new ConcurrentHashMap<>();
     private final Deque<Dated> history = new ArrayDeque<>();
+    private final List<String> observers;
     private final Path runDirectory;
     private final Network network;
     private final Clock clock;
@@ -38,11 +39,13 @@
     /**
      * Creates a list.
      *
+     * @param observers the data centres that ask
      * @param runDirectory where routers write their ports
      * @param network how data centres see each other
      * @param clock tells the time
      */
-    public VmListStandIn(Path runDirectory, Network network, Clock clock) {
+    public VmListStandIn(List<String> observers, Path runDirectory, Network network, Clock clock) {
+        this.observers = observers;
         this.runDirectory = runDirectory;
         this.network = network;
         this.clock = clock;
@@ -85,10 +88,15 @@
         this.lagMillis = millis;
     }
 
-    /** Notes the machines as they are now; the list shows them after its lag. */
-    public synchronized void refresh() {
+    /** Notes the machines as they are now; the list shows them after its lag. Not for event loops: it makes links. */
+    public void refresh() {
         List<VmEntry> now = new ArrayList<>(endpoints.values());
         now.addAll(routers());
+        now.forEach(entry -> observers.forEach(observer -> network.port(observer, entry)));
+        note(now);
+    }
+
+    private synchronized void note(List<VmEntry> now) {
         history.addLast(new Dated(clock.instant(), now));
         Instant visible = clock.instant().minus(Duration.ofMillis(lagMillis));
         while (history.size() > 1 && !second().at().isAfter(visible)) {
