--- a/radishpass-core/src/main/java/org/radishpass/core/fleet/FleetView.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/fleet/FleetView.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * An immutable picture of the fleet: its routers and its endpoints, indexed by pool.
@@ -90,4 +91,9 @@
     public List<Endpoint> open(String pool) {
         return openByPool.getOrDefault(pool, List.of());
     }
+
+    /** Returns the names of the pools that some endpoint is open to. */
+    public Set<String> openPools() {
+        return openByPool.keySet();
+    }
 }
--- a/radishpass-core/src/main/java/org/radishpass/core/placement/PlacementPolicy.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/placement/PlacementPolicy.java
@@ -66,6 +66,11 @@
         return bounded;
     }
 
+    /** Tells whether each router must ask every endpoint for its load. */
+    public boolean needsReports() {
+        return this == LEAST_LOAD;
+    }
+
     /**
      * Returns the endpoints in the order in which they are to be tried.
      *
--- /dev/null
+++ b/radishpass-core/src/test/java/org/radishpass/core/membership/FleetDirectoryTest.java
@@ -0,0 +1,138 @@
+package org.radishpass.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.fleet.EndpointState;
+import org.radishpass.core.fleet.VmKind;
+import org.radishpass.core.fleet.VmListing;
+
+/** Checks what a router believes of the fleet. */
+final class FleetDirectoryTest {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final String POOL = "model@1";
+
+    private final FleetDirectory directory = new FleetDirectory();
+
+    @Test
+    void anEndpointIsOpenOnceItHasReported() {
+        directory.listed(List.of(engine("a", "1", false)), NOW);
+        assertThat(open()).isEmpty();
+
+        directory.reported(report("a", "1", 1, EndpointState.READY), NOW);
+
+        assertThat(open()).containsExactly("a");
+    }
+
+    @Test
+    void anEmptyListIsNotNews() {
+        readyEngine("a");
+
+        directory.listed(List.of(), NOW.plusSeconds(60));
+
+        assertThat(open()).containsExactly("a");
+    }
+
+    @Test
+    void anEndpointThatVanishesFromTheListButAnswersIsKept() {
+        readyEngine("a");
+        readyEngine("b");
+        directory.reported(report("a", "1", 2, EndpointState.READY), NOW.plusSeconds(14));
+
+        directory.listed(List.of(engine("b", "1", false)), NOW.plusSeconds(20));
+
+        assertThat(open()).containsExactly("a", "b");
+    }
+
+    @Test
+    void anEndpointThatNeitherIsListedNorAnswersIsForgotten() {
+        readyEngine("a");
+        readyEngine("b");
+
+        directory.listed(List.of(engine("b", "1", false)), NOW.plus(FleetDirectory.MEMORY));
+
+        assertThat(open()).containsExactly("b");
+    }
+
+    @Test
+    void leavingIsStickyForTheIncarnationAndEndsWithIt() {
+        readyEngine("a");
+        directory.listed(List.of(engine("a", "1", true)), NOW);
+        directory.listed(List.of(engine("a", "1", false)), NOW);
+        directory.reported(report("a", "1", 9, EndpointState.READY), NOW);
+        assertThat(open()).isEmpty();
+
+        directory.listed(List.of(engine("a", "2", false)), NOW);
+        directory.reported(report("a", "2", 1, EndpointState.READY), NOW);
+
+        assertThat(open()).containsExactly("a");
+    }
+
+    @Test
+    void anOlderReportNeverReplacesANewerOne() {
+        directory.listed(List.of(engine("a", "1", false)), NOW);
+        directory.reported(report("a", "1", 5, EndpointState.READY), NOW);
+
+        boolean news = directory.reported(report("a", "1", 4, EndpointState.ASLEEP), NOW);
+
+        assertThat(news).isFalse();
+        assertThat(open()).containsExactly("a");
+    }
+
+    @Test
+    void aReportOfAnEarlierIncarnationIsIgnored() {
+        directory.listed(List.of(engine("a", "2", false)), NOW);
+        directory.reported(report("a", "2", 1, EndpointState.READY), NOW);
+
+        directory.reported(report("a", "1", 99, EndpointState.LEAVING), NOW);
+
+        assertThat(open()).containsExactly("a");
+    }
+
+    @Test
+    void suspicionNarrowsTheChoice() {
+        readyEngine("a");
+        readyEngine("b");
+        readyEngine("c");
+
+        directory.reported(report("a", "1", 2, EndpointState.SUSPECT), NOW);
+
+        assertThat(open()).containsExactly("b", "c");
+    }
+
+    @Test
+    void anObserverThatFindsMostDeadDoubtsItself() {
+        readyEngine("a");
+        readyEngine("b");
+        readyEngine("c");
+
+        directory.reported(report("a", "1", 2, EndpointState.SUSPECT), NOW);
+        directory.reported(report("b", "1", 2, EndpointState.SUSPECT), NOW);
+
+        assertThat(open()).containsExactly("a", "b", "c");
+    }
+
+    private void readyEngine(String id) {
+        directory.listed(List.of(engine(id, "1", false)), NOW);
+        directory.reported(report(id, "1", 1, EndpointState.READY), NOW);
+    }
+
+    private List<String> open() {
+        return directory.view().open(POOL).stream().map(Endpoint::id).toList();
+    }
+
+    private static VmListing engine(String id, String incarnation, boolean leaving) {
+        return new VmListing(
+                id, incarnation, VmKind.ENGINE, new DataCentre("here"), new Address("127.0.0.1", 1), leaving);
+    }
+
+    private static EndpointReport report(String id, String incarnation, long sequence, EndpointState state) {
+        return new EndpointReport(id, incarnation, sequence, state, Set.of(POOL), 0, 32);
+    }
+}
--- /dev/null
+++ b/radishpass-core/src/test/java/org/radishpass/core/placement/RankingPropertyTest.java
@@ -0,0 +1,65 @@
+package org.radishpass.core.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.testing.Endpoints;
+
+/** Properties of the order in which endpoints are tried. */
+final class RankingPropertyTest {
+    @Property(tries = 200, seed = "41")
+    void everyObserverOfTheSameEndpointsRanksThemAlike(
+            @ForAll String workspace, @ForAll String chat, @ForAll @IntRange(min = 1, max = 40) int count) {
+        List<Endpoint> endpoints = Endpoints.engines(count);
+        List<Endpoint> reversed = new ArrayList<>(endpoints);
+        java.util.Collections.reverse(reversed);
+
+        assertThat(Ranking.of(reversed, workspace, chat, 0)).isEqualTo(Ranking.of(endpoints, workspace, chat, 0));
+    }
+
+    @Property(tries = 200, seed = "42")
+    void onlyTheChatsOfALostEndpointMove(
+            @ForAll String chat,
+            @ForAll @IntRange(min = 2, max = 40) int count,
+            @ForAll @IntRange(min = 0, max = 39) int lostIndex) {
+        List<Endpoint> endpoints = Endpoints.engines(count);
+        Endpoint lost = endpoints.get(lostIndex % count);
+        List<Endpoint> left = new ArrayList<>(endpoints);
+        left.remove(lost);
+
+        Endpoint before = Ranking.of(endpoints, "workspace", chat, 0).get(0);
+        Endpoint after = Ranking.of(left, "workspace", chat, 0).get(0);
+
+        if (!before.equals(lost)) {
+            assertThat(after).isEqualTo(before);
+        }
+    }
+
+    @Property(tries = 100, seed = "43")
+    void aWorkspacesChatsStayWithinItsSpread(
+            @ForAll String workspace,
+            @ForAll @Size(min = 20, max = 60) Set<String> chats,
+            @ForAll @IntRange(min = 1, max = 5) int spread) {
+        List<Endpoint> endpoints = Endpoints.engines(12);
+        Set<String> used = new HashSet<>();
+        chats.forEach(chat ->
+                used.add(Ranking.of(endpoints, workspace, chat, spread).get(0).id()));
+
+        assertThat(used.size()).isAtMost(spread);
+    }
+
+    @Property(tries = 50, seed = "44")
+    void everyEndpointIsRankedOnce(@ForAll String chat, @ForAll @IntRange(min = 0, max = 12) int spread) {
+        List<Endpoint> endpoints = Endpoints.engines(12);
+
+        assertThat(Ranking.of(endpoints, "workspace", chat, spread)).containsExactlyElementsIn(endpoints);
+    }
+}
--- /dev/null
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
@@ -0,0 +1,97 @@
+package org.radishpass.dist;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Holds the modules to their layers. */
+final class LayerTest {
+    private static final String[] PROGRAMS = {
+        "org.radishpass.router..",
+        "org.radishpass.controller..",
+        "org.radishpass.cli..",
+        "org.radishpass.standin..",
+        "org.radishpass.load.."
+    };
+
+    private final JavaClasses classes = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.radishpass");
+
+    @Test
+    void theCoreKnowsNobodyAndDoesNoInputOrOutput() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.radishpass.core..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "org.radishpass.records..",
+                        "org.radishpass.runtime..",
+                        "org.radishpass.platform..",
+                        "org.radishpass.peer..",
+                        "reactor..",
+                        "io.netty..",
+                        "com.fasterxml..",
+                        "org.slf4j..",
+                        "java.net..",
+                        "java.nio.file..")
+                .check(classes);
+    }
+
+    @Test
+    void theCoreHasNoClockAndNoThreadsOfItsOwn() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.radishpass.core..")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(java.time.Instant.class, "now")
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(Thread.class)
+                .check(classes);
+    }
+
+    @Test
+    void programsDoNotKnowEachOther() {
+        slices().matching("org.radishpass.(router|controller|cli|standin|load)..")
+                .should()
+                .notDependOnEachOther()
+                .check(classes);
+    }
+
+    @Test
+    void librariesDoNotKnowPrograms() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "org.radishpass.core..",
+                        "org.radishpass.records..",
+                        "org.radishpass.runtime..",
+                        "org.radishpass.platform..",
+                        "org.radishpass.peer..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(PROGRAMS)
+                .check(classes);
+    }
+
+    @Test
+    void noProcessStartsAnother() {
+        noClasses()
+                .should()
+                .dependOnClassesThat()
+                .areAssignableTo(ProcessBuilder.class)
+                .orShould()
+                .callMethod(Runtime.class, "exec", String[].class)
+                .check(classes);
+    }
+}
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Driver.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Driver.java
@@ -23,7 +23,7 @@
  * @since 0.1.0
  */
 public final class Driver {
-    private static final Duration READY_PATIENCE = Duration.ofSeconds(40);
+    private static final Duration READY_PATIENCE = Duration.ofSeconds(150);
     private static final Duration ASK_PATIENCE = Duration.ofSeconds(5);
     private static final long READY_POLL_MILLIS = 200;
     private static final long TAIL_SECONDS = 70;
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/report/Figures.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/report/Figures.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.HdrHistogram.Histogram;
 import org.radishpass.load.internal.drive.Result;
 
@@ -29,33 +30,37 @@
      * @param audit what the stand-ins saw run
      */
     public static Map<String, Object> audit(List<Result> results, JsonNode audit) {
-        int lost = 0;
-        int crossed = 0;
-        int cut = 0;
-        int falseNotRun = 0;
-        int doubled = 0;
-        for (Result result : results) {
-            crossed += result.outcome() == Result.Outcome.CROSSED ? 1 : 0;
-            cut += result.outcome() == Result.Outcome.CUT ? 1 : 0;
-            doubled += result.doubledTokens() > 0 ? 1 : 0;
-            lost += result.outcome() == Result.Outcome.LOST ? 1 : 0;
-            if (result.arrival().workload().orders()) {
-                int runs = audit.path("orders").path(result.arrival().chat()).asInt();
-                lost += result.outcome() == Result.Outcome.ANSWERED && runs == 0 ? 1 : 0;
-                doubled += runs > 1 ? 1 : 0;
-                boolean notRun = result.outcome() == Result.Outcome.REFUSED && "NOT_RUN".equals(result.verdict());
-                falseNotRun += notRun && runs > 0 ? 1 : 0;
-            }
-        }
+        JsonNode runs = audit.path("orders");
         Map<String, Object> counts = new LinkedHashMap<>();
-        counts.put("lost", lost);
-        counts.put("doubled", doubled);
-        counts.put("crossed", crossed);
-        counts.put("cut", cut);
-        counts.put("falseNotRun", falseNotRun);
+        counts.put(
+                "lost", count(results, result -> result.outcome() == Result.Outcome.LOST || unfulfilled(result, runs)));
+        counts.put("doubled", count(results, result -> result.doubledTokens() > 0 || runs(result, runs) > 1));
+        counts.put("crossed", count(results, result -> result.outcome() == Result.Outcome.CROSSED));
+        counts.put("cut", count(results, result -> result.outcome() == Result.Outcome.CUT));
+        counts.put("falseNotRun", count(results, result -> falselyNotRun(result, runs)));
         return counts;
     }
 
+    private static int count(List<Result> results, Predicate<Result> wanted) {
+        return (int) results.stream().filter(wanted).count();
+    }
+
+    private static int runs(Result result, JsonNode runs) {
+        return result.arrival().workload().orders()
+                ? runs.path(result.arrival().chat()).asInt()
+                : 0;
+    }
+
+    private static boolean unfulfilled(Result result, JsonNode runs) {
+        boolean answered = result.outcome() == Result.Outcome.ANSWERED;
+        return answered && result.arrival().workload().orders() && runs(result, runs) == 0;
+    }
+
+    private static boolean falselyNotRun(Result result, JsonNode runs) {
+        boolean notRun = result.outcome() == Result.Outcome.REFUSED && "NOT_RUN".equals(result.verdict());
+        return notRun && runs(result, runs) > 0;
+    }
+
     /**
      * Works out cache reuse: the share of prompt tokens that came from a cache, and the best possible.
      *
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
 import java.io.IOException;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -37,10 +38,19 @@
      * @throws IOException if it is malformed
      */
     public static Envelope decode(byte[] bytes) throws IOException {
-        Envelope envelope = MAPPER.readValue(bytes, Envelope.class);
+        Envelope envelope = read(bytes);
         if (envelope == null || envelope.message() == null) {
             throw new IOException("an envelope without a message");
         }
         return envelope;
     }
+
+    /** The library answers some malformed bytes with unchecked exceptions, a null pointer among them. */
+    private static @Nullable Envelope read(byte[] bytes) throws IOException {
+        try {
+            return MAPPER.readValue(bytes, Envelope.class);
+        } catch (RuntimeException e) {
+            throw new IOException("malformed MessagePack: " + e.getMessage(), e);
+        }
+    }
 }
--- /dev/null
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/transport/PeerNodeTest.java
@@ -0,0 +1,104 @@
+package org.radishpass.peer.transport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.fleet.Vm;
+import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.runtime.metrics.TrafficMeter;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+/** Checks the links between routers over loopback. */
+final class PeerNodeTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+    private final LoopResources loops = LoopResources.create("test", 2, true);
+    private final PeerNode one = node("one");
+    private final PeerNode two = node("two");
+
+    @AfterEach
+    void close() {
+        one.close();
+        two.close();
+        loops.dispose();
+    }
+
+    @Test
+    void aRequestIsAnsweredByThePeerThatWasAsked() {
+        PeerMessage answer = one.request(vm("two", two), new PeerMessage.ChangesWanted(7), PATIENCE)
+                .block();
+
+        assertThat(answer).isEqualTo(new PeerMessage.Head(7));
+    }
+
+    @Test
+    void aPeerThatIsGoneIsAnErrorAndNotASilence() {
+        Vm gone = new Vm("gone", new DataCentre("here"), new Address("127.0.0.1", 1), false);
+
+        Boolean failed = one.request(gone, new PeerMessage.ChangesWanted(7), PATIENCE)
+                .map(answer -> false)
+                .onErrorReturn(true)
+                .block();
+
+        assertThat(failed).isTrue();
+    }
+
+    @Test
+    void bytesThatAreNotAMessageCostTheirOwnConnectionAlone() throws java.io.IOException {
+        one.request(vm("two", two), new PeerMessage.ChangesWanted(1), PATIENCE).block();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
+            socket.getOutputStream().write(new byte[] {0, 0, 0, 3, 'x', 'y', 'z'});
+            socket.getOutputStream().flush();
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+
+        PeerMessage answer = one.request(vm("two", two), new PeerMessage.ChangesWanted(2), PATIENCE)
+                .block();
+
+        assertThat(answer).isEqualTo(new PeerMessage.Head(2));
+    }
+
+    @Test
+    void aFrameOverTheLimitIsNotReadIntoMemory() throws java.io.IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
+            socket.getOutputStream().write(new byte[] {0x7f, 0, 0, 0, 1});
+            socket.getOutputStream().flush();
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    private PeerNode node(String id) {
+        PeerHandler handler = new PeerHandler() {
+            @Override
+            public Mono<PeerMessage> handle(String from, PeerMessage message) {
+                return message instanceof PeerMessage.ChangesWanted wanted
+                        ? Mono.just(new PeerMessage.Head(wanted.after()))
+                        : Mono.just(new PeerMessage.Done());
+            }
+
+            @Override
+            public void disconnected(String from) {
+                // nothing to forget
+            }
+        };
+        return new PeerNode(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                loops,
+                handler,
+                new TrafficMeter(new SimpleMeterRegistry()),
+                () -> new PeerMessage.Hello(id, "1", 0));
+    }
+
+    private static Vm vm(String id, PeerNode node) {
+        return new Vm(id, new DataCentre("here"), new Address("127.0.0.1", node.port()), false);
+    }
+}
--- /dev/null
+++ b/radishpass-platform/src/test/java/org/radishpass/platform/once/ClaimStoreTest.java
@@ -0,0 +1,83 @@
+package org.radishpass.platform.once;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.util.Objects;
+import org.junit.jupiter.api.Test;
+import org.radishpass.core.once.Claim;
+import org.radishpass.core.once.ClaimDecision;
+import org.radishpass.platform.testing.FakeTables;
+import org.radishpass.platform.testing.FakeTables.Fault;
+
+/** Checks that of all attempts at a request at most one may run it. */
+final class ClaimStoreTest {
+    private final FakeTables tables = new FakeTables();
+    private final ClaimStore claims = new ClaimStore(tables);
+
+    @Test
+    void theFirstMayRunAndTheSecondMayNot() {
+        assertThat(claim("one")).isInstanceOf(ClaimDecision.Run.class);
+        assertThat(claim("two")).isInstanceOf(ClaimDecision.InProgress.class);
+    }
+
+    @Test
+    void aClaimWhoseAnswerWasLostIsKnownByItsToken() {
+        tables.nextWrites(Fault.ANSWER_LOST);
+
+        assertThat(claim("one")).isInstanceOf(ClaimDecision.Run.class);
+        assertThat(claim("two")).isInstanceOf(ClaimDecision.InProgress.class);
+    }
+
+    @Test
+    void aClaimThatWasLostMayNotRun() {
+        tables.nextWrites(Fault.REQUEST_LOST);
+
+        assertThat(claim("one")).isInstanceOf(ClaimDecision.Unavailable.class);
+        assertThat(claim("two")).isInstanceOf(ClaimDecision.Run.class);
+    }
+
+    @Test
+    void aLateClaimCannotTakeWhatAnotherHolds() {
+        tables.nextWrites(Fault.LATE);
+        assertThat(claim("one")).isInstanceOf(ClaimDecision.Unavailable.class);
+        assertThat(claim("two")).isInstanceOf(ClaimDecision.Run.class);
+
+        tables.deliverLate();
+
+        assertThat(claim("three")).isInstanceOf(ClaimDecision.InProgress.class);
+    }
+
+    @Test
+    void withoutTheStoreNothingMayRun() {
+        tables.out(true);
+
+        assertThat(claim("one")).isInstanceOf(ClaimDecision.Unavailable.class);
+    }
+
+    @Test
+    void aStoredAnswerIsGivenAgain() {
+        Claim own = open("one");
+        claims.claim("key", own).block();
+        claims.finish("key", own.done(201, null, "e30=")).block();
+
+        assertThat(claim("two")).isInstanceOf(ClaimDecision.Replay.class);
+    }
+
+    @Test
+    void aWithdrawnClaimMayBeClaimedAgainAndOnlyItsOwnerWithdrawsIt() {
+        claim("one");
+
+        assertThat(claims.withdraw("key", open("two")).block()).isFalse();
+        assertThat(claims.withdraw("key", open("one")).block()).isTrue();
+        assertThat(claim("two")).isInstanceOf(ClaimDecision.Run.class);
+    }
+
+    private ClaimDecision claim(String token) {
+        return Objects.requireNonNull(claims.claim("key", open(token)).block());
+    }
+
+    private static Claim open(String token) {
+        return Claim.open(token, "hash", Instant.EPOCH);
+    }
+}
--- a/radishpass-router/src/main/java/org/radishpass/router/Router.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/Router.java
@@ -14,6 +14,7 @@
 import org.radishpass.router.internal.control.RouterControl;
 import org.radishpass.router.internal.traffic.RouterTraffic;
 import org.radishpass.runtime.http.HttpRuntime;
+import org.radishpass.runtime.metrics.ControlCpu;
 import org.radishpass.runtime.metrics.CountingHandler;
 import org.radishpass.runtime.metrics.TrafficMeter;
 import org.radishpass.runtime.settings.PortsFile;
@@ -35,6 +36,7 @@
 
     private final RouterSettings settings;
     private final HttpRuntime runtime;
+    private final HttpRuntime controlRuntime;
     private final RouterControl control;
     private final RouterTraffic traffic;
 
@@ -48,15 +50,17 @@
     public Router(RouterSettings settings, Clock clock) throws IOException {
         this.settings = settings;
         this.runtime = new HttpRuntime("router", settings.workers());
+        this.controlRuntime = new HttpRuntime(ControlCpu.THREAD_PREFIX + "-io", 1);
         String incarnation = Long.toString(clock.millis(), Character.MAX_RADIX);
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        ControlCpu.register(metrics);
         TrafficMeter meter = new TrafficMeter(metrics);
-        HttpClient platform = CountingHandler.counted(runtime.client(), PLATFORM_KIND, meter);
+        HttpClient platform = CountingHandler.counted(controlRuntime.client(), PLATFORM_KIND, meter);
         HttpTableService tables = new HttpTableService(platform, settings.platform(), PLATFORM_PATIENCE);
         this.control = new RouterControl(
                 settings,
                 incarnation,
-                runtime,
+                controlRuntime,
                 new ConfigurationStore(tables),
                 new VmListClient(platform, settings.platform(), settings.dataCentre(), PLATFORM_PATIENCE),
                 metrics,
@@ -95,6 +99,7 @@
     public void close() {
         traffic.close();
         control.close();
+        controlRuntime.close();
         runtime.close();
     }
 
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.radishpass.core.fleet.FleetView;
 import org.radishpass.core.fleet.Vm;
 import org.radishpass.core.membership.EndpointReport;
@@ -46,6 +47,7 @@
     private final SlotOwner slots;
     private final VmListClient vmList;
     private final Map<String, EndpointReport> told = new HashMap<>();
+    private final ConcurrentHashMap<String, Integer> reportedLoads = new ConcurrentHashMap<>();
     private final Set<String> greeted = new HashSet<>();
     private final List<Runnable> fleetListeners = new ArrayList<>();
     private volatile RouterSnapshot snapshot = RouterSnapshot.initial();
@@ -93,7 +95,7 @@
         control.run(configuration::poll);
         control.every(Duration.ofMillis(settings.listPollMillis()), this::pollList);
         control.every(Duration.ofMillis(settings.headPollMillis()), configuration::poll);
-        control.every(Duration.ofMillis(settings.probeMillis()), () -> fleet.probe(slots.owned()));
+        control.every(Duration.ofMillis(settings.probeMillis()), this::probe);
         control.every(EXCHANGE_PERIOD, () -> slots.exchange(snapshot.fleet()));
         control.every(REFRESH_PERIOD, told::clear);
     }
@@ -103,6 +105,15 @@
         return snapshot;
     }
 
+    /**
+     * Returns the load that an endpoint last reported to this router, 0 if it has not.
+     *
+     * @param endpointId the endpoint
+     */
+    public int reportedLoad(String endpointId) {
+        return reportedLoads.getOrDefault(endpointId, 0);
+    }
+
     /** Returns the links to peers. */
     public PeerNode peers() {
         return peers;
@@ -243,8 +254,17 @@
                 .subscribe(fleet::take, error -> LOG.debug("the VM list did not answer: {}", error.getMessage()));
     }
 
+    private void probe() {
+        boolean everyone = configuration.current().policy().needsReports();
+        fleet.probe(everyone ? snapshot.fleet().endpoints() : slots.owned());
+    }
+
     private void probed(EndpointReport report) {
+        reportedLoads.put(report.endpointId(), report.running());
         slots.reported(report);
+        if (!slots.book().ownedIds().contains(report.endpointId())) {
+            return;
+        }
         EndpointReport before = told.get(report.endpointId());
         if (before == null || !report.sameStanding(before)) {
             told.put(report.endpointId(), report);
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterSnapshot.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterSnapshot.java
@@ -1,5 +1,6 @@
 package org.radishpass.router.internal.control;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -52,4 +53,23 @@
         }
         return Map.copyOf(owners);
     }
+
+    /**
+     * Returns the pool that serves a model now: that of the version in the record or, while no endpoint has loaded it
+     * yet, that of another version that is still loaded.
+     *
+     * @param named the model, or model and adapter parted by a colon
+     */
+    public Optional<String> poolFor(String named) {
+        return configuration.poolOf(named).map(wanted -> {
+            if (!fleet.open(wanted).isEmpty()) {
+                return wanted;
+            }
+            String prefix = wanted.substring(0, wanted.lastIndexOf('@') + 1);
+            return fleet.openPools().stream()
+                    .filter(pool -> pool.startsWith(prefix))
+                    .max(Comparator.naturalOrder())
+                    .orElse(wanted);
+        });
+    }
 }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerIdentity.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerIdentity.java
@@ -94,6 +94,7 @@
                         RefusalCode.BAD_REQUEST, HeaderNames.PRIORITY + " is interactive, check or batch"));
     }
 
+    @SuppressWarnings("PMD.PreserveStackTrace") // a refusal is an answer, not a fault to trace
     private static Instant deadline(@Nullable String header, PriorityClass priority, Instant now) {
         if (header == null) {
             return now.plus(priority.patience());
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerServer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerServer.java
@@ -67,7 +67,7 @@
         String path = request.path();
         return switch (request.method().name() + " /" + path) {
             case "POST /v1/chat/completions" -> guarded(request, response, chats::handle);
-            case "GET /v1/models" -> guarded(request, response, this::models);
+            case "GET /v1/models" -> guarded(request, response, (caller, unread, answer) -> models(caller, answer));
             case "GET /healthz" -> HttpJson.send(response, OK, Map.of("status", "alive"));
             case "GET /readyz" -> ready(response);
             case "GET /metrics" ->
@@ -115,7 +115,7 @@
         return HttpJson.send(response, ready ? OK : UNAVAILABLE, Map.of("ready", ready));
     }
 
-    private Publisher<Void> models(CallerRequest caller, HttpServerRequest request, HttpServerResponse response) {
+    private Publisher<Void> models(CallerRequest caller, HttpServerResponse response) {
         List<Map<String, String>> models = caller.snapshot().configuration().models().stream()
                 .map(ModelSpec::name)
                 .sorted()
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatHandler.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatHandler.java
@@ -42,8 +42,7 @@
             CallerRequest caller, ChatPrompt prompt, byte[] body, HttpServerResponse response) {
         WorkspaceSpec workspace = caller.workspace();
         String pool = caller.snapshot()
-                .configuration()
-                .poolOf(prompt.model())
+                .poolFor(prompt.model())
                 .orElseThrow(() -> RefusedException.notRun(
                         RefusalCode.NOT_FOUND, "no record declares the model " + prompt.model()));
         if (!tools.gate()
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatPrompt.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatPrompt.java
@@ -37,6 +37,7 @@
         return new ChatPrompt(json.path("model").asText(), json.path("stream").asBoolean(false), chat);
     }
 
+    @SuppressWarnings("PMD.PreserveStackTrace") // a refusal is an answer, not a fault to trace
     private static JsonNode parse(byte[] body) {
         try {
             return HttpJson.parse(body);
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
@@ -94,7 +94,7 @@
                 request.workspace(),
                 request.chat(),
                 request.spread(),
-                slots::running,
+                control::reportedLoad,
                 sequence.getAndIncrement(),
                 random));
     }
