Stand-in links are made without a lock that event loops need

Ruled out: the table service and the client, which answered once the wait ran out. Change: links are looked up first and made outside any lock.

--- a/radishpass-standin/src/main/java/org/radishpass/standin/link/Network.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/link/Network.java
@@ -41,7 +41,8 @@
     }
 
     /**
-     * Returns the port under which a data centre sees a port in another place.
+     * Returns the port under which a data centre sees a port in another place. Makes the link if it is not there yet,
+     * which waits for an event loop; no lock is held meanwhile, since event loops ask here too.
      *
      * @param observer the data centre
      * @param place the other data centre, or {@link #PLATFORM}
@@ -49,8 +50,17 @@
      */
     public int port(String observer, String place, int target) {
         String key = observer + '>' + place + ':' + target;
-        return links.computeIfAbsent(key, name -> new Link(loops, target, () -> isCut(observer, place)))
-                .port();
+        Link known = links.get(key);
+        if (known != null) {
+            return known.port();
+        }
+        Link made = new Link(loops, target, () -> isCut(observer, place));
+        Link earlier = links.putIfAbsent(key, made);
+        if (earlier == null) {
+            return made.port();
+        }
+        made.close();
+        return earlier.port();
     }
 
     /**
