--- a/radishpass-core/src/main/java/org/radishpass/core/load/SlotAccount.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/load/SlotAccount.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.BiPredicate;
 
 /**
  * The exact account of one endpoint's slots, kept by its owner.
@@ -19,7 +20,7 @@
     /** The capacity of an endpoint that has not told its own. */
     public static final int UNKNOWN_CAPACITY = Integer.MAX_VALUE;
 
-    private final Map<String, Held> slots = new HashMap<>();
+    private final Map<SlotId, Held> slots = new HashMap<>();
     private int capacity = UNKNOWN_CAPACITY;
     private int foreign;
     private int earlierForeign;
@@ -38,7 +39,7 @@
      * @param weight the endpoint's weight
      */
     public SlotAnswer reserve(SlotRequest request, PoolLoad pool, double weight) {
-        if (slots.containsKey(request.slotId())) {
+        if (slots.containsKey(request.slot())) {
             return SlotAnswer.GRANTED;
         }
         if (!hasRoom(request)) {
@@ -57,7 +58,7 @@
      * @param request the slot that is held already
      */
     public void adopt(SlotRequest request) {
-        if (!slots.containsKey(request.slotId())) {
+        if (!slots.containsKey(request.slot())) {
             hold(request);
             foreign = Math.max(0, foreign - 1);
             earlierForeign = Math.max(0, earlierForeign - 1);
@@ -67,11 +68,11 @@
     /**
      * Frees a slot.
      *
-     * @param slotId the slot
+     * @param slot the slot
      * @return whether it was held
      */
-    public boolean release(String slotId) {
-        Held held = slots.remove(slotId);
+    public boolean release(SlotId slot) {
+        Held held = slots.remove(slot);
         if (held == null) {
             return false;
         }
@@ -100,7 +101,7 @@
      * @return how many lapsed
      */
     public int expire(Instant now) {
-        return removeIf(held -> !held.deadline().isAfter(now));
+        return removeIf((slot, held) -> !held.deadline().isAfter(now));
     }
 
     /**
@@ -110,17 +111,17 @@
      * @return how many it held
      */
     public int releaseAllOf(String holder) {
-        return removeIf(held -> held.holder().equals(holder));
+        return removeIf((slot, held) -> slot.holder().equals(holder));
     }
 
-    private int removeIf(java.util.function.Predicate<Held> gone) {
+    private int removeIf(BiPredicate<SlotId, Held> gone) {
         int removed = 0;
-        Iterator<Held> each = slots.values().iterator();
+        Iterator<Map.Entry<SlotId, Held>> each = slots.entrySet().iterator();
         while (each.hasNext()) {
-            Held held = each.next();
-            if (gone.test(held)) {
+            Map.Entry<SlotId, Held> entry = each.next();
+            if (gone.test(entry.getKey(), entry.getValue())) {
                 each.remove();
-                lessUrgent -= held.sheddable() ? 1 : 0;
+                lessUrgent -= entry.getValue().sheddable() ? 1 : 0;
                 removed++;
             }
         }
@@ -137,9 +138,9 @@
 
     private void hold(SlotRequest request) {
         boolean sheddable = request.priority().sheddable();
-        slots.put(request.slotId(), new Held(request.holder(), request.deadline(), sheddable));
+        slots.put(request.slot(), new Held(request.deadline(), sheddable));
         lessUrgent += sheddable ? 1 : 0;
     }
 
-    private record Held(String holder, Instant deadline, boolean sheddable) {}
+    private record Held(Instant deadline, boolean sheddable) {}
 }
--- a/radishpass-core/src/main/java/org/radishpass/core/load/SlotBook.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/load/SlotBook.java
@@ -80,12 +80,12 @@
      * Frees a slot.
      *
      * @param endpointId the endpoint
-     * @param slotId the slot
+     * @param slot the slot
      */
-    public void release(String endpointId, String slotId) {
+    public void release(String endpointId, SlotId slot) {
         SlotAccount account = accounts.get(endpointId);
         if (account != null) {
-            account.release(slotId);
+            account.release(slot);
         }
     }
 
--- a/radishpass-core/src/test/java/org/radishpass/core/load/SlotBookTest.java
+++ b/radishpass-core/src/test/java/org/radishpass/core/load/SlotBookTest.java
@@ -116,7 +116,7 @@
         assertThat(reserve("engine-0", "c", PriorityClass.BATCH)).isEqualTo(SlotAnswer.FULL);
         assertThat(reserve("engine-0", "d", PriorityClass.INTERACTIVE)).isEqualTo(SlotAnswer.GRANTED);
 
-        book.release("engine-0", "a");
+        book.release("engine-0", new SlotId("router", "a".hashCode()));
 
         assertThat(reserve("engine-0", "c", PriorityClass.BATCH)).isEqualTo(SlotAnswer.GRANTED);
     }
@@ -164,6 +164,6 @@
     }
 
     private static SlotRequest request(String slotId, PriorityClass priority) {
-        return new SlotRequest(slotId, "router", priority, BOUND, NOW.plusSeconds(60));
+        return new SlotRequest(new SlotId("router", slotId.hashCode()), priority, BOUND, NOW.plusSeconds(60));
     }
 }
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -81,7 +81,7 @@
     /**
      * Asks an endpoint's owner for a slot.
      *
-     * @param slotId the slot
+     * @param slotId the slot, unique among its holder's
      * @param endpointId the endpoint
      * @param pool the pool whose mean load counts
      * @param priority the class of the request
@@ -90,7 +90,12 @@
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record SlotWanted(
-            String slotId, String endpointId, String pool, PriorityClass priority, double bound, long leftMillis)
+            long slotId,
+            String endpointId,
+            String pool,
+            @JsonFormat(shape = JsonFormat.Shape.NUMBER) PriorityClass priority,
+            float bound,
+            int leftMillis)
             implements PeerMessage {}
 
     /**
@@ -101,27 +106,34 @@
      * @param limit the most that it may run for this pool and bound
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record SlotReply(SlotAnswer answer, int running, int limit) implements PeerMessage {}
+    record SlotReply(
+            @JsonFormat(shape = JsonFormat.Shape.NUMBER) SlotAnswer answer, int running, int limit)
+            implements PeerMessage {}
 
     /**
      * Frees a slot.
      *
-     * @param slotId the slot
+     * @param slotId the slot, unique among its holder's
      * @param endpointId the endpoint
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record SlotFreed(String slotId, String endpointId) implements PeerMessage {}
+    record SlotFreed(long slotId, String endpointId) implements PeerMessage {}
 
     /**
      * Tells a new owner of a slot that an earlier owner granted.
      *
-     * @param slotId the slot
+     * @param slotId the slot, unique among its holder's
      * @param endpointId the endpoint
      * @param priority the class of the request
      * @param leftMillis after how long the slot lapses
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record SlotHeld(String slotId, String endpointId, PriorityClass priority, long leftMillis) implements PeerMessage {}
+    record SlotHeld(
+            long slotId,
+            String endpointId,
+            @JsonFormat(shape = JsonFormat.Shape.NUMBER) PriorityClass priority,
+            int leftMillis)
+            implements PeerMessage {}
 
     /**
      * An owner's parts of pools, for the router that adds them up; it answers with {@link PoolTotals}.
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/PeerCodecTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/PeerCodecTest.java
@@ -32,10 +32,10 @@
                 new PeerMessage.Head(4),
                 new PeerMessage.ChangesWanted(3),
                 new PeerMessage.Changes(4, List.of(change), List.of(stored)),
-                new PeerMessage.SlotWanted("s", "engine", "pool", PriorityClass.BATCH, 1.25, 1000),
+                new PeerMessage.SlotWanted(7, "engine", "pool", PriorityClass.BATCH, 1.25f, 1000),
                 new PeerMessage.SlotReply(SlotAnswer.OVER_BOUND, 3, 4),
-                new PeerMessage.SlotFreed("s", "engine"),
-                new PeerMessage.SlotHeld("s", "engine", PriorityClass.CHECK, 1000),
+                new PeerMessage.SlotFreed(7, "engine"),
+                new PeerMessage.SlotHeld(7, "engine", PriorityClass.CHECK, 1000),
                 new PeerMessage.PoolParts(List.of(new PeerMessage.PoolSum("pool", 3, 1))),
                 new PeerMessage.PoolTotals(List.of(new PeerMessage.PoolSum("pool", 9, 4))),
                 new PeerMessage.EndpointReports(List.of(new PeerMessage.EndpointReport(
--- a/radishpass-platform/src/main/java/org/radishpass/platform/vmlist/VmListClient.java
+++ b/radishpass-platform/src/main/java/org/radishpass/platform/vmlist/VmListClient.java
@@ -1,6 +1,7 @@
 package org.radishpass.platform.vmlist;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
@@ -21,10 +22,12 @@
  */
 public final class VmListClient {
     private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
 
     private final HttpClient client;
     private final String address;
     private final Duration patience;
+    private volatile Known known = new Known("", List.of());
 
     /**
      * Creates a client.
@@ -40,16 +43,28 @@
         this.patience = patience;
     }
 
-    /** Returns the list; it ends in an error when the platform does not answer. */
+    /**
+     * Returns the list; it ends in an error when the platform does not answer.
+     *
+     * <p>The platform is told which list is known already, and sends it again only if it has changed.
+     */
     public Mono<List<VmListing>> list() {
-        return client.get()
+        Known last = known;
+        return client.headers(headers -> headers.set(HttpHeaderNames.IF_NONE_MATCH, last.tag()))
+                .get()
                 .uri(address)
                 .responseSingle((response, content) -> {
+                    if (response.status().code() == NOT_MODIFIED) {
+                        return Mono.just(last.listings());
+                    }
                     if (response.status().code() != OK) {
                         return Mono.error(new IOException(
                                 "the VM list answered " + response.status().code()));
                     }
-                    return content.asByteArray().map(VmListClient::parse);
+                    String tag = response.responseHeaders().get(HttpHeaderNames.ETAG, "");
+                    return content.asByteArray()
+                            .map(VmListClient::parse)
+                            .doOnNext(found -> known = new Known(tag, found));
                 })
                 .timeout(patience);
     }
@@ -75,4 +90,6 @@
                 new Address(vm.path("host").asText(), vm.path("port").asInt()),
                 vm.path("leaving").asBoolean());
     }
+
+    private record Known(String tag, List<VmListing> listings) {}
 }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
@@ -149,7 +149,7 @@
      * @param freed the slot
      */
     public void releaseHere(PeerMessage.SlotFreed freed) {
-        control.run(() -> slots.release(freed));
+        control.run(() -> slots.release(settings.id(), freed));
     }
 
     /**
@@ -216,7 +216,7 @@
     private void take(String from, PeerMessage message) {
         Optional<Vm> sender = snapshot.fleet().vm(from);
         if (message instanceof PeerMessage.SlotFreed freed) {
-            slots.release(freed);
+            slots.release(from, freed);
         } else if (message instanceof PeerMessage.SlotHeld held) {
             slots.adopt(from, held);
         } else if (message instanceof PeerMessage.Head head) {
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/SlotOwner.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/SlotOwner.java
@@ -19,6 +19,7 @@
 import org.radishpass.core.load.PoolLoad;
 import org.radishpass.core.load.SlotAnswer;
 import org.radishpass.core.load.SlotBook;
+import org.radishpass.core.load.SlotId;
 import org.radishpass.core.load.SlotRequest;
 import org.radishpass.core.membership.EndpointReport;
 import org.radishpass.peer.message.PeerMessage;
@@ -97,8 +98,8 @@
     public PeerMessage.SlotReply reserve(String holder, PeerMessage.SlotWanted wanted) {
         Instant now = clock.instant();
         LoadBound bound = new LoadBound(wanted.bound());
-        SlotRequest request =
-                new SlotRequest(wanted.slotId(), holder, wanted.priority(), bound, now.plusMillis(wanted.leftMillis()));
+        SlotRequest request = new SlotRequest(
+                new SlotId(holder, wanted.slotId()), wanted.priority(), bound, now.plusMillis(wanted.leftMillis()));
         SlotAnswer answer = book.reserve(wanted.endpointId(), wanted.pool(), request, now);
         int limit = bound.limit(book.poolLoad(wanted.pool(), now), 1);
         return new PeerMessage.SlotReply(answer, book.running(wanted.endpointId()), limit);
@@ -113,16 +114,19 @@
     public void adopt(String holder, PeerMessage.SlotHeld held) {
         PriorityClass priority = held.priority();
         Instant deadline = clock.instant().plusMillis(held.leftMillis());
-        book.adopt(held.endpointId(), new SlotRequest(held.slotId(), holder, priority, LoadBound.DEFAULT, deadline));
+        book.adopt(
+                held.endpointId(),
+                new SlotRequest(new SlotId(holder, held.slotId()), priority, LoadBound.DEFAULT, deadline));
     }
 
     /**
      * Frees a slot.
      *
+     * @param holder the router that held it
      * @param freed the slot
      */
-    public void release(PeerMessage.SlotFreed freed) {
-        book.release(freed.endpointId(), freed.slotId());
+    public void release(String holder, PeerMessage.SlotFreed freed) {
+        book.release(freed.endpointId(), new SlotId(holder, freed.slotId()));
     }
 
     /**
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placed.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placed.java
@@ -9,4 +9,4 @@
  * @param slotId the slot that is held there
  * @since 0.1.0
  */
-public record Placed(Endpoint endpoint, String slotId) {}
+public record Placed(Endpoint endpoint, long slotId) {}
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
@@ -104,7 +104,7 @@
             return Mono.empty();
         }
         Endpoint endpoint = ranked.get(index);
-        String slotId = slots.nextSlotId();
+        long slotId = slots.nextSlotId();
         return slots.reserve(slotId, endpoint, request).flatMap(offer -> {
             trace.asked(endpoint.id(), offer);
             if (offer.mayGo()) {
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/SlotClient.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/SlotClient.java
@@ -30,7 +30,7 @@
     private static final Duration OWNER_PATIENCE = Duration.ofMillis(250);
     private static final Duration LAPSE_MARGIN = Duration.ofSeconds(30);
 
-    private final ConcurrentHashMap<String, Held> held = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<Long, Held> held = new ConcurrentHashMap<>();
     private final AtomicLong lastSlot = new AtomicLong();
     private final SliverBound own = new SliverBound();
     private final RouterControl control;
@@ -48,9 +48,9 @@
         control.onFleetChange(this::tellNewOwners);
     }
 
-    /** Returns a slot identity that no other slot of the fleet has. */
-    public String nextSlotId() {
-        return control.id() + '.' + control.incarnation() + '.' + lastSlot.incrementAndGet();
+    /** Returns the number of a slot that no other slot of this router has. */
+    public long nextSlotId() {
+        return lastSlot.incrementAndGet();
     }
 
     /**
@@ -60,7 +60,7 @@
      * @param endpoint the endpoint
      * @param request what is to be placed
      */
-    public Mono<SlotOffer> reserve(String slotId, Endpoint endpoint, PlaceRequest request) {
+    public Mono<SlotOffer> reserve(long slotId, Endpoint endpoint, PlaceRequest request) {
         RouterSnapshot snapshot = control.snapshot();
         Optional<Vm> owner = snapshot.owner(endpoint.id());
         Instant lapse = request.deadline().plus(LAPSE_MARGIN);
@@ -69,8 +69,8 @@
                 endpoint.id(),
                 request.pool(),
                 request.priority(),
-                request.bound().multiple(),
-                Duration.between(clock.instant(), lapse).toMillis());
+                (float) request.bound().multiple(),
+                millisUntil(lapse));
         return ask(owner, wanted)
                 .map(reply -> new SlotOffer(reply.answer(), reply.running(), reply.limit()))
                 .onErrorReturn(SlotOffer.UNCONFIRMED)
@@ -92,7 +92,7 @@
      * @param slotId the slot
      * @param endpoint the endpoint
      */
-    public void release(String slotId, Endpoint endpoint) {
+    public void release(long slotId, Endpoint endpoint) {
         own.ended(endpoint.id());
         Held slot = held.remove(slotId);
         if (slot == null) {
@@ -121,12 +121,7 @@
     }
 
     private SlotOffer settle(
-            SlotOffer offer,
-            String slotId,
-            Endpoint endpoint,
-            PlaceRequest request,
-            Optional<Vm> owner,
-            Instant lapse) {
+            SlotOffer offer, long slotId, Endpoint endpoint, PlaceRequest request, Optional<Vm> owner, Instant lapse) {
         boolean unconfirmed = offer.answer() == SlotAnswer.UNCONFIRMED;
         if (unconfirmed && !allowedByOwnPart(endpoint, request)) {
             owner.ifPresent(vm -> free(vm, slotId, endpoint));
@@ -140,7 +135,7 @@
         return offer;
     }
 
-    private void free(Vm owner, String slotId, Endpoint endpoint) {
+    private void free(Vm owner, long slotId, Endpoint endpoint) {
         PeerMessage.SlotFreed freed = new PeerMessage.SlotFreed(slotId, endpoint.id());
         if (owner.id().equals(control.id())) {
             control.releaseHere(freed);
@@ -159,6 +154,11 @@
         return own.allows(endpoint.id(), endpoint.weight(), part, bound);
     }
 
+    private int millisUntil(Instant deadline) {
+        long left = Duration.between(clock.instant(), deadline).toMillis();
+        return (int) Math.max(0, Math.min(left, Integer.MAX_VALUE));
+    }
+
     private void tellNewOwners() {
         RouterSnapshot snapshot = control.snapshot();
         held.forEach((slotId, slot) -> snapshot.owner(slot.endpointId()).ifPresent(owner -> {
@@ -169,9 +169,9 @@
         }));
     }
 
-    private void tell(Vm owner, String slotId, Held slot) {
-        long left = Duration.between(clock.instant(), slot.lapse()).toMillis();
-        PeerMessage.SlotHeld message = new PeerMessage.SlotHeld(slotId, slot.endpointId(), slot.priority(), left);
+    private void tell(Vm owner, long slotId, Held slot) {
+        PeerMessage.SlotHeld message =
+                new PeerMessage.SlotHeld(slotId, slot.endpointId(), slot.priority(), millisUntil(slot.lapse()));
         if (owner.id().equals(control.id())) {
             control.adoptHere(message);
         } else {
--- a/radishpass-standin/src/main/java/org/radishpass/standin/platform/PlatformServer.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/platform/PlatformServer.java
@@ -1,8 +1,11 @@
 package org.radishpass.standin.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.runtime.http.HttpJson;
 import org.radishpass.runtime.http.HttpRuntime;
 import org.reactivestreams.Publisher;
@@ -19,6 +22,7 @@
  */
 public final class PlatformServer implements AutoCloseable {
     private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
     private static final int NOT_FOUND = 404;
     private static final String KEY = "key";
 
@@ -82,7 +86,13 @@
         String uri = request.uri();
         int equals = uri.indexOf("observer=");
         String observer = equals < 0 ? "" : uri.substring(equals + "observer=".length());
-        return HttpJson.send(response, OK, Map.of("vms", vms.list(observer)));
+        byte[] body = HttpJson.bytes(Map.of("vms", vms.list(observer)));
+        String tag = '"' + Long.toHexString(Rendezvous.hash(new String(body, StandardCharsets.UTF_8))) + '"';
+        response.header(HttpHeaderNames.ETAG, tag);
+        if (tag.equals(request.requestHeaders().get(HttpHeaderNames.IF_NONE_MATCH))) {
+            return response.status(NOT_MODIFIED).send();
+        }
+        return response.sendByteArray(Mono.just(body));
     }
 
     private Publisher<Void> read(HttpServerRequest request, HttpServerResponse response) {
--- a/radishpass-standin/src/main/java/org/radishpass/standin/platform/VmEntry.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/platform/VmEntry.java
@@ -1,5 +1,6 @@
 package org.radishpass.standin.platform;
 
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -22,20 +23,14 @@
      * @param leaving whether the platform is about to stop it
      */
     Map<String, Object> json(String shownHost, int shownPort, boolean leaving) {
-        return Map.of(
-                "id",
-                id,
-                "incarnation",
-                incarnation,
-                "kind",
-                kind,
-                "dataCentre",
-                dataCentre,
-                "host",
-                shownHost,
-                "port",
-                shownPort,
-                "leaving",
-                leaving);
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("id", id);
+        json.put("incarnation", incarnation);
+        json.put("kind", kind);
+        json.put("dataCentre", dataCentre);
+        json.put("host", shownHost);
+        json.put("port", shownPort);
+        json.put("leaving", leaving);
+        return json;
     }
 }
--- a/radishpass-standin/src/main/java/org/radishpass/standin/platform/VmListStandIn.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/platform/VmListStandIn.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -113,6 +114,7 @@
         Collection<VmEntry> shown =
                 history.isEmpty() ? List.of() : history.getFirst().entries();
         return shown.stream()
+                .sorted(Comparator.comparing(VmEntry::id))
                 .map(entry -> entry.json(
                         entry.host(), network.port(observer, entry), leaving.getOrDefault(entry.id(), false)))
                 .toList();
