--- /dev/null
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/FailureIT.java
@@ -0,0 +1,301 @@
+package org.radishpass.dist;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.radishpass.records.RecordDocument;
+import org.radishpass.records.schema.RecordKind;
+import org.radishpass.records.schema.SchemaVersion;
+import org.radishpass.standin.engine.EngineFaults;
+import org.radishpass.standin.engine.EngineStandIn;
+import org.radishpass.standin.platform.TableFaults;
+import org.radishpass.standin.service.ServiceFaults;
+import reactor.core.Disposable;
+
+/** Brings failures about and checks what must always hold. */
+final class FailureIT {
+    private static final EngineFaults DOWN = new EngineFaults(0, 0, false, true, false);
+
+    @TempDir
+    private Path directory;
+
+    private TestFleet fleet;
+    private TestCaller caller;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new TestFleet(directory, 2);
+        caller = new TestCaller(fleet);
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    @Test
+    void anEngineThatDiesInTheMiddleOfAStreamIsReplacedWithoutALostOrDoubledToken() {
+        CompletableFuture<Reply> reply = caller.chat(fleet.address(0), TestCaller.chatBody("resume", 60, true))
+                .toFuture();
+        TestFleet.await(() -> running().isPresent());
+        EngineStandIn serving = running().orElseThrow();
+        TestFleet.await(() -> serving.running() > 0);
+        pause();
+        serving.faults(DOWN);
+
+        Reply received = reply.join();
+
+        assertThat(received.whole()).isTrue();
+        assertThat(TestCaller.text(received.body())).isEqualTo(TestCaller.expected("resume", 60));
+        assertThat(received.body()).endsWith("data: [DONE]\n\n");
+    }
+
+    @Test
+    void streamsThatAreCutByTheirEngineAreResumed() {
+        fleet.deployment().engines().forEach(engine -> engine.faults(new EngineFaults(0, 0.4, false, false, false)));
+        int whole = 0;
+        for (int i = 0; i < 8; i++) {
+            Reply reply = get(caller.chat(fleet.address(i % 2), TestCaller.chatBody("cut" + i, 10, true)));
+            if (reply.whole()) {
+                whole++;
+                assertThat(TestCaller.text(reply.body())).isEqualTo(TestCaller.expected("cut" + i, 10));
+            } else {
+                assertThat(reply.body()).contains("event: error");
+                assertThat(reply.body()).doesNotContain("[DONE]");
+            }
+        }
+
+        assertThat(whole).isGreaterThan(0);
+    }
+
+    @Test
+    void anAnswerToAnotherRequestNeverReachesACaller() {
+        fleet.deployment().engines().forEach(engine -> engine.faults(new EngineFaults(1, 0, false, false, false)));
+
+        Reply reply = get(caller.chat(fleet.address(0), TestCaller.chatBody("crossed", 5, true)));
+
+        assertThat(reply.status()).isEqualTo(502);
+        assertThat(reply.verdict()).isEqualTo("MAY_HAVE_RUN");
+        assertThat(reply.body()).doesNotContain("crossed-");
+    }
+
+    @Test
+    void aCallerThatLeavesHasItsWorkCancelled() {
+        Disposable stream = caller.stream(fleet.address(0), TestCaller.chatBody("gone", 2_000, true))
+                .subscribe();
+        TestFleet.await(() -> running().isPresent());
+
+        stream.dispose();
+
+        TestFleet.await(() -> running().isEmpty());
+        long cancelled = fleet.deployment().engines().stream()
+                .mapToLong(engine -> engine.audit().counts().get("cancelled"))
+                .sum();
+        assertThat(cancelled).isEqualTo(1);
+    }
+
+    @Test
+    void anOrderThatIsAskedForAgainThroughAnotherRouterRunsOnceAndIsAnsweredAlike() {
+        Reply first = get(caller.order(fleet.address(0), "twice", "key-twice"));
+        Reply second = get(caller.order(fleet.address(1), "twice", "key-twice"));
+
+        assertThat(first.status()).isEqualTo(201);
+        assertThat(second).isEqualTo(first);
+        assertThat(runs("twice")).isEqualTo(1);
+    }
+
+    @Test
+    void ordersAskedForAtOnceThroughBothRoutersRunOnce() {
+        List<CompletableFuture<Reply>> replies = new java.util.ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            replies.add(caller.order(fleet.address(i % 2), "race", "key-race").toFuture());
+        }
+        replies.forEach(reply -> assertThat(reply.join().status()).isAnyOf(201, 409));
+
+        assertThat(runs("race")).isEqualTo(1);
+    }
+
+    @Test
+    void aKeyUsedForAnotherOrderIsRefused() {
+        get(caller.order(fleet.address(0), "one", "key-shared"));
+
+        Reply reply = get(caller.order(fleet.address(1), "other", "key-shared"));
+
+        assertThat(reply.code()).isEqualTo("KEY_REUSED");
+        assertThat(runs("other")).isEqualTo(0);
+    }
+
+    @Test
+    void anOrderWhoseAnswerIsLostMayHaveRunAndIsNeverRunAgain() {
+        services(new ServiceFaults(1, 0, 0, false, false));
+
+        Reply first = get(caller.order(fleet.address(0), "lost", "key-lost"));
+        Reply again = get(caller.order(fleet.address(1), "lost", "key-lost"));
+
+        assertThat(first.verdict()).isEqualTo("MAY_HAVE_RUN");
+        assertThat(again.code()).isEqualTo("IN_PROGRESS");
+        assertThat(again.verdict()).isEqualTo("MAY_HAVE_RUN");
+        assertThat(runs("lost")).isEqualTo(1);
+    }
+
+    @Test
+    void anOrderThatEveryServiceDeclinesDidNotRunAndMayBeAskedForAgain() {
+        services(new ServiceFaults(0, 0, 0, false, true));
+        Reply declined = get(caller.order(fleet.address(0), "declined", "key-declined"));
+        assertThat(declined.verdict()).isEqualTo("NOT_RUN");
+        assertThat(runs("declined")).isEqualTo(0);
+
+        services(ServiceFaults.NONE);
+
+        assertThat(get(caller.order(fleet.address(1), "declined", "key-declined"))
+                        .status())
+                .isEqualTo(201);
+        assertThat(runs("declined")).isEqualTo(1);
+    }
+
+    @Test
+    void answersOfTheStoreThatAreLostDoubleNothing() {
+        fleet.deployment().table().faults(new TableFaults(false, 0, 0.7));
+        for (int i = 0; i < 6; i++) {
+            String number = "store-" + i;
+            get(caller.order(fleet.address(0), number, "key-" + number));
+            get(caller.order(fleet.address(1), number, "key-" + number));
+
+            assertThat(runs(number)).isAtMost(1);
+        }
+    }
+
+    @Test
+    void withoutTheStoreChatsGoOnAndOrdersAreTruthfullyRefused() {
+        fleet.deployment().table().faults(new TableFaults(true, 0, 0));
+
+        Reply chat = get(caller.chat(fleet.address(0), TestCaller.chatBody("outage", 3, true)));
+        Reply order = get(caller.order(fleet.address(0), "outage", "key-outage"));
+
+        assertThat(TestCaller.text(chat.body())).isEqualTo(TestCaller.expected("outage", 3));
+        assertThat(order.code()).isEqualTo("STORE_UNAVAILABLE");
+        assertThat(order.verdict()).isEqualTo("NOT_RUN");
+        assertThat(runs("outage")).isEqualTo(0);
+    }
+
+    @Test
+    void aLeavingEngineGetsNothingNewAndFinishesWhatItHas() {
+        CompletableFuture<Reply> reply = caller.chat(fleet.address(0), TestCaller.chatBody("leaving", 100, true))
+                .toFuture();
+        TestFleet.await(() -> running().isPresent());
+        EngineStandIn serving = running().orElseThrow();
+        fleet.deployment().vms().leaving(serving.id(), true);
+        TestFleet.await(() -> state(0, serving.id()).equals("LEAVING")
+                && state(1, serving.id()).equals("LEAVING"));
+        long before = serving.audit().counts().get("started");
+
+        for (int i = 0; i < 20; i++) {
+            get(caller.chat(fleet.address(i % 2), TestCaller.chatBody("other" + i, 1, true)));
+        }
+
+        assertThat(serving.audit().counts().get("started")).isEqualTo(before);
+        assertThat(TestCaller.text(reply.join().body())).isEqualTo(TestCaller.expected("leaving", 100));
+    }
+
+    @Test
+    void aPlannedStopOfARouterCutsNoStream() throws InterruptedException {
+        CompletableFuture<Reply> reply = caller.chat(fleet.address(0), TestCaller.chatBody("stopping", 60, true))
+                .toFuture();
+        TestFleet.await(() -> running().isPresent());
+
+        fleet.router(0).stop();
+
+        assertThat(reply.join().whole()).isTrue();
+        assertThat(TestCaller.text(reply.join().body())).isEqualTo(TestCaller.expected("stopping", 60));
+    }
+
+    @Test
+    void aChangeIsInForceOnEveryRouterAndAnOutageDoesNotUndoIt() {
+        long revision = fleet.status(0).path("revision").asLong();
+        fleet.apply(List.of(new RecordDocument(
+                SchemaVersion.V2,
+                RecordKind.MODEL,
+                "another",
+                JsonNodeFactory.instance.objectNode().put("version", "1"),
+                "test")));
+        TestFleet.await(() -> fleet.status(0).path("revision").asLong() == revision + 1
+                && fleet.status(1).path("revision").asLong() == revision + 1);
+
+        fleet.deployment().table().faults(new TableFaults(true, 0, 0));
+        pause();
+
+        assertThat(fleet.status(0).path("revision").asLong()).isEqualTo(revision + 1);
+        assertThat(fleet.status(0).path("ready").asBoolean()).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{} | 400 | BAD_REQUEST",
+                "not json | 400 | BAD_REQUEST",
+                "{\"model\":\"atlas\"} | 400 | BAD_REQUEST",
+                "{\"model\":\"none\",\"messages\":[{}]} | 404 | NOT_FOUND",
+            })
+    void aMalformedRequestGetsAClearErrorAndDidNotRun(String body, int status, String code) {
+        Reply reply = get(caller.chat(fleet.address(0), body));
+
+        assertThat(reply.status()).isEqualTo(status);
+        assertThat(reply.code()).isEqualTo(code);
+        assertThat(reply.verdict()).isEqualTo("NOT_RUN");
+    }
+
+    @Test
+    void anUnknownKeyIsRefused() {
+        Reply reply = get(caller.post(
+                fleet.address(0) + "/v1/chat/completions", "unknown", TestCaller.chatBody("x", 1, true), null));
+
+        assertThat(reply.code()).isEqualTo("UNAUTHORIZED");
+    }
+
+    private java.util.Optional<EngineStandIn> running() {
+        return fleet.deployment().engines().stream()
+                .filter(engine -> engine.running() > 0)
+                .findFirst();
+    }
+
+    private String state(int router, String endpoint) {
+        String state = "";
+        for (JsonNode candidate : fleet.status(router).path("endpoints")) {
+            if (candidate.path("id").asText().equals(endpoint)) {
+                state = candidate.path("state").asText();
+            }
+        }
+        return state;
+    }
+
+    private int runs(String number) {
+        return fleet.deployment().services().stream()
+                .mapToInt(service -> service.runs().getOrDefault(number, 0))
+                .sum();
+    }
+
+    private void services(ServiceFaults faults) {
+        fleet.deployment().services().forEach(service -> service.faults(faults));
+    }
+
+    private static Reply get(reactor.core.publisher.Mono<Reply> reply) {
+        return reply.blockOptional().orElseThrow();
+    }
+
+    /** Lets a few tokens pass, or a few polls. */
+    private static void pause() {
+        reactor.core.publisher.Mono.delay(java.time.Duration.ofMillis(300)).block();
+    }
+}
--- /dev/null
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/package-info.java
@@ -0,0 +1,3 @@
+/** Layer rules and end-to-end tests. */
+@org.jspecify.annotations.NullUnmarked
+package org.radishpass.dist;
--- a/radishpass-load/src/main/java/org/radishpass/load/LoadMain.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/LoadMain.java
@@ -5,15 +5,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.radishpass.load.internal.drive.Driver;
 import org.radishpass.load.internal.drive.FleetAddresses;
+import org.radishpass.load.internal.drive.Propagation;
 import org.radishpass.load.internal.drive.Result;
 import org.radishpass.load.internal.experiment.Experiment;
 import org.radishpass.load.internal.plan.ProcessPlan;
 import org.radishpass.load.internal.report.Figures;
 import org.radishpass.load.internal.report.Measurement;
 import org.radishpass.load.internal.report.RunReport;
+import org.radishpass.load.internal.slope.SlopeBench;
+import org.radishpass.load.internal.slope.SlopeReport;
 import org.radishpass.runtime.http.HttpRuntime;
 import org.radishpass.runtime.settings.ExitCode;
 import org.radishpass.runtime.settings.Program;
@@ -32,9 +36,9 @@
     private volatile Measurement atFigures = Measurement.EMPTY;
     private volatile Measurement atEnd = Measurement.EMPTY;
 
-    private LoadMain(LoadSettings settings, PrintStream out) {
+    private LoadMain(LoadSettings settings, Experiment experiment, PrintStream out) {
         this.settings = settings;
-        this.experiment = settings.experiment();
+        this.experiment = experiment;
         this.out = out;
     }
 
@@ -54,8 +58,22 @@
 
     @SuppressWarnings("PMD.SystemPrintln")
     private static ExitCode run(LoadSettings settings) throws Exception {
-        LoadMain program = new LoadMain(settings, System.out);
-        return program.run();
+        return switch (settings.command()) {
+            case "slopes" -> slopes(settings, System.out);
+            case "tables" -> tables(settings, System.out);
+            default -> new LoadMain(settings, settings.experiment(), System.out).run();
+        };
+    }
+
+    private static ExitCode slopes(LoadSettings settings, PrintStream out) throws IOException {
+        SlopeReport report = new SlopeReport(SlopeBench.run(), SlopeBench.messages());
+        report.write(Objects.requireNonNull(settings.json()));
+        return tables(settings, out);
+    }
+
+    private static ExitCode tables(LoadSettings settings, PrintStream out) throws IOException {
+        SlopeReport.read(Objects.requireNonNull(settings.json())).tables().forEach(out::println);
+        return ExitCode.OK;
     }
 
     private ExitCode run() throws IOException, InterruptedException {
@@ -64,6 +82,7 @@
             case "records" -> print(List.of(experiment.records()));
             case "standin" -> print(List.of(ProcessPlan.standIn(experiment, settings.runDirectory())));
             case "plan" -> print(ProcessPlan.routersAndControllers(experiment, settings.runDirectory()));
+            case "propagate" -> propagate();
             default -> drive();
         };
     }
@@ -73,6 +92,20 @@
         return ExitCode.OK;
     }
 
+    private ExitCode propagate() throws IOException, InterruptedException {
+        try (HttpRuntime runtime = new HttpRuntime("load", 3)) {
+            FleetAddresses fleet = FleetAddresses.read(settings.runDirectory());
+            Driver driver = new Driver(experiment, fleet, runtime, out);
+            driver.awaitReady();
+            Map<String, Object> figures = new Propagation(driver, fleet, runtime).run(settings.changes());
+            RunReport.lines(figures).forEach(line -> out.println("# " + line));
+            if (settings.json() != null) {
+                RunReport.add(settings.json(), settings.policy(), figures);
+            }
+            return ExitCode.OK;
+        }
+    }
+
     private ExitCode drive() throws IOException, InterruptedException {
         try (HttpRuntime runtime = new HttpRuntime("load", 3)) {
             FleetAddresses fleet = FleetAddresses.read(settings.runDirectory());
--- a/radishpass-load/src/main/java/org/radishpass/load/LoadSettings.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/LoadSettings.java
@@ -11,6 +11,7 @@
 import org.kohsuke.args4j.Option;
 import org.radishpass.load.internal.experiment.Experiment;
 import org.radishpass.runtime.settings.CommonSettings;
+import org.radishpass.runtime.settings.SettingChecks;
 
 /**
  * The settings of the load program.
@@ -18,9 +19,13 @@
  * @since 0.1.0
  */
 public final class LoadSettings extends CommonSettings {
-    private static final List<String> COMMANDS = List.of("policies", "records", "standin", "plan", "drive");
+    private static final List<String> COMMANDS =
+            List.of("policies", "records", "standin", "plan", "drive", "propagate", "slopes", "tables");
 
-    @Argument(index = 0, metaVar = "COMMAND", usage = "policies, records, standin, plan or drive")
+    @Argument(
+            index = 0,
+            metaVar = "COMMAND",
+            usage = "policies, records, standin, plan, drive, propagate, slopes or tables")
     private String command = "";
 
     @Argument(index = 1, metaVar = "EXPERIMENT", usage = "experiment file")
@@ -32,6 +37,9 @@
     @Option(name = "--policy", metaVar = "NAME", usage = "placement policy under which the fleet runs")
     private String policy = "bounded-affinity";
 
+    @Option(name = "--changes", metaVar = "N", usage = "changes of configuration to time")
+    private int changes = 300;
+
     @Option(name = "--json", metaVar = "FILE", usage = "report to write, or to add this policy to")
     private @Nullable Path json;
 
@@ -46,6 +54,10 @@
         if (!COMMANDS.contains(command)) {
             faults.add("COMMAND is '" + command + "'; write one of " + COMMANDS);
         }
+        if ("slopes".equals(command) || "tables".equals(command)) {
+            SettingChecks.present("--json", json == null ? null : json.toString(), faults);
+            return faults;
+        }
         if (file == null || !Files.isRegularFile(file)) {
             faults.add("EXPERIMENT is not a file");
             return faults;
@@ -83,6 +95,11 @@
         return policy;
     }
 
+    /** Returns how many changes of configuration to time. */
+    public int changes() {
+        return changes;
+    }
+
     /** Returns the report to write, or null. */
     public @Nullable Path json() {
         return json;
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/report/Measurement.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/report/Measurement.java
@@ -21,7 +21,7 @@
 public record Measurement(JsonNode audit, JsonNode samples, RouterMetrics metrics) {
     /** A reading before anything was counted. */
     public static final Measurement EMPTY =
-            new Measurement(MissingNode.getInstance(), MissingNode.getInstance(), new RouterMetrics(Map.of(), 0));
+            new Measurement(MissingNode.getInstance(), MissingNode.getInstance(), new RouterMetrics(Map.of(), 0, 0, 0));
 
     private static final Duration PATIENCE = Duration.ofSeconds(5);
 
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/report/RouterMetrics.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/report/RouterMetrics.java
@@ -1,5 +1,6 @@
 package org.radishpass.load.internal.report;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,12 +13,16 @@
  *
  * @param bytes the bytes of control traffic, by kind, of all routers together
  * @param attempts the attempts at endpoints
+ * @param controlCpuSeconds the processor time of control threads
+ * @param heapBytes the heap in use
  * @since 0.1.0
  */
-public record RouterMetrics(Map<String, Double> bytes, double attempts) {
+public record RouterMetrics(Map<String, Double> bytes, double attempts, double controlCpuSeconds, double heapBytes) {
     private static final Pattern BYTES =
             Pattern.compile("radishpass_control_bytes_total\\{.*kind=\"([^\"]+)\".*\\} ([0-9.E+]+)");
     private static final Pattern ATTEMPTS = Pattern.compile("radishpass_attempts_total\\{.*\\} ([0-9.E+]+)");
+    private static final Pattern CPU = Pattern.compile("radishpass_control_cpu_seconds_total ([0-9.E+-]+)");
+    private static final Pattern HEAP = Pattern.compile("radishpass_heap_used_bytes ([0-9.E+]+)");
 
     /**
      * Adds up the pages of several routers.
@@ -26,20 +31,24 @@
      */
     public static RouterMetrics of(List<String> pages) {
         Map<String, Double> bytes = new TreeMap<>();
-        double attempts = 0;
         for (String page : pages) {
             for (String line : page.split("\n", -1)) {
                 Matcher matcher = BYTES.matcher(line);
                 if (matcher.matches()) {
                     bytes.merge(matcher.group(1), Double.parseDouble(matcher.group(2)), Double::sum);
                 }
-                Matcher attempt = ATTEMPTS.matcher(line);
-                if (attempt.matches()) {
-                    attempts += Double.parseDouble(attempt.group(1));
-                }
             }
         }
-        return new RouterMetrics(bytes, attempts);
+        return new RouterMetrics(bytes, sum(pages, ATTEMPTS), sum(pages, CPU), sum(pages, HEAP));
+    }
+
+    private static double sum(List<String> pages, Pattern wanted) {
+        return pages.stream()
+                .flatMap(page -> Arrays.stream(page.split("\n", -1)))
+                .map(wanted::matcher)
+                .filter(Matcher::matches)
+                .mapToDouble(matcher -> Double.parseDouble(matcher.group(1)))
+                .sum();
     }
 
     /**
--- /dev/null
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/slope/SlopeBench.java
@@ -0,0 +1,247 @@
+package org.radishpass.load.internal.slope;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.DoubleUnaryOperator;
+import org.radishpass.core.admission.PriorityClass;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.fleet.EndpointState;
+import org.radishpass.core.fleet.Engine;
+import org.radishpass.core.fleet.FleetView;
+import org.radishpass.core.fleet.Vm;
+import org.radishpass.core.fleet.VmKind;
+import org.radishpass.core.fleet.VmListing;
+import org.radishpass.core.load.LoadBound;
+import org.radishpass.core.load.OwnerSelection;
+import org.radishpass.core.load.SlotBook;
+import org.radishpass.core.load.SlotId;
+import org.radishpass.core.load.SlotRequest;
+import org.radishpass.core.membership.EndpointReport;
+import org.radishpass.core.membership.FleetDirectory;
+import org.radishpass.core.placement.Ranking;
+import org.radishpass.peer.message.Envelope;
+import org.radishpass.peer.message.PeerCodec;
+import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.records.Configuration;
+import org.radishpass.records.ConfigurationChange;
+import org.radishpass.records.KeyHash;
+import org.radishpass.records.StoredRecord;
+
+/**
+ * Measures the pieces of control and placement at several sizes.
+ *
+ * @since 0.1.0
+ */
+public final class SlopeBench {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final List<DataCentre> PLACES = places();
+    private static final double[] ENDPOINTS = {12, 100, 500, 2_100};
+    private static final double[] ROUTERS = {8, 64, 185, 370};
+    private static final double[] WORKSPACES = {10, 100, 500, 1_500};
+    private static final double[] OWNED = {1, 2, 6, 24};
+    private static final String POOL = "model-1@1";
+
+    private SlopeBench() {
+        // static methods only
+    }
+
+    /** Measures everything. */
+    public static List<Series> run() {
+        List<Series> all = new ArrayList<>();
+        all.add(series("placement decision", "us", "endpoints in the pool", 2_100, ENDPOINTS, SlopeBench::placement));
+        all.add(series("picture of the fleet", "us", "endpoints", 2_100, ENDPOINTS, SlopeBench::picture));
+        all.add(series("owners of all endpoints", "us", "routers", 370, ROUTERS, SlopeBench::owners));
+        all.add(series("fleet directory", "heap bytes", "endpoints", 2_100, ENDPOINTS, SlopeBench::directoryHeap));
+        all.add(series("slot taken and freed", "us", "endpoints owned", 6, OWNED, SlopeBench::slot));
+        all.add(series("configuration", "heap bytes", "workspaces", 1_500, WORKSPACES, SlopeBench::configurationHeap));
+        all.add(series("one change applied", "us", "workspaces", 1_500, WORKSPACES, SlopeBench::change));
+        return all;
+    }
+
+    /** Measures the messages between routers: their bytes, and the time to write and read one. */
+    public static List<MessageCost> messages() {
+        return List.of(
+                cost(new PeerMessage.SlotWanted(
+                        123_456, "engine-liguanea-17", POOL, PriorityClass.INTERACTIVE, 1.25f, 60_000)),
+                cost(new PeerMessage.SlotReply(org.radishpass.core.load.SlotAnswer.GRANTED, 57, 71)),
+                cost(new PeerMessage.SlotFreed(123_456, "engine-liguanea-17")),
+                cost(new PeerMessage.PoolParts(List.of(new PeerMessage.PoolSum(POOL, 57, 1)))),
+                cost(new PeerMessage.PoolTotals(List.of(new PeerMessage.PoolSum(POOL, 5_700, 100)))),
+                cost(new PeerMessage.EndpointReports(List.of(new PeerMessage.EndpointReport(
+                        "engine-liguanea-17", "mh3k2a1b", 99, EndpointState.READY, List.of(POOL), 57, 64)))),
+                cost(new PeerMessage.Head(123_456)),
+                cost(new PeerMessage.Changes(123_456, List.of(workspaceChange(123_456, 7)), List.of())));
+    }
+
+    private static MessageCost cost(PeerMessage message) {
+        Envelope envelope = new Envelope(123_456, message);
+        byte[] bytes = encode(envelope);
+        double encode = Stopwatch.micros(() -> encode(envelope));
+        double decode = Stopwatch.micros(() -> decode(bytes));
+        return new MessageCost(message.kind(), bytes.length + Integer.BYTES, encode, decode);
+    }
+
+    private static Series series(
+            String name, String unit, String variable, double target, double[] sizes, DoubleUnaryOperator measure) {
+        List<Series.Point> points = new ArrayList<>();
+        for (double size : sizes) {
+            points.add(new Series.Point(size, measure.applyAsDouble(size)));
+        }
+        return new Series(name, unit, variable, target, points);
+    }
+
+    private static double placement(double size) {
+        List<Endpoint> endpoints = endpoints((int) size);
+        AtomicLong chat = new AtomicLong();
+        return Stopwatch.micros(() -> Ranking.of(endpoints, "workspace", Long.toString(chat.incrementAndGet()), 0));
+    }
+
+    private static double picture(double size) {
+        FleetDirectory directory = directory((int) size);
+        return Stopwatch.micros(directory::view);
+    }
+
+    private static double owners(double size) {
+        FleetView fleet = FleetView.of(vms((int) size), endpoints(2_100));
+        return Stopwatch.micros(() -> fleet.endpoints()
+                .forEach(endpoint -> OwnerSelection.ofEndpoint(endpoint.id(), endpoint.dataCentre(), fleet.vms())));
+    }
+
+    private static double directoryHeap(double size) {
+        return Stopwatch.heapBytes(() -> {
+            FleetDirectory directory = directory((int) size);
+            return List.of(directory, directory.view());
+        });
+    }
+
+    private static double slot(double size) {
+        SlotBook book = new SlotBook();
+        book.own(endpoints((int) size));
+        AtomicLong number = new AtomicLong();
+        return Stopwatch.micros(() -> {
+            SlotId slot = new SlotId("router", number.incrementAndGet());
+            book.reserve(
+                    "engine-0",
+                    POOL,
+                    new SlotRequest(slot, PriorityClass.INTERACTIVE, LoadBound.DEFAULT, NOW.plusSeconds(60)),
+                    NOW);
+            book.release("engine-0", slot);
+        });
+    }
+
+    private static double configurationHeap(double size) {
+        return Stopwatch.heapBytes(() -> configuration((int) size));
+    }
+
+    private static double change(double size) {
+        Configuration configuration = configuration((int) size);
+        List<ConfigurationChange> changes = List.of(workspaceChange(configuration.revision() + 1, 3));
+        return Stopwatch.micros(() -> configuration.after(changes));
+    }
+
+    private static Configuration configuration(int workspaces) {
+        List<StoredRecord> records = new ArrayList<>();
+        for (int i = 0; i < workspaces; i++) {
+            records.add(workspaceChange(i + 1, i).recordAfter());
+        }
+        return Configuration.of(workspaces, records);
+    }
+
+    private static ConfigurationChange workspaceChange(long revision, int number) {
+        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        KeyHash hash = KeyHash.of("salt-" + number, "secret-" + number);
+        spec.putArray("keys").addObject().put("salt", hash.salt()).put("sha256", hash.sha256());
+        spec.putObject("limits").put("inFlight", 400);
+        spec.putObject("placement").put("loadBound", 1.25).put("spread", 8);
+        StoredRecord after = new StoredRecord("Workspace", "workspace-" + number, revision, false, spec);
+        return new ConfigurationChange(revision, "7f3c1a52-1d7e-4c7b-9c5a-6a3f0e2b9d11", "operator", NOW, after);
+    }
+
+    private static FleetDirectory directory(int size) {
+        FleetDirectory directory = new FleetDirectory();
+        List<VmListing> listings = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            Address address = new Address("10.1." + i / 250 + '.' + i % 250, 8_000);
+            listings.add(new VmListing("engine-" + i, "mh3k2a1b", VmKind.ENGINE, place(i), address, false));
+        }
+        directory.listed(listings, NOW);
+        for (int i = 0; i < size; i++) {
+            directory.reported(
+                    new EndpointReport("engine-" + i, "mh3k2a1b", 1, EndpointState.READY, Set.of(POOL), 57, 64),
+                    NOW.plus(Duration.ofSeconds(1)));
+        }
+        return directory;
+    }
+
+    private static List<Endpoint> endpoints(int count) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            endpoints.add(new Engine(
+                    "engine-" + i,
+                    "mh3k2a1b",
+                    place(i),
+                    new Address("10.1.1.1", 8_000),
+                    EndpointState.READY,
+                    Set.of(POOL),
+                    1));
+        }
+        return endpoints;
+    }
+
+    private static List<Vm> vms(int count) {
+        List<Vm> vms = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            vms.add(new Vm("router-" + i, place(i), new Address("10.2.1.1", 8_001), false));
+        }
+        return vms;
+    }
+
+    private static DataCentre place(int index) {
+        return PLACES.get(index % PLACES.size());
+    }
+
+    private static List<DataCentre> places() {
+        List<DataCentre> places = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            places.add(new DataCentre("place-" + i));
+        }
+        return places;
+    }
+
+    private static byte[] encode(Envelope envelope) {
+        try {
+            return PeerCodec.encode(envelope);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static Envelope decode(byte[] bytes) {
+        try {
+            return PeerCodec.decode(bytes);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * What a message costs.
+     *
+     * @param kind the kind
+     * @param bytes its bytes with the frame
+     * @param encodeMicros the time to write it
+     * @param decodeMicros the time to read it
+     * @since 0.1.0
+     */
+    public record MessageCost(String kind, int bytes, double encodeMicros, double decodeMicros) {}
+}
--- /dev/null
+++ b/radishpass-model/src/main/alloy/lease-orders.als
@@ -0,0 +1,116 @@
+/*
+ * Leases and orders to an endpoint that checks no fencing number. Time passes in ticks.
+ *
+ * Step       carried out by
+ * ask        ShareLeases.write: the time is taken before the request is sent
+ * commit     the table service: the conditional write, at any later time
+ * learn      ShareLeases.settle: the answer came
+ * order      EngineClient.order: LeaseRules.mayOrder is asked at the moment of the write
+ * deliver    the network, within the order's life
+ *
+ * A pause of a holder is any number of ticks between its steps. Clocks differ by at most one tick, which the taker
+ * waits out.
+ */
+module leaseOrders
+
+sig Holder {}
+sig Order {}
+
+fun term: Int { 4 }
+fun orderLife: Int { 2 }
+fun clockBound: Int { 1 }
+
+one sig World {
+  var now: one Int,
+  var owner: lone Holder,
+  var deadline: one Int
+}
+var sig Asking in Holder {}
+one sig Times {
+  var askedAt: Holder -> lone Int,
+  var heldFrom: Holder -> lone Int,
+  var expires: Order -> lone Int,
+  var sentBy: Order -> lone Holder
+}
+var sig Delivered in Order {}
+
+pred mayOrder[h: Holder] {
+  some Times.heldFrom[h]
+  World.now < plus[Times.heldFrom[h], minus[term, orderLife]]
+}
+
+pred mayTake[h: Holder] {
+  no World.owner or World.owner = h or World.now > plus[World.deadline, clockBound]
+}
+
+pred sameWorld { owner' = owner and deadline' = deadline }
+pred sameTimes { askedAt' = askedAt and heldFrom' = heldFrom }
+pred sameOrders { expires' = expires and sentBy' = sentBy and Delivered' = Delivered }
+
+pred tick {
+  World.now < 7
+  now' = World -> plus[World.now, 1]
+  sameWorld and sameTimes and sameOrders and Asking' = Asking
+}
+
+pred ask[h: Holder] {
+  h not in Asking
+  Asking' = Asking + h
+  askedAt' = askedAt ++ (Times -> h -> World.now)
+  now' = now and sameWorld and heldFrom' = heldFrom and sameOrders
+}
+
+pred commit[h: Holder] {
+  h in Asking and mayTake[h]
+  owner' = World -> h
+  deadline' = World -> plus[Times.askedAt[h], term]
+  now' = now and sameTimes and sameOrders and Asking' = Asking
+}
+
+pred learn[h: Holder] {
+  h in Asking and World.owner = h and World.deadline = plus[Times.askedAt[h], term]
+  heldFrom' = heldFrom ++ (Times -> h -> Times.askedAt[h])
+  Asking' = Asking - h
+  now' = now and sameWorld and askedAt' = askedAt and sameOrders
+}
+
+pred giveUp[h: Holder] {
+  h in Asking
+  Asking' = Asking - h
+  now' = now and sameWorld and sameTimes and sameOrders
+}
+
+pred order[h: Holder, o: Order] {
+  mayOrder[h] and no Times.sentBy[o]
+  sentBy' = sentBy + (Times -> o -> h)
+  expires' = expires + (Times -> o -> plus[World.now, orderLife])
+  now' = now and sameWorld and sameTimes and Delivered' = Delivered and Asking' = Asking
+}
+
+pred deliver[o: Order] {
+  some Times.sentBy[o] and o not in Delivered and World.now <= Times.expires[o]
+  Delivered' = Delivered + o
+  now' = now and sameWorld and sameTimes and expires' = expires and sentBy' = sentBy and Asking' = Asking
+}
+
+pred stutter { now' = now and sameWorld and sameTimes and sameOrders and Asking' = Asking }
+
+fact behaviour {
+  World.now = 0 and no World.owner and World.deadline = 0
+  no Asking and no Times.askedAt and no Times.heldFrom and no Times.expires and no Times.sentBy and no Delivered
+  always (stutter or tick
+    or (some h: Holder | ask[h] or commit[h] or learn[h] or giveUp[h])
+    or (some h: Holder, o: Order | order[h, o])
+    or (some o: Order | deliver[o]))
+}
+
+/* An order only ever reaches the endpoint while its sender is the one that the store names. */
+assert safe {
+  always all o: Order | (o not in Delivered and o in Delivered') implies World.owner = Times.sentBy[o]
+}
+
+check safe for exactly 2 Holder, exactly 1 Order, 5 Int, 1..9 steps
+
+run witness {
+  some disj g, h: Holder | eventually (World.owner = g and some Delivered) and eventually World.owner = h
+} for exactly 2 Holder, exactly 1 Order, 5 Int, 1..12 steps
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/ConfigurationTracker.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/ConfigurationTracker.java
@@ -34,11 +34,12 @@
     private final ControlThread control;
     private final ConfigurationStore store;
     private final PeerNode peers;
-    private final Runnable changed;
+    private final ChangeListener changed;
     private final Deque<ConfigurationChange> recent = new ArrayDeque<>();
     private volatile Configuration current = Configuration.empty();
     private boolean known;
     private boolean fetching;
+    private boolean toldByPeer;
 
     /**
      * Creates a tracker.
@@ -47,10 +48,14 @@
      * @param store the store
      * @param peers the links to peers
      * @param metrics where the revision is shown
-     * @param changed runs after a newer revision is in force
+     * @param changed learns when a newer revision is in force
      */
     public ConfigurationTracker(
-            ControlThread control, ConfigurationStore store, PeerNode peers, MeterRegistry metrics, Runnable changed) {
+            ControlThread control,
+            ConfigurationStore store,
+            PeerNode peers,
+            MeterRegistry metrics,
+            ChangeListener changed) {
         this.control = control;
         this.store = store;
         this.peers = peers;
@@ -93,6 +98,7 @@
             return;
         }
         fetching = true;
+        toldByPeer = true;
         fetchFromStore(() -> peer.ifPresentOrElse(this::fetchFromPeer, () -> fetching = false));
     }
 
@@ -113,7 +119,7 @@
     private void becomeKnown() {
         if (!known) {
             known = true;
-            changed.run();
+            changed.changed(false);
         }
     }
 
@@ -128,6 +134,7 @@
         }
         if (revision > current.revision() && !fetching) {
             fetching = true;
+            toldByPeer = false;
             fetchFromStore(() -> fetching = false);
         }
     }
@@ -192,6 +199,22 @@
     private void publish(Configuration newer) {
         LOG.info("configuration revision {} is in force, after {}", newer.revision(), current.revision());
         current = newer;
-        changed.run();
+        changed.changed(!toldByPeer);
+        toldByPeer = false;
+    }
+
+    /**
+     * Learns when a newer revision is in force.
+     *
+     * @since 0.1.0
+     */
+    @FunctionalInterface
+    public interface ChangeListener {
+        /**
+         * Takes the news.
+         *
+         * @param fromStore whether this router found it in the store by itself, so that peers may not know yet
+         */
+        void changed(boolean fromStore);
     }
 }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import org.radishpass.core.fleet.FleetView;
 import org.radishpass.core.fleet.Vm;
 import org.radishpass.core.membership.EndpointReport;
@@ -36,7 +37,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(RouterControl.class);
     private static final Duration EXCHANGE_PERIOD = Duration.ofMillis(200);
     private static final Duration GONE_AFTER = Duration.ofSeconds(3);
-    private static final Duration REFRESH_PERIOD = Duration.ofSeconds(10);
+    private static final Duration REFRESH_PERIOD = Duration.ofSeconds(1);
 
     private final RouterSettings settings;
     private final String incarnation;
@@ -97,7 +98,7 @@
         control.every(Duration.ofMillis(settings.headPollMillis()), configuration::poll);
         control.every(Duration.ofMillis(settings.probeMillis()), this::probe);
         control.every(EXCHANGE_PERIOD, () -> slots.exchange(snapshot.fleet()));
-        control.every(REFRESH_PERIOD, told::clear);
+        control.every(REFRESH_PERIOD, this::refreshOnePeer);
     }
 
     /** Returns the newest snapshot. */
@@ -272,9 +273,22 @@
         }
     }
 
-    private void configurationChanged() {
+    /** Repairs what a peer may have missed: each second one peer, by chance, is told of all that this router owns. */
+    private void refreshOnePeer() {
+        List<Vm> others = snapshot.fleet().vms().stream()
+                .filter(vm -> !vm.id().equals(settings.id()))
+                .toList();
+        List<EndpointReport> reports = fleet.lastReports(slots.book().ownedIds());
+        if (!others.isEmpty() && !reports.isEmpty()) {
+            peers.send(others.get(ThreadLocalRandom.current().nextInt(others.size())), toMessage(reports));
+        }
+    }
+
+    private void configurationChanged(boolean fromStore) {
         publish();
-        broadcast(new PeerMessage.Head(configuration.current().revision()));
+        if (fromStore) {
+            broadcast(new PeerMessage.Head(configuration.current().revision()));
+        }
     }
 
     private void fleetChanged() {
--- a/radishpass-standin/src/main/java/org/radishpass/standin/deployment/StandInDeployment.java
+++ b/radishpass-standin/src/main/java/org/radishpass/standin/deployment/StandInDeployment.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -89,7 +90,37 @@
         return "http://" + HOST + ':' + platform.port();
     }
 
-    private String platformAddress(String dataCentre) {
+    /** Returns the engines. */
+    public Collection<EngineStandIn> engines() {
+        return engines.values();
+    }
+
+    /** Returns the plain services. */
+    public Collection<ServiceStandIn> services() {
+        return services.values();
+    }
+
+    /** Returns the table service. */
+    public TableStandIn table() {
+        return table;
+    }
+
+    /** Returns the VM list. */
+    public VmListStandIn vms() {
+        return vms;
+    }
+
+    /** Returns the network between data centres. */
+    public Network network() {
+        return network;
+    }
+
+    /**
+     * Returns the platform's address as a data centre sees it.
+     *
+     * @param dataCentre the data centre
+     */
+    public String platformAddress(String dataCentre) {
         return "http://" + HOST + ':' + network.port(dataCentre, Network.PLATFORM, platform.port());
     }
 
