Affinity token, denial memory, placement without a sort

Change: identities are hashed once; the best 16 are kept in one pass; owners are worked out only on news and by data centre. A chat's last engine comes back as a token, a hint that the bound goes before.

--- a/radishpass-core/src/main/java/org/radishpass/core/fleet/FleetView.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/fleet/FleetView.java
@@ -36,7 +36,7 @@
         });
         this.vms = Map.copyOf(vmsById);
         this.endpoints = Map.copyOf(endpointsById);
-        pools.replaceAll((pool, members) -> List.copyOf(members));
+        pools.replaceAll((pool, members) -> EndpointList.of(members));
         this.openByPool = Map.copyOf(pools);
     }
 
--- a/radishpass-core/src/main/java/org/radishpass/core/membership/FleetDirectory.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/membership/FleetDirectory.java
@@ -44,18 +44,26 @@
      *
      * @param listings the list
      * @param now the time by this process's clock
+     * @return whether it was news
      */
-    public void listed(Collection<VmListing> listings, Instant now) {
+    public boolean listed(Collection<VmListing> listings, Instant now) {
         if (listings.isEmpty()) {
-            return;
+            return false;
         }
+        boolean news = false;
         for (VmListing listing : listings) {
-            entries.computeIfAbsent(listing.id(), id -> new Entry(listing)).listed(listing, now.plus(MEMORY));
+            Entry entry = entries.get(listing.id());
+            if (entry == null) {
+                entry = new Entry(listing);
+                entries.put(listing.id(), entry);
+                news = true;
+            }
+            news |= entry.listed(listing, now.plus(MEMORY));
             if (listing.leaving()) {
-                leaving.add(mark(listing.id(), listing.incarnation()));
+                news |= leaving.add(mark(listing.id(), listing.incarnation()));
             }
         }
-        entries.values().removeIf(entry -> !entry.forgetAt.isAfter(now));
+        return entries.values().removeIf(entry -> !entry.forgetAt.isAfter(now)) || news;
     }
 
     /**
@@ -186,7 +194,8 @@
             this.listing = listing;
         }
 
-        private void listed(VmListing newListing, Instant newForgetAt) {
+        private boolean listed(VmListing newListing, Instant newForgetAt) {
+            boolean news = !newListing.equals(listing);
             if (newListing.incarnation().compareTo(listing.incarnation()) >= 0) {
                 listing = newListing;
             }
@@ -194,6 +203,7 @@
                 report = null;
             }
             forgetAt = newForgetAt;
+            return news;
         }
 
         private String incarnation() {
--- a/radishpass-core/src/main/java/org/radishpass/core/placement/PlacementPolicy.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/placement/PlacementPolicy.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.fleet.EndpointList;
 
 /**
  * The ways of ordering endpoints for a request: the fleet's own and the baselines that it is measured against.
@@ -44,14 +45,21 @@
     CONSISTENT_HASH(false) {
         @Override
         public List<Endpoint> rank(PlacementRequest request) {
-            return Ranking.of(request.endpoints(), request.workspace(), request.chat(), 0);
+            return Ranking.of(request.endpoints(), request.workspace(), request.chat(), 0, request.most());
         }
     },
-    /** Rendezvous on workspace and chat, under a bound that the endpoint's owner counts. */
+    /** The endpoint of the last turn, then rendezvous on workspace and chat, under a bound that owners count. */
     BOUNDED_AFFINITY(true) {
         @Override
         public List<Endpoint> rank(PlacementRequest request) {
-            return Ranking.of(request.endpoints(), request.workspace(), request.chat(), request.spread());
+            List<Endpoint> ranked = Ranking.of(
+                    request.endpoints(), request.workspace(), request.chat(), request.spread(), request.most());
+            EndpointList open = EndpointList.of(request.endpoints());
+            AffinityToken.find(request.affinity(), request.workspace(), open).ifPresent(index -> {
+                ranked.remove(open.get(index));
+                ranked.add(0, open.get(index));
+            });
+            return ranked;
         }
     };
 
--- a/radishpass-core/src/main/java/org/radishpass/core/placement/Ranking.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/placement/Ranking.java
@@ -3,9 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.fleet.EndpointList;
 
 /**
- * Orders endpoints for a request, the best first.
+ * Orders endpoints for a request, the best first, as many as may be tried.
  *
  * <p>A workspace is first given a subset of the endpoints, so that chats with the same prefix meet and a surge stays
  * contained; within the subset the chat decides. The endpoints outside the subset follow, in the workspace's order.
@@ -24,39 +25,53 @@
      * @param workspace the workspace that asks
      * @param chat the chat, or whatever else the request should stay close to
      * @param spread how many endpoints the workspace's chats are spread over; 0 for all
+     * @param most the most endpoints to return
      */
-    public static List<Endpoint> of(List<Endpoint> endpoints, String workspace, String chat, int spread) {
+    public static List<Endpoint> of(List<Endpoint> endpoints, String workspace, String chat, int spread, int most) {
+        EndpointList list = EndpointList.of(endpoints);
         long chatHash = Rendezvous.hash(workspace + '\n' + chat);
-        if (spread <= 0 || spread >= endpoints.size()) {
-            return ordered(endpoints, chatHash);
+        if (spread <= 0 || spread >= list.size()) {
+            return best(list, chatHash, most);
         }
-        List<Endpoint> byWorkspace = ordered(endpoints, Rendezvous.hash(workspace));
-        List<Endpoint> ranked = new ArrayList<>(endpoints.size());
-        ranked.addAll(ordered(byWorkspace.subList(0, spread), chatHash));
+        List<Endpoint> byWorkspace = best(list, Rendezvous.hash(workspace), Math.max(spread, most));
+        List<Endpoint> ranked = new ArrayList<>(byWorkspace.size());
+        ranked.addAll(best(EndpointList.of(byWorkspace.subList(0, spread)), chatHash, spread));
         ranked.addAll(byWorkspace.subList(spread, byWorkspace.size()));
-        return ranked;
+        return ranked.size() <= most ? ranked : new ArrayList<>(ranked.subList(0, most));
     }
 
-    private static List<Endpoint> ordered(List<Endpoint> endpoints, long keyHash) {
-        int count = endpoints.size();
-        Scored[] scored = new Scored[count];
-        for (int i = 0; i < count; i++) {
-            Endpoint endpoint = endpoints.get(i);
-            double score = Rendezvous.score(keyHash, Rendezvous.hash(endpoint.id()), endpoint.weight());
-            scored[i] = new Scored(score, endpoint);
+    /** Keeps the best in order while it looks at each endpoint once. */
+    private static List<Endpoint> best(EndpointList list, long keyHash, int most) {
+        int kept = 0;
+        int wanted = Math.min(most, list.size());
+        double[] scores = new double[wanted];
+        int[] places = new int[wanted];
+        for (int i = 0; i < list.size(); i++) {
+            double score = score(list, i, keyHash);
+            if (kept == wanted && score <= scores[kept - 1]) {
+                continue;
+            }
+            int at = kept < wanted ? kept++ : kept - 1;
+            while (at > 0 && scores[at - 1] < score) {
+                scores[at] = scores[at - 1];
+                places[at] = places[at - 1];
+                at--;
+            }
+            scores[at] = score;
+            places[at] = i;
         }
-        java.util.Arrays.sort(scored);
-        List<Endpoint> ranked = new ArrayList<>(count);
-        for (Scored entry : scored) {
-            ranked.add(entry.endpoint());
+        List<Endpoint> ranked = new ArrayList<>(kept);
+        for (int i = 0; i < kept; i++) {
+            ranked.add(list.get(places[i]));
         }
         return ranked;
     }
 
-    private record Scored(double score, Endpoint endpoint) implements Comparable<Scored> {
-        @Override
-        public int compareTo(Scored other) {
-            return Double.compare(other.score, score);
+    /** Among endpoints of equal weight the logarithm changes no order, and is left out. */
+    private static double score(EndpointList list, int index, long keyHash) {
+        if (list.even()) {
+            return Rendezvous.mix(keyHash, list.hash(index)) >>> 11;
         }
+        return Rendezvous.score(keyHash, list.hash(index), list.get(index).weight());
     }
 }
--- a/radishpass-core/src/main/java/org/radishpass/core/placement/Rendezvous.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/placement/Rendezvous.java
@@ -13,7 +13,9 @@
     private static final LongHashFunction HASH = LongHashFunction.xx3();
     private static final double UNIT = 0x1.0p-53;
     private static final int UNUSED_BITS = 11;
-    private static final long MIX = 0x9E3779B97F4A7C15L;
+    private static final int SHIFT = 32;
+    private static final long FIRST_MIX = 0xD6E8FEB86659FD93L;
+    private static final long MEMBER_MIX = 0x9E3779B97F4A7C15L;
 
     private Rendezvous() {
         // static methods only
@@ -29,15 +31,28 @@
     }
 
     /**
-     * Returns the score of a member for a key; the member with the highest score comes first.
+     * Mixes a key with a member: a number that is spread evenly over all values.
+     *
+     * @param keyHash the {@link #hash} of the key
+     * @param memberHash the {@link #hash} of the member's identity
+     */
+    public static long mix(long keyHash, long memberHash) {
+        long mixed = keyHash ^ (memberHash * MEMBER_MIX);
+        mixed = (mixed ^ (mixed >>> SHIFT)) * FIRST_MIX;
+        mixed = (mixed ^ (mixed >>> SHIFT)) * FIRST_MIX;
+        return mixed ^ (mixed >>> SHIFT);
+    }
+
+    /**
+     * Returns the score of a member for a key; the member with the highest score comes first. Among members of equal
+     * weight the order is that of {@link #mix}, taken without its sign and its last bits.
      *
      * @param keyHash the {@link #hash} of the key
      * @param memberHash the {@link #hash} of the member's identity
      * @param weight the member's weight, above 0
      */
     public static double score(long keyHash, long memberHash, double weight) {
-        long mixed = HASH.hashLong(keyHash ^ Long.rotateLeft(memberHash * MIX, 31));
-        double unit = ((mixed >>> UNUSED_BITS) + 0.5) * UNIT;
+        double unit = ((mix(keyHash, memberHash) >>> UNUSED_BITS) + 0.5) * UNIT;
         return -weight / Math.log(unit);
     }
 }
--- a/radishpass-core/src/test/java/org/radishpass/core/placement/RankingPropertyTest.java
+++ b/radishpass-core/src/test/java/org/radishpass/core/placement/RankingPropertyTest.java
@@ -22,7 +22,8 @@
         List<Endpoint> reversed = new ArrayList<>(endpoints);
         java.util.Collections.reverse(reversed);
 
-        assertThat(Ranking.of(reversed, workspace, chat, 0)).isEqualTo(Ranking.of(endpoints, workspace, chat, 0));
+        assertThat(Ranking.of(reversed, workspace, chat, 0, 100))
+                .isEqualTo(Ranking.of(endpoints, workspace, chat, 0, 100));
     }
 
     @Property(tries = 200, seed = "42")
@@ -35,8 +36,8 @@
         List<Endpoint> left = new ArrayList<>(endpoints);
         left.remove(lost);
 
-        Endpoint before = Ranking.of(endpoints, "workspace", chat, 0).get(0);
-        Endpoint after = Ranking.of(left, "workspace", chat, 0).get(0);
+        Endpoint before = Ranking.of(endpoints, "workspace", chat, 0, 100).get(0);
+        Endpoint after = Ranking.of(left, "workspace", chat, 0, 100).get(0);
 
         if (!before.equals(lost)) {
             assertThat(after).isEqualTo(before);
@@ -50,8 +51,8 @@
             @ForAll @IntRange(min = 1, max = 5) int spread) {
         List<Endpoint> endpoints = Endpoints.engines(12);
         Set<String> used = new HashSet<>();
-        chats.forEach(chat ->
-                used.add(Ranking.of(endpoints, workspace, chat, spread).get(0).id()));
+        chats.forEach(chat -> used.add(
+                Ranking.of(endpoints, workspace, chat, spread, 100).get(0).id()));
 
         assertThat(used.size()).isAtMost(spread);
     }
@@ -60,6 +61,6 @@
     void everyEndpointIsRankedOnce(@ForAll String chat, @ForAll @IntRange(min = 0, max = 12) int spread) {
         List<Endpoint> endpoints = Endpoints.engines(12);
 
-        assertThat(Ranking.of(endpoints, "workspace", chat, spread)).containsExactlyElementsIn(endpoints);
+        assertThat(Ranking.of(endpoints, "workspace", chat, spread, 100)).containsExactlyElementsIn(endpoints);
     }
 }
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Caller.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Caller.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
@@ -20,12 +21,14 @@
  * @since 0.1.0
  */
 final class Caller {
+    private static final String AFFINITY = "X-Radishpass-Affinity";
     private static final int OK = 200;
     private static final int CREATED = 201;
     private static final int MOST_TRIES = 8;
     private static final Duration PATIENCE = Duration.ofSeconds(60);
     private static final Duration PAUSE = Duration.ofMillis(250);
 
+    private final ConcurrentHashMap<String, String> affinity = new ConcurrentHashMap<>();
     private final HttpClient client;
     private final List<String> routers;
     private final Random random;
@@ -82,6 +85,10 @@
                                 .then();
                     }
                     accepted.set(true);
+                    String token = response.responseHeaders().get(AFFINITY);
+                    if (token != null) {
+                        affinity.put(arrival.chat(), token);
+                    }
                     if (!arrival.workload().streams()) {
                         return content.aggregate()
                                 .asString(StandardCharsets.UTF_8)
@@ -162,6 +169,10 @@
                         headers.set("Idempotency-Key", arrival.chat());
                     } else {
                         headers.set("X-Chat-Id", arrival.chat());
+                        String token = arrival.workload().bringsAffinity() ? affinity.get(arrival.chat()) : null;
+                        if (token != null) {
+                            headers.set(AFFINITY, token);
+                        }
                     }
                 })
                 .post()
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/experiment/Workload.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/experiment/Workload.java
@@ -15,6 +15,7 @@
  * @param turnTokens the tokens of each turn of the user
  * @param answerTokens the tokens of each answer
  * @param streamed whether answers are streamed; they are if this is left out
+ * @param returnsAffinity whether callers bring the affinity token back; they do if this is left out
  * @param surgeFrom when a surge begins, in seconds
  * @param surgeTo when it ends, in seconds
  * @param surgeFactor how many times the arrivals grow
@@ -31,6 +32,7 @@
         int turnTokens,
         int answerTokens,
         @Nullable Boolean streamed,
+        @Nullable Boolean returnsAffinity,
         double surgeFrom,
         double surgeTo,
         double surgeFactor) {
@@ -44,6 +46,11 @@
         return streamed == null || streamed;
     }
 
+    /** Tells whether callers bring the affinity token back. */
+    public boolean bringsAffinity() {
+        return returnsAffinity == null || returnsAffinity;
+    }
+
     /**
      * Returns the arrivals a second at a time.
      *
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/slope/SlopeBench.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/slope/SlopeBench.java
@@ -15,6 +15,7 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.core.fleet.Endpoint;
+import org.radishpass.core.fleet.EndpointList;
 import org.radishpass.core.fleet.EndpointState;
 import org.radishpass.core.fleet.Engine;
 import org.radishpass.core.fleet.FleetView;
@@ -49,6 +50,7 @@
     private static final double[] ROUTERS = {8, 64, 185, 370};
     private static final double[] WORKSPACES = {10, 100, 500, 1_500};
     private static final double[] OWNED = {1, 2, 6, 24};
+    private static final int MOST_TRIES = 16;
     private static final String POOL = "model-1@1";
 
     private SlopeBench() {
@@ -101,9 +103,10 @@
     }
 
     private static double placement(double size) {
-        List<Endpoint> endpoints = endpoints((int) size);
+        List<Endpoint> endpoints = EndpointList.of(endpoints((int) size));
         AtomicLong chat = new AtomicLong();
-        return Stopwatch.micros(() -> Ranking.of(endpoints, "workspace", Long.toString(chat.incrementAndGet()), 0));
+        return Stopwatch.micros(
+                () -> Ranking.of(endpoints, "workspace", Long.toString(chat.incrementAndGet()), 0, MOST_TRIES));
     }
 
     private static double picture(double size) {
@@ -113,8 +116,7 @@
 
     private static double owners(double size) {
         FleetView fleet = FleetView.of(vms((int) size), endpoints(2_100));
-        return Stopwatch.micros(() -> fleet.endpoints()
-                .forEach(endpoint -> OwnerSelection.ofEndpoint(endpoint.id(), endpoint.dataCentre(), fleet.vms())));
+        return Stopwatch.micros(() -> OwnerSelection.ofAll(fleet.endpoints(), fleet.vms()));
     }
 
     private static double directoryHeap(double size) {
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/FleetTracker.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/FleetTracker.java
@@ -69,9 +69,11 @@
      * @param listings the list
      */
     public void take(Collection<VmListing> listings) {
-        listed |= !listings.isEmpty();
-        directory.listed(listings, clock.instant());
-        changed.run();
+        boolean first = !listed && !listings.isEmpty();
+        listed |= first;
+        if (directory.listed(listings, clock.instant()) || first) {
+            changed.run();
+        }
     }
 
     /**
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.radishpass.core.fleet.FleetView;
 import org.radishpass.core.fleet.Vm;
+import org.radishpass.core.load.OwnerSelection;
 import org.radishpass.core.membership.EndpointReport;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerHandler;
@@ -293,7 +294,7 @@
 
     private void fleetChanged() {
         FleetView view = fleet.view();
-        Map<String, Vm> owners = RouterSnapshot.ownersIn(view);
+        Map<String, Vm> owners = OwnerSelection.ofAll(view.endpoints(), view.vms());
         slots.fleetChanged(view, owners);
         publish(view, owners);
         peers.retain(id -> view.vm(id).isPresent());
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterSnapshot.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterSnapshot.java
@@ -1,13 +1,10 @@
 package org.radishpass.router.internal.control;
 
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.radishpass.core.fleet.Endpoint;
 import org.radishpass.core.fleet.FleetView;
 import org.radishpass.core.fleet.Vm;
-import org.radishpass.core.load.OwnerSelection;
 import org.radishpass.records.Configuration;
 
 /**
@@ -40,20 +37,6 @@
         return Optional.ofNullable(owners.get(endpointId));
     }
 
-    /**
-     * Works out the owner of each endpoint.
-     *
-     * @param fleet the routers and endpoints
-     */
-    static Map<String, Vm> ownersIn(FleetView fleet) {
-        Map<String, Vm> owners = new HashMap<>();
-        for (Endpoint endpoint : fleet.endpoints()) {
-            OwnerSelection.ofEndpoint(endpoint.id(), endpoint.dataCentre(), fleet.vms())
-                    .ifPresent(owner -> owners.put(endpoint.id(), owner));
-        }
-        return Map.copyOf(owners);
-    }
-
     /**
      * Returns the pool that serves a model now: that of the version in the record or, while no endpoint has loaded it
      * yet, that of another version that is still loaded.
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/endpoint/HeaderNames.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/endpoint/HeaderNames.java
@@ -33,8 +33,8 @@
     /** Set by an endpoint that refuses a request before running any of it. */
     public static final String NOT_RUN = "X-Not-Run";
 
-    /** The endpoint that gave the answer. */
-    public static final String ENDPOINT = "X-Radishpass-Endpoint";
+    /** Names the engine of a chat's last turn; the caller may bring it back with the next. */
+    public static final String AFFINITY = "X-Radishpass-Affinity";
 
     private HeaderNames() {
         // constants only
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatHandler.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatHandler.java
@@ -32,8 +32,9 @@
 
     Publisher<Void> handle(CallerRequest caller, HttpServerRequest request, HttpServerResponse response) {
         String chatId = request.requestHeaders().get(HeaderNames.CHAT_ID);
+        String affinity = request.requestHeaders().get(HeaderNames.AFFINITY);
         return Bodies.read(request).flatMap(body -> {
-            ChatPrompt prompt = ChatPrompt.read(body, chatId);
+            ChatPrompt prompt = ChatPrompt.read(body, chatId, affinity);
             return Mono.from(admitted(caller, prompt, body, response));
         });
     }
@@ -56,6 +57,7 @@
         PlaceRequest place = new PlaceRequest(
                 workspace.name(),
                 prompt.chat(),
+                prompt.affinity(),
                 pool,
                 caller.priority(),
                 workspace.bound(),
@@ -80,11 +82,12 @@
                     tools.metrics().answered(caller);
                     decision.answered();
                 })
-                .switchOnFirst((first, events) -> begin(caller, decision, first, events, response));
+                .switchOnFirst((first, events) -> begin(caller, run, decision, first, events, response));
     }
 
     private Publisher<Void> begin(
             CallerRequest caller,
+            ChatRun run,
             DecisionLog.Decision decision,
             Signal<? extends SseEvent> first,
             Flux<SseEvent> events,
@@ -92,6 +95,7 @@
         if (!first.isOnNext()) {
             return events.thenMany(Flux.<Void>empty());
         }
+        run.affinity().ifPresent(token -> response.header(HeaderNames.AFFINITY, token));
         response.header(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
         response.header(HttpHeaderNames.CACHE_CONTROL, "no-cache");
         Flux<byte[]> bytes = events.map(SseEvent::raw).onErrorResume(error -> {
@@ -110,6 +114,7 @@
             tools.metrics().wholeAnswer(caller, System.nanoTime() - started);
             tools.metrics().answered(caller);
             decision.answered();
+            run.affinity().ifPresent(token -> response.header(HeaderNames.AFFINITY, token));
             return Mono.from(send(answer, response));
         });
     }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatPrompt.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatPrompt.java
@@ -13,9 +13,14 @@
  * @param model the model as the caller names it
  * @param streamed whether the answer is to be streamed
  * @param chat what tells the chat from others
+ * @param affinity the token of the chat's last turn, if the caller brought one
  * @since 0.1.0
  */
-public record ChatPrompt(String model, boolean streamed, String chat) {
+public record ChatPrompt(
+        String model,
+        boolean streamed,
+        String chat,
+        @Nullable String affinity) {
     private static final int OPENING_MESSAGES = 2;
 
     /**
@@ -23,9 +28,10 @@
      *
      * @param body the body
      * @param chatId the chat as the caller names it, if it does
+     * @param affinity the token of the chat's last turn, if the caller brought one
      * @throws RefusedException if it is not a chat request
      */
-    public static ChatPrompt read(byte[] body, @Nullable String chatId) {
+    public static ChatPrompt read(byte[] body, @Nullable String chatId, @Nullable String affinity) {
         JsonNode json = parse(body);
         if (!json.path("model").isTextual() || json.path("model").asText().isBlank()) {
             throw RefusedException.notRun(RefusalCode.BAD_REQUEST, "model is missing; write a model's name");
@@ -34,7 +40,7 @@
             throw RefusedException.notRun(RefusalCode.BAD_REQUEST, "messages is missing; write a list of messages");
         }
         String chat = chatId != null && !chatId.isBlank() ? chatId : opening(json.path("messages"));
-        return new ChatPrompt(json.path("model").asText(), json.path("stream").asBoolean(false), chat);
+        return new ChatPrompt(json.path("model").asText(), json.path("stream").asBoolean(false), chat, affinity);
     }
 
     @SuppressWarnings("PMD.PreserveStackTrace") // a refusal is an answer, not a fault to trace
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatRun.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ChatRun.java
@@ -1,9 +1,12 @@
 package org.radishpass.router.internal.traffic;
 
 import java.time.Clock;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.Refusal;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
+import org.radishpass.core.placement.AffinityToken;
 import org.radishpass.router.internal.endpoint.Attempt;
 import org.radishpass.router.internal.endpoint.AttemptFailure;
 import org.radishpass.router.internal.endpoint.EndpointClient;
@@ -34,6 +37,7 @@
     private final DecisionLog.Decision decision;
     private long nextToken;
     private boolean unnumbered;
+    private volatile @Nullable String servedBy;
 
     ChatRun(CallerRequest request, PlaceRequest place, byte[] body, TrafficTools tools, DecisionLog.Decision decision) {
         this.request = request;
@@ -68,6 +72,12 @@
                 }));
     }
 
+    /** Returns the token of the engine that answers, once there is one. */
+    Optional<String> affinity() {
+        return Optional.ofNullable(servedBy)
+                .map(endpointId -> AffinityToken.of(request.workspace().name(), endpointId));
+    }
+
     private Mono<Placed> place() {
         return placer.place(place.without(retries.failedAt()), decision)
                 .onErrorMap(RefusedException.class, retries::afterPlacement);
@@ -76,6 +86,7 @@
     private Attempt attempt(Placed placed) {
         metrics.attempt(request);
         int number = retries.next();
+        servedBy = placed.endpoint().id();
         decision.attempted(number, placed.endpoint().id(), clock.instant());
         return new Attempt(
                 request.id(),
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/PlaceRequest.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/PlaceRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.admission.PriorityClass;
 import org.radishpass.core.load.LoadBound;
 
@@ -10,6 +11,7 @@
  *
  * @param workspace the workspace that asks
  * @param chat what the request should stay close to
+ * @param affinity the token of the chat's last turn, if the caller brought one
  * @param pool the pool that serves it
  * @param priority its class
  * @param bound the bound on load
@@ -22,6 +24,7 @@
 public record PlaceRequest(
         String workspace,
         String chat,
+        @Nullable String affinity,
         String pool,
         PriorityClass priority,
         LoadBound bound,
@@ -40,6 +43,7 @@
      * @param newExcluded endpoints that have failed it
      */
     public PlaceRequest without(Set<String> newExcluded) {
-        return new PlaceRequest(workspace, chat, pool, priority, bound, spread, queued, deadline, newExcluded);
+        return new PlaceRequest(
+                workspace, chat, affinity, pool, priority, bound, spread, queued, deadline, newExcluded);
     }
 }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
@@ -3,7 +3,6 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -29,6 +28,7 @@
 
     private final AtomicLong sequence = new AtomicLong();
     private final ConcurrentHashMap<String, AtomicInteger> waiting = new ConcurrentHashMap<>();
+    private final DenialMemory denials;
     private final RouterControl control;
     private final SlotClient slots;
     private final PassiveHealth health;
@@ -47,6 +47,7 @@
         this.slots = slots;
         this.health = health;
         this.clock = clock;
+        this.denials = new DenialMemory(clock);
     }
 
     /**
@@ -85,18 +86,22 @@
     }
 
     private List<Endpoint> rank(PlacementPolicy policy, PlaceRequest request, RouterSnapshot snapshot) {
-        List<Endpoint> open = health.narrowed(snapshot.fleet().open(request.pool())).stream()
-                .filter(endpoint -> !request.excluded().contains(endpoint.id()))
-                .toList();
-        Random random = ThreadLocalRandom.current();
+        List<Endpoint> open = health.narrowed(snapshot.fleet().open(request.pool()));
+        if (!request.excluded().isEmpty()) {
+            open = open.stream()
+                    .filter(endpoint -> !request.excluded().contains(endpoint.id()))
+                    .toList();
+        }
         return policy.rank(new PlacementRequest(
                 open,
                 request.workspace(),
                 request.chat(),
                 request.spread(),
+                request.affinity(),
+                MOST_TRIES,
                 control::reportedLoad,
                 sequence.getAndIncrement(),
-                random));
+                ThreadLocalRandom.current()));
     }
 
     private Mono<Placed> tryFrom(int index, List<Endpoint> ranked, PlaceRequest request, PlacementTrace trace) {
@@ -110,6 +115,7 @@
             if (offer.mayGo()) {
                 return Mono.just(new Placed(endpoint, slotId));
             }
+            denials.note(endpoint, request, offer);
             if (offer.answer() == SlotAnswer.CLOSED) {
                 health.failed(endpoint.id());
             }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ServiceHandler.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ServiceHandler.java
@@ -68,6 +68,7 @@
         PlaceRequest place = new PlaceRequest(
                 workspace.name(),
                 affinity,
+                null,
                 pool,
                 caller.priority(),
                 workspace.bound(),
