--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -159,7 +159,7 @@
      * @param weight the sum of weights
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record PoolSum(String pool, double running, double weight) {}
+    record PoolSum(String pool, int running, float weight) {}
 
     /**
      * What an owner's probes found.
--- a/radishpass-router/src/main/java/org/radishpass/router/RouterSettings.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/RouterSettings.java
@@ -44,7 +44,7 @@
     private int headPollMillis = 2_000;
 
     @Option(name = "--list-poll-millis", metaVar = "MS", usage = "pause between two looks at the VM list")
-    private int listPollMillis = 1_000;
+    private int listPollMillis = 2_000;
 
     @Option(name = "--probe-millis", metaVar = "MS", usage = "pause between two probes of an endpoint by its owner")
     private int probeMillis = 1_000;
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/SlotOwner.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/SlotOwner.java
@@ -150,7 +150,7 @@
         for (PeerMessage.PoolSum part : parts.parts()) {
             pools.report(part.pool(), owner, new PoolLoad(part.running(), part.weight()), now.plus(PART_LIFE));
             PoolLoad total = pools.total(part.pool(), now);
-            totals.add(new PeerMessage.PoolSum(part.pool(), total.running(), total.weight()));
+            totals.add(sum(part.pool(), total));
         }
         return new PeerMessage.PoolTotals(totals);
     }
@@ -174,15 +174,18 @@
                 return;
             }
             Optional<Vm> coordinator = OwnerSelection.ofPool(pool, fleet.vms());
-            coordinator.ifPresent(vm -> byCoordinator
-                    .computeIfAbsent(vm, key -> new ArrayList<>())
-                    .add(new PeerMessage.PoolSum(pool, part.running(), part.weight())));
+            coordinator.ifPresent(vm ->
+                    byCoordinator.computeIfAbsent(vm, key -> new ArrayList<>()).add(sum(pool, part)));
         });
         lastParts.clear();
         lastParts.putAll(parts);
         byCoordinator.forEach((vm, sums) -> exchangeWith(vm, new PeerMessage.PoolParts(sums)));
     }
 
+    private static PeerMessage.PoolSum sum(String pool, PoolLoad load) {
+        return new PeerMessage.PoolSum(pool, (int) Math.round(load.running()), (float) load.weight());
+    }
+
     private void exchangeWith(Vm coordinator, PeerMessage.PoolParts parts) {
         if (coordinator.id().equals(ownId)) {
             takeTotals(parts, addUp(ownId, parts));
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/DenialMemory.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/DenialMemory.java
@@ -18,7 +18,7 @@
  * @since 0.1.0
  */
 final class DenialMemory {
-    private static final Duration MEMORY = Duration.ofMillis(100);
+    private static final Duration MEMORY = Duration.ofMillis(300);
 
     private final ConcurrentHashMap<Key, Instant> until = new ConcurrentHashMap<>();
     private final Clock clock;
