--- a/radishpass-load/src/main/java/org/radishpass/load/LoadMain.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/LoadMain.java
@@ -147,6 +147,13 @@
                 "controlBytesPerSecondPerRouter",
                 bytes.values().stream().mapToDouble(Double::doubleValue).sum());
         figures.put("controlBytesByKind", bytes);
+        double routerSeconds = (double) experiment.seconds() * fleet.routers().size();
+        double cpu = atEnd.metrics().controlCpuSeconds() - atFigures.metrics().controlCpuSeconds();
+        figures.put("routers", fleet.routers().size());
+        figures.put("controlCpuShareOfACore", cpu / routerSeconds);
+        figures.put(
+                "heapBytesPerRouter",
+                atEnd.metrics().heapBytes() / fleet.routers().size());
         figures.put("attemptsPerRequest", results.isEmpty() ? 0 : last.metrics().attempts() / results.size());
         figures.putAll(Figures.times(measured));
         figures.putAll(Figures.audit(results, last.audit()));
--- a/radishpass-load/src/main/java/org/radishpass/load/LoadSettings.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/LoadSettings.java
@@ -58,9 +58,18 @@
             SettingChecks.present("--json", json == null ? null : json.toString(), faults);
             return faults;
         }
+        readExperiment(faults);
+        boolean needsRun = !"policies".equals(command) && !"records".equals(command);
+        if (needsRun && (runDirectory == null || !Files.isDirectory(runDirectory))) {
+            faults.add("--run-dir is not a directory");
+        }
+        return faults;
+    }
+
+    private void readExperiment(List<String> faults) {
         if (file == null || !Files.isRegularFile(file)) {
             faults.add("EXPERIMENT is not a file");
-            return faults;
+            return;
         }
         try {
             experiment = Experiment.read(file);
@@ -68,11 +77,6 @@
         } catch (IOException e) {
             faults.add(file + ": " + e.getMessage());
         }
-        boolean needsRun = !"policies".equals(command) && !"records".equals(command);
-        if (needsRun && (runDirectory == null || !Files.isDirectory(runDirectory))) {
-            faults.add("--run-dir is not a directory");
-        }
-        return faults;
     }
 
     /** Returns the command. */
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Caller.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Caller.java
@@ -206,21 +206,26 @@
     /** What all tries of one request say together. */
     private static final class Tally {
         private boolean onlyNotRun = true;
+        private @Nullable Result lastRefusal;
 
         private void note(Result result) {
-            boolean notRun = result.outcome() == Result.Outcome.REFUSED && "NOT_RUN".equals(result.verdict());
-            onlyNotRun &= notRun;
+            boolean refused = result.outcome() == Result.Outcome.REFUSED;
+            onlyNotRun &= refused && "NOT_RUN".equals(result.verdict());
+            lastRefusal = refused ? result : lastRefusal;
         }
 
+        /** A caller that was refused and then reached nobody has its refusal, but cannot know that nothing ran. */
         private Result last(Result result) {
-            if (result.outcome() != Result.Outcome.REFUSED || onlyNotRun) {
+            boolean open = result.outcome() == Result.Outcome.REFUSED || result.outcome() == Result.Outcome.LOST;
+            Result refusal = lastRefusal;
+            if (!open || onlyNotRun || refusal == null) {
                 return result;
             }
             return new Result(
                     result.arrival(),
-                    result.outcome(),
+                    Result.Outcome.REFUSED,
                     "MAY_HAVE_RUN",
-                    result.code(),
+                    refusal.code(),
                     result.tries(),
                     result.firstTokenNanos(),
                     result.doneNanos(),
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.radishpass.core.fleet.Address;
@@ -24,6 +25,7 @@
     private static final Duration DIAL_PATIENCE = Duration.ofMillis(500);
     private static final Duration DIAL_AGAIN = Duration.ofMillis(500);
 
+    private final Set<Connection> accepted = ConcurrentHashMap.newKeySet();
     private final LoopResources loops;
     private final PeerHandler handler;
     private final TrafficMeter meter;
@@ -53,7 +55,7 @@
         this.server = TcpServer.create()
                 .runOn(loops, false)
                 .bindAddress(() -> listen)
-                .doOnConnection(connection -> PeerChannel.on(connection, null, handler, meter))
+                .doOnConnection(this::accept)
                 .bindNow();
     }
 
@@ -106,9 +108,16 @@
     @Override
     public void close() {
         links.values().forEach(Link::close);
+        accepted.forEach(Connection::dispose);
         server.disposeNow(Duration.ofSeconds(1));
     }
 
+    private void accept(Connection connection) {
+        accepted.add(connection);
+        connection.onDispose(() -> accepted.remove(connection));
+        PeerChannel.on(connection, null, handler, meter);
+    }
+
     private Link link(Vm peer) {
         Link link = links.get(peer.id());
         if (link != null && link.address.equals(peer.peer())) {
--- a/radishpass-peer/src/test/java/org/radishpass/peer/transport/PeerNodeTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/transport/PeerNodeTest.java
@@ -52,6 +52,20 @@
         assertThat(failed).isTrue();
     }
 
+    @Test
+    void aPeerThatStopsClosesTheConnectionsThatItAccepted() throws java.io.IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
+            socket.getOutputStream().write(new byte[] {0, 0});
+            socket.getOutputStream().flush();
+            one.request(vm("two", two), new PeerMessage.ChangesWanted(1), PATIENCE)
+                    .block();
+
+            two.close();
+
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
     @Test
     void bytesThatAreNotAMessageCostTheirOwnConnectionAlone() throws java.io.IOException {
         one.request(vm("two", two), new PeerMessage.ChangesWanted(1), PATIENCE).block();
