--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/Commands.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/Commands.java
@@ -10,11 +10,6 @@
 import java.util.Optional;
 import java.util.UUID;
 import org.radishpass.cli.CliSettings;
-import org.radishpass.platform.configuration.ConfigurationStore;
-import org.radishpass.platform.configuration.ConfigurationWriter;
-import org.radishpass.platform.configuration.StoreUnavailableException;
-import org.radishpass.platform.configuration.WriteResult;
-import org.radishpass.platform.table.HttpTableService;
 import org.radishpass.records.Configuration;
 import org.radishpass.records.ConfigurationChange;
 import org.radishpass.records.RecordDocument;
@@ -26,6 +21,11 @@
 import org.radishpass.runtime.http.HttpJson;
 import org.radishpass.runtime.http.HttpRuntime;
 import org.radishpass.runtime.settings.ExitCode;
+import org.radishpass.tables.configuration.ConfigurationStore;
+import org.radishpass.tables.configuration.ConfigurationWriter;
+import org.radishpass.tables.configuration.StoreUnavailableException;
+import org.radishpass.tables.configuration.WriteResult;
+import org.radishpass.tables.table.HttpTableService;
 
 /**
  * Carries out a command.
--- a/radishpass-controller/src/test/java/org/radishpass/controller/internal/ShareLeasesTest.java
+++ b/radishpass-controller/src/test/java/org/radishpass/controller/internal/ShareLeasesTest.java
@@ -10,8 +10,8 @@
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.core.lease.LeaseRules;
-import org.radishpass.platform.testing.FakeTables;
-import org.radishpass.platform.testing.FakeTables.Fault;
+import org.radishpass.tables.testing.FakeTables;
+import org.radishpass.tables.testing.FakeTables.Fault;
 
 /** Checks that of all controllers at most one may order an endpoint at a time. */
 final class ShareLeasesTest {
--- a/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
@@ -32,7 +32,7 @@
                 .resideInAnyPackage(
                         "org.radishpass.records..",
                         "org.radishpass.runtime..",
-                        "org.radishpass.platform..",
+                        "org.radishpass.tables..",
                         "org.radishpass.peer..",
                         "reactor..",
                         "io.netty..",
@@ -76,7 +76,7 @@
                         "org.radishpass.core..",
                         "org.radishpass.records..",
                         "org.radishpass.runtime..",
-                        "org.radishpass.platform..",
+                        "org.radishpass.tables..",
                         "org.radishpass.peer..")
                 .should()
                 .dependOnClassesThat()
--- a/radishpass-dist/src/test/java/org/radishpass/dist/TestFleet.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/TestFleet.java
@@ -14,9 +14,6 @@
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-import org.radishpass.platform.configuration.ConfigurationWriter;
-import org.radishpass.platform.configuration.WriteResult;
-import org.radishpass.platform.table.HttpTableService;
 import org.radishpass.records.RecordDocument;
 import org.radishpass.records.RecordFiles;
 import org.radishpass.router.Router;
@@ -28,6 +25,9 @@
 import org.radishpass.standin.deployment.StandInDeployment;
 import org.radishpass.standin.engine.EngineSettings;
 import org.radishpass.standin.engine.EngineStandIn;
+import org.radishpass.tables.configuration.ConfigurationWriter;
+import org.radishpass.tables.configuration.WriteResult;
+import org.radishpass.tables.table.HttpTableService;
 import reactor.core.publisher.Mono;
 
 /** A deployment of stand-ins with routers in this process, for tests of failures. */
--- a/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Propagation.java
+++ b/radishpass-load/src/main/java/org/radishpass/load/internal/drive/Propagation.java
@@ -12,13 +12,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.HdrHistogram.Histogram;
-import org.radishpass.platform.configuration.ConfigurationWriter;
-import org.radishpass.platform.configuration.WriteResult;
-import org.radishpass.platform.table.HttpTableService;
 import org.radishpass.records.RecordDocument;
 import org.radishpass.records.schema.RecordKind;
 import org.radishpass.records.schema.SchemaVersion;
 import org.radishpass.runtime.http.HttpRuntime;
+import org.radishpass.tables.configuration.ConfigurationWriter;
+import org.radishpass.tables.configuration.WriteResult;
+import org.radishpass.tables.table.HttpTableService;
 
 /**
  * Times how long changes of configuration take until each router has them in force, and checks that none goes back.
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -34,7 +34,11 @@
     @JsonSubTypes.Type(value = PeerMessage.Leaving.class, name = "l"),
     @JsonSubTypes.Type(value = PeerMessage.TicketRun.class, name = "t"),
     @JsonSubTypes.Type(value = PeerMessage.TicketDone.class, name = "td"),
-    @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "d")
+    @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "d"),
+    @JsonSubTypes.Type(value = PeerMessage.RoutingState.class, name = "rs"),
+    @JsonSubTypes.Type(value = PeerMessage.RouterList.class, name = "rl"),
+    @JsonSubTypes.Type(value = PeerMessage.DocumentWanted.class, name = "dw"),
+    @JsonSubTypes.Type(value = PeerMessage.Document.class, name = "do")
 })
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public sealed interface PeerMessage {
@@ -243,4 +247,55 @@
     /** An answer without content. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Done() implements PeerMessage {}
+
+    /**
+     * What a router of routed requests tells its peers several times a second.
+     *
+     * @param configuration the version of the configuration that it has in force; -1 before it knows one
+     * @param directory the revision of the endpoint list that it read last; -1 before it has read one
+     * @param work all of its work in flight, by endpoint
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record RoutingState(long configuration, long directory, List<EndpointWork> work) implements PeerMessage {}
+
+    /**
+     * A router's work in flight at one endpoint.
+     *
+     * @param endpointId the endpoint
+     * @param requests the requests
+     * @param tokens their prompt tokens and the most tokens that they may generate
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record EndpointWork(String endpointId, int requests, long tokens) {}
+
+    /**
+     * The routers that the sender knows, for one that has just started.
+     *
+     * @param addresses where they listen for peers, as IP:PORT
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record RouterList(List<String> addresses) implements PeerMessage {}
+
+    /**
+     * Asks for a document that the receiver holds; it is answered with a {@link Document}.
+     *
+     * @param name which
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record DocumentWanted(String name) implements PeerMessage {}
+
+    /**
+     * A document as the sender holds it.
+     *
+     * @param name which
+     * @param version its version; -1 if the sender has none
+     * @param content its bytes
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Document(String name, long version, byte[] content) implements PeerMessage {}
 }
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
@@ -90,6 +90,18 @@
                 .timeout(patience);
     }
 
+    /**
+     * Closes the link to a peer that has fallen silent; the next message dials anew.
+     *
+     * @param peerId the peer
+     */
+    public void drop(String peerId) {
+        Link link = links.remove(peerId);
+        if (link != null) {
+            link.close();
+        }
+    }
+
     /**
      * Closes the links to peers that are no longer listed.
      *
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/ConfigurationTracker.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/ConfigurationTracker.java
@@ -11,10 +11,10 @@
 import org.radishpass.core.fleet.Vm;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerNode;
-import org.radishpass.platform.configuration.ConfigurationStore;
 import org.radishpass.records.Configuration;
 import org.radishpass.records.ConfigurationChange;
 import org.radishpass.runtime.thread.ControlThread;
+import org.radishpass.tables.configuration.ConfigurationStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/OnceGuard.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/OnceGuard.java
@@ -13,8 +13,8 @@
 import org.radishpass.core.outcome.Refusal;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
-import org.radishpass.platform.once.ClaimStore;
 import org.radishpass.router.internal.endpoint.WholeAnswer;
+import org.radishpass.tables.once.ClaimStore;
 import reactor.core.publisher.Mono;
 
 /**
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/RouterTraffic.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/RouterTraffic.java
@@ -3,11 +3,11 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Clock;
 import org.radishpass.core.admission.WorkspaceGate;
-import org.radishpass.platform.once.ClaimStore;
 import org.radishpass.router.RouterSettings;
 import org.radishpass.router.internal.control.RouterControl;
 import org.radishpass.router.internal.endpoint.EndpointClient;
 import org.radishpass.runtime.http.HttpRuntime;
+import org.radishpass.tables.once.ClaimStore;
 
 /**
  * The traffic side of a router, put together.
--- a/radishpass-router/src/test/java/org/radishpass/router/internal/control/ConfigurationTrackerTest.java
+++ b/radishpass-router/src/test/java/org/radishpass/router/internal/control/ConfigurationTrackerTest.java
@@ -15,14 +15,14 @@
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerNode;
-import org.radishpass.platform.configuration.ConfigurationStore;
-import org.radishpass.platform.configuration.ConfigurationWriter;
-import org.radishpass.platform.testing.FakeTables;
 import org.radishpass.records.RecordDocument;
 import org.radishpass.records.schema.RecordKind;
 import org.radishpass.records.schema.SchemaVersion;
 import org.radishpass.runtime.metrics.TrafficMeter;
 import org.radishpass.runtime.thread.ControlThread;
+import org.radishpass.tables.configuration.ConfigurationStore;
+import org.radishpass.tables.configuration.ConfigurationWriter;
+import org.radishpass.tables.testing.FakeTables;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/config/RoutingConfiguration.java
@@ -0,0 +1,153 @@
+package org.radishpass.routing.config;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the configuration, whole and immutable.
+ *
+ * @since 0.2.0
+ */
+public final class RoutingConfiguration {
+    private final long version;
+    private final Map<String, Map<String, Route>> routesByHost;
+    private final Map<String, ServiceSpec> services;
+    private final Map<String, Workspace> workspacesByKey;
+    private final boolean keysRequired;
+    private final CallerLimits limits;
+
+    private RoutingConfiguration(Builder builder) {
+        this.version = builder.version;
+        this.routesByHost = builder.routesByHost;
+        this.services = Map.copyOf(builder.services);
+        this.workspacesByKey = Map.copyOf(builder.workspacesByKey);
+        this.keysRequired = builder.keysRequired;
+        this.limits = builder.limits;
+    }
+
+    /**
+     * Starts a configuration.
+     *
+     * @param version its version; a higher one replaces a lower one
+     */
+    public static Builder builder(long version) {
+        return new Builder(version);
+    }
+
+    /** Returns its version; a higher one replaces a lower one. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Tells whether requests need a key unless their route says otherwise. */
+    public boolean keysRequired() {
+        return keysRequired;
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routesByHost.values().stream().mapToInt(Map::size).sum();
+    }
+
+    /**
+     * Finds the route of a request: that of its host with the longest prefix that begins its path.
+     *
+     * @param host the host without a port, in any case
+     * @param path the path without a query
+     */
+    public Optional<Route> route(String host, String path) {
+        Map<String, Route> byPrefix = routesByHost.get(host.toLowerCase(Locale.ROOT));
+        if (byPrefix == null) {
+            return Optional.empty();
+        }
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route route = byPrefix.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     */
+    public Optional<ServiceSpec> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the workspace that holds a key.
+     *
+     * @param key the key
+     */
+    public Optional<Workspace> workspace(String key) {
+        return Optional.ofNullable(workspacesByKey.get(key));
+    }
+
+    /**
+     * Builds a configuration.
+     *
+     * @since 0.2.0
+     */
+    public static final class Builder {
+        private final long version;
+        private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
+        private final Map<String, ServiceSpec> services = new HashMap<>();
+        private final Map<String, Workspace> workspacesByKey = new HashMap<>();
+        private boolean keysRequired;
+        private CallerLimits limits = CallerLimits.DEFAULT;
+
+        private Builder(long version) {
+            this.version = version;
+        }
+
+        /** Adds a route. */
+        public Builder route(Route route) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
+                    .put(route.prefix(), route);
+            return this;
+        }
+
+        /** Adds a service. */
+        public Builder service(ServiceSpec service) {
+            services.put(service.name(), service);
+            return this;
+        }
+
+        /** Adds a workspace with its keys; from then on requests need a key. */
+        public Builder workspace(Workspace workspace, List<String> keys) {
+            keysRequired = true;
+            keys.forEach(key -> workspacesByKey.put(key, workspace));
+            return this;
+        }
+
+        /** Requires keys although no workspace may hold one. */
+        public Builder requireKeys() {
+            keysRequired = true;
+            return this;
+        }
+
+        /** Sets what callers may send. */
+        public Builder limits(CallerLimits newLimits) {
+            this.limits = newLimits;
+            return this;
+        }
+
+        /** Returns the configuration. */
+        public RoutingConfiguration build() {
+            return new RoutingConfiguration(this);
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -0,0 +1,41 @@
+package org.radishpass.routing.control;
+
+import java.time.Duration;
+import org.radishpass.core.fleet.Address;
+import reactor.core.publisher.Mono;
+
+/**
+ * The store that a deployment keeps its configuration, endpoints and routers in. No reading ends in an error: what went
+ * wrong is in its type.
+ *
+ * @since 0.2.0
+ */
+public interface ControlSource {
+    /** Reads the configuration. */
+    Mono<ConfigurationReading> configuration();
+
+    /**
+     * Waits for a configuration that is newer than a revision.
+     *
+     * @param revision the store's revision
+     * @param wait how long the store may wait before it answers that nothing has changed
+     */
+    Mono<ConfigurationReading> configurationAfter(long revision, Duration wait);
+
+    /** Reads all endpoints. */
+    Mono<DirectoryReading> directory();
+
+    /**
+     * Registers this router, and reads all routers that are registered after that.
+     *
+     * @param self where it listens for peers
+     */
+    Mono<RegistryReading> register(Address self);
+
+    /**
+     * Removes this router's registration.
+     *
+     * @param self where it listened for peers
+     */
+    Mono<Boolean> deregister(Address self);
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
@@ -0,0 +1,28 @@
+package org.radishpass.routing.control;
+
+import java.util.List;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/**
+ * What came of asking the store for the endpoints.
+ *
+ * @since 0.2.0
+ */
+public sealed interface DirectoryReading {
+    /**
+     * All endpoints that are registered.
+     *
+     * @param revision the store's revision at which they were read
+     * @param endpoints the endpoints
+     * @since 0.2.0
+     */
+    record Listed(long revision, List<ServiceEndpoint> endpoints) implements DirectoryReading {}
+
+    /**
+     * The store did not answer, or refused.
+     *
+     * @param reason why
+     * @since 0.2.0
+     */
+    record Unavailable(String reason) implements DirectoryReading {}
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
@@ -0,0 +1,27 @@
+package org.radishpass.routing.control;
+
+import java.util.List;
+import org.radishpass.core.fleet.Address;
+
+/**
+ * What came of registering this router and asking for the others.
+ *
+ * @since 0.2.0
+ */
+public sealed interface RegistryReading {
+    /**
+     * The routers that are registered, this one included.
+     *
+     * @param routers where they listen for peers
+     * @since 0.2.0
+     */
+    record Registered(List<Address> routers) implements RegistryReading {}
+
+    /**
+     * The store did not answer, or refused.
+     *
+     * @param reason why
+     * @since 0.2.0
+     */
+    record Unavailable(String reason) implements RegistryReading {}
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -0,0 +1,245 @@
+package org.radishpass.routing.control;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.peer.transport.PeerNode;
+import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.traffic.MonotonicClock;
+import org.radishpass.routing.traffic.RoutingView;
+import org.radishpass.routing.traffic.TrafficServer;
+import org.radishpass.runtime.metrics.TrafficMeter;
+import org.radishpass.runtime.thread.ControlThread;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A router of routed requests: one traffic thread, one control thread, and the peers.
+ *
+ * @since 0.2.0
+ */
+public final class RoutedRouter {
+    private static final Logger LOG = LoggerFactory.getLogger(RoutedRouter.class);
+
+    /** How long listening may take at the start. */
+    private static final long LISTEN_SECONDS = 5;
+
+    /** How long a registration in the store may take to be tried again. */
+    private static final Duration REGISTER_AGAIN = Duration.ofMillis(700);
+
+    private final ControlThread thread = new ControlThread("control");
+    private final MonotonicClock clock = MonotonicClock.SYSTEM;
+    private volatile RoutingView view = RoutingView.UNKNOWN;
+    private final LoopResources loops;
+    private final Address peerAddress;
+    private final ControlSource source;
+    private final ConfigurationTracker configuration;
+    private final DirectoryTracker directory = new DirectoryTracker();
+    private final TrafficServer traffic;
+    private final StoreFollower follower;
+    private final PeerExchange peers;
+    private final MeterRegistry metrics;
+    private volatile boolean stopping;
+
+    private RoutedRouter(Builder builder) {
+        this.loops = builder.loops;
+        this.peerAddress = builder.peerAddress;
+        this.source = builder.source;
+        this.metrics = builder.metrics;
+        this.configuration = new ConfigurationTracker(builder.decoder);
+        EventLoop loop = loops.onServer(false).next();
+        this.traffic = new TrafficServer(
+                loop,
+                clock,
+                this::view,
+                builder.dialect,
+                builder.home,
+                gone -> thread.run(() -> gone(gone.id())),
+                metrics);
+        this.follower = new StoreFollower(thread, clock, source, configuration, directory, new StoreNews());
+        this.peers = new PeerExchange(thread, clock, peerAddress, traffic, configuration, directory, new PeerNews());
+    }
+
+    /**
+     * Starts to describe a router.
+     *
+     * @param loops the event loops; a router uses one
+     * @param source the store
+     * @param decoder reads configurations
+     * @param dialect translates request and answer heads
+     */
+    public static Builder builder(
+            LoopResources loops, ControlSource source, ConfigurationDecoder decoder, RequestDialect dialect) {
+        return new Builder(loops, source, decoder, dialect);
+    }
+
+    /**
+     * Starts it.
+     *
+     * @param callers where callers' requests come in
+     * @param allowance what all routers may send again
+     * @param seeds where other routers may listen for peers, known beforehand
+     * @throws InterruptedException if the wait is broken off
+     * @throws ExecutionException if it cannot listen
+     * @throws TimeoutException if it does not listen in time
+     */
+    public void start(InetSocketAddress callers, RetryAllowance allowance, List<Address> seeds)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        traffic.retryAllowance(allowance);
+        CompletableFuture<?> listening = traffic.listen(callers);
+        PeerNode node = new PeerNode(
+                new InetSocketAddress(peerAddress.host(), peerAddress.port()),
+                loops,
+                peers,
+                new TrafficMeter(metrics),
+                () -> new PeerMessage.Hello(peerAddress.toString(), "", configuration.version()));
+        thread.run(() -> {
+            peers.start(node);
+            peers.learn(seeds);
+            register();
+        });
+        follower.start();
+        listening.get(LISTEN_SECONDS, TimeUnit.SECONDS);
+        LOG.info("the router listens", kv("event", "start"), kv("callers", callers), kv("peers", peerAddress));
+    }
+
+    /** Tells whether it takes new callers. */
+    public boolean ready() {
+        return !stopping && view.complete();
+    }
+
+    /** Returns its traffic side. */
+    public TrafficServer traffic() {
+        return traffic;
+    }
+
+    /** From now on it is not ready, and asks callers to go elsewhere. */
+    public void beginStop() {
+        stopping = true;
+        LOG.info("the router is stopping", kv("event", "stop"));
+        traffic.stopping();
+    }
+
+    private void register() {
+        source.register(peerAddress).publishOn(thread.scheduler()).subscribe(reading -> {
+            if (reading instanceof RegistryReading.Registered registered) {
+                peers.learn(registered.routers());
+            } else if (reading instanceof RegistryReading.Unavailable unavailable) {
+                LOG.info("this router cannot be registered yet: {}", unavailable.reason());
+                thread.after(REGISTER_AGAIN, this::register);
+            }
+        });
+    }
+
+    private void gone(String endpointId) {
+        if (directory.gone(endpointId)) {
+            LOG.info("the address of endpoint {} belongs to another one now", endpointId, kv("event", "endpoint-gone"));
+            publish();
+        }
+    }
+
+    private RoutingView view() {
+        return view;
+    }
+
+    private void publish() {
+        view = new RoutingView(
+                configuration.current().orElse(null),
+                directory.directory(),
+                directory.known(),
+                directory.readAtMillis(),
+                peers.routers());
+    }
+
+    /** Hears what the store brought. */
+    private final class StoreNews implements StoreFollower.Listener {
+        @Override
+        public void configurationChanged() {
+            publish();
+            peers.tellNow();
+        }
+
+        @Override
+        public void directoryRead() {
+            publish();
+        }
+    }
+
+    /** Hears what peers brought. */
+    private final class PeerNews implements PeerExchange.Listener {
+        @Override
+        public void configurationOffered(byte[] content, String origin) {
+            follower.offer(content, origin);
+        }
+
+        @Override
+        public void endpointsChanged() {
+            publish();
+        }
+
+        @Override
+        public void routersChanged() {
+            publish();
+        }
+    }
+
+    /**
+     * Describes a router.
+     *
+     * @since 0.2.0
+     */
+    public static final class Builder {
+        private final LoopResources loops;
+        private final ControlSource source;
+        private final ConfigurationDecoder decoder;
+        private final RequestDialect dialect;
+        private MeterRegistry metrics = new SimpleMeterRegistry();
+        private Address peerAddress = new Address("127.0.0.1", 1);
+        private DataCentre home = new DataCentre("unknown");
+
+        private Builder(
+                LoopResources loops, ControlSource source, ConfigurationDecoder decoder, RequestDialect dialect) {
+            this.loops = loops;
+            this.source = source;
+            this.decoder = decoder;
+            this.dialect = dialect;
+        }
+
+        /** Sets where counters are kept. */
+        public Builder metrics(MeterRegistry registry) {
+            this.metrics = registry;
+            return this;
+        }
+
+        /** Sets where it listens for peers. */
+        public Builder peerAddress(Address address) {
+            this.peerAddress = address;
+            return this;
+        }
+
+        /** Sets where it stands. */
+        public Builder home(DataCentre dataCentre) {
+            this.home = dataCentre;
+            return this;
+        }
+
+        /** Returns the router, not yet started. */
+        public RoutedRouter build() {
+            return new RoutedRouter(this);
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -0,0 +1,122 @@
+package org.radishpass.routing.health;
+
+/**
+ * What this router has seen of one start of an endpoint. Belongs to the traffic thread.
+ *
+ * <p>An endpoint is <em>down</em> while connections to it fail, which proves that nothing sent to it runs; it is tried
+ * again in the background after a pause that doubles. It is <em>failing</em> while too many of its answers are errors or
+ * break off; it is then left out for a while if enough others remain.
+ *
+ * @since 0.2.0
+ */
+public final class EndpointHealth {
+    /** Milliseconds until a connection is tried again after the first failure: about one restart of a process. */
+    private static final long FIRST_PAUSE_MILLIS = 250;
+
+    /** The longest such pause in milliseconds: an endpoint that is back is in use again within it. */
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    /** The weight of the newest outcome in the mean error rate: about the last six outcomes count. */
+    private static final double NEWEST = 0.16;
+
+    /** The error rate from which an endpoint is left out; the worst sound service fails one request in seven. */
+    private static final double FAILING_RATE = 0.38;
+
+    /** Milliseconds for which a failing endpoint is left out. */
+    private static final long EJECTION_MILLIS = 2_500;
+
+    /** The error rate with which it is tried again: two more errors eject it at once. */
+    private static final double RATE_ON_TRIAL = 0.25;
+
+    private double errorRate;
+    private long failingUntilMillis = Long.MIN_VALUE;
+    private boolean down;
+    private boolean probing;
+    private long probeAtMillis;
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private long heardAtMillis;
+
+    /**
+     * Creates the health of an endpoint that nothing is known of.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public EndpointHealth(long nowMillis) {
+        this.heardAtMillis = nowMillis;
+    }
+
+    /** Notes a connection that was made. */
+    public void connected(long nowMillis) {
+        down = false;
+        probing = false;
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        heardAtMillis = nowMillis;
+    }
+
+    /**
+     * Notes a connection that could not be made, or silence that amounts to the same.
+     *
+     * @return whether the endpoint was taken to be up until now
+     */
+    public boolean unreachable(long nowMillis) {
+        boolean news = !down;
+        down = true;
+        probing = false;
+        probeAtMillis = nowMillis + pauseMillis;
+        pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+        return news;
+    }
+
+    /** Notes any bytes that came from it. */
+    public void heard(long nowMillis) {
+        heardAtMillis = nowMillis;
+    }
+
+    /** Returns when bytes came from it last, on the monotonic clock in milliseconds. */
+    public long heardAtMillis() {
+        return heardAtMillis;
+    }
+
+    /** Notes an answer that was no error. */
+    public void succeeded() {
+        errorRate -= NEWEST * errorRate;
+    }
+
+    /**
+     * Notes an error or a broken answer.
+     *
+     * @return whether it is taken to be failing from now on, and was not before
+     */
+    public boolean failed(long nowMillis) {
+        errorRate += NEWEST * (1 - errorRate);
+        if (errorRate < FAILING_RATE || failing(nowMillis)) {
+            return false;
+        }
+        failingUntilMillis = nowMillis + EJECTION_MILLIS;
+        errorRate = RATE_ON_TRIAL;
+        return true;
+    }
+
+    /** Tells whether connections to it fail. */
+    public boolean down() {
+        return down;
+    }
+
+    /** Tells whether too many of its answers were errors. */
+    public boolean failing(long nowMillis) {
+        return nowMillis < failingUntilMillis;
+    }
+
+    /**
+     * Tells whether a connection is to be tried in the background now; it is then taken to be on its way.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public boolean takeProbe(long nowMillis) {
+        if (!down || probing || nowMillis < probeAtMillis) {
+            return false;
+        }
+        probing = true;
+        return true;
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightBook.java
@@ -0,0 +1,142 @@
+package org.radishpass.routing.load;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The work in flight at each endpoint: this router's own, and what its peers told last.
+ *
+ * <p>Belongs to the traffic thread. A peer that has not been heard of for a while counts as having nothing in flight: it
+ * may be cut off or gone, and its old figures would keep endpoints out of use.
+ *
+ * @since 0.2.0
+ */
+public final class InFlightBook {
+    /** Milliseconds without word from a peer until its work no longer counts: six missed messages. */
+    public static final long PEER_MEMORY_MILLIS = 3_000;
+
+    private final Map<String, InFlight> own = new HashMap<>();
+    private final Map<String, InFlight> total = new HashMap<>();
+    private final Map<String, PeerWork> peers = new HashMap<>();
+    private final Set<String> changed = new HashSet<>();
+
+    /**
+     * Counts a request that is about to be sent.
+     *
+     * @param endpointId the endpoint
+     * @param tokens its prompt tokens and the most tokens that it may generate
+     */
+    public void started(String endpointId, long tokens) {
+        add(endpointId, new InFlight(1, tokens));
+    }
+
+    /**
+     * Counts a request that has ended, however it did.
+     *
+     * @param endpointId the endpoint
+     * @param tokens the tokens that were counted at its start
+     */
+    public void ended(String endpointId, long tokens) {
+        add(endpointId, new InFlight(-1, -tokens));
+    }
+
+    /**
+     * Returns all work known to be in flight at an endpoint.
+     *
+     * @param endpointId the endpoint
+     */
+    public InFlight at(String endpointId) {
+        return total.getOrDefault(endpointId, InFlight.NONE);
+    }
+
+    /**
+     * Returns this router's own work in flight at an endpoint.
+     *
+     * @param endpointId the endpoint
+     */
+    public InFlight ownAt(String endpointId) {
+        return own.getOrDefault(endpointId, InFlight.NONE);
+    }
+
+    /** Returns this router's own work at every endpoint that has some. */
+    public Map<String, InFlight> ownWork() {
+        return Map.copyOf(own);
+    }
+
+    /** Returns what has changed in this router's own work since the last call. */
+    public Map<String, InFlight> takeChanges() {
+        Map<String, InFlight> changes = new HashMap<>();
+        changed.forEach(id -> changes.put(id, ownAt(id)));
+        changed.clear();
+        return changes;
+    }
+
+    /**
+     * Takes what a peer tells of its work.
+     *
+     * @param peerId the peer
+     * @param whole whether endpoints that are not named have none of its work
+     * @param work its work by endpoint
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public void peerTold(String peerId, boolean whole, Map<String, InFlight> work, long nowMillis) {
+        if (whole) {
+            forget(peerId);
+        }
+        PeerWork peer = peers.computeIfAbsent(peerId, id -> new PeerWork());
+        peer.heardAtMillis = nowMillis;
+        work.forEach((endpointId, amount) -> {
+            InFlight before = amount.requests() <= 0 && amount.tokens() <= 0
+                    ? peer.work.remove(endpointId)
+                    : peer.work.put(endpointId, amount);
+            addTotal(endpointId, amount.minus(before == null ? InFlight.NONE : before));
+        });
+    }
+
+    /**
+     * Forgets the work of peers that have not been heard of for {@link #PEER_MEMORY_MILLIS}.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public void forgetSilentPeers(long nowMillis) {
+        Set<String> silent = new HashSet<>();
+        peers.forEach((id, peer) -> {
+            if (nowMillis - peer.heardAtMillis > PEER_MEMORY_MILLIS) {
+                silent.add(id);
+            }
+        });
+        silent.forEach(this::forget);
+    }
+
+    private void forget(String peerId) {
+        PeerWork peer = peers.remove(peerId);
+        if (peer != null) {
+            peer.work.forEach((endpointId, amount) -> addTotal(endpointId, InFlight.NONE.minus(amount)));
+        }
+    }
+
+    private void add(String endpointId, InFlight amount) {
+        addTo(own, endpointId, amount);
+        addTotal(endpointId, amount);
+        changed.add(endpointId);
+    }
+
+    private void addTotal(String endpointId, InFlight amount) {
+        addTo(total, endpointId, amount);
+    }
+
+    private static void addTo(Map<String, InFlight> map, String endpointId, InFlight amount) {
+        map.compute(endpointId, (id, before) -> {
+            InFlight now = before == null ? amount : before.plus(amount);
+            return now.equals(InFlight.NONE) ? null : now;
+        });
+    }
+
+    /** What one peer told. */
+    private static final class PeerWork {
+        private final Map<String, InFlight> work = new HashMap<>();
+        private long heardAtMillis;
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
@@ -0,0 +1,265 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection from a caller, which has one request in progress at a time; what a caller sends ahead waits.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Messages that a caller may send ahead before its connection is read no further. */
+    private static final int MOST_AHEAD = 64;
+
+    private final TrafficTools tools;
+    private final Deque<HttpObject> ahead = new ArrayDeque<>();
+    private @Nullable ChannelHandlerContext context;
+    private @Nullable RequestAssembly assembly;
+    private @Nullable Exchange exchange;
+    private boolean closeAfterAnswer;
+    private boolean closing;
+    private long quietSinceMillis;
+
+    CallerConnection(TrafficTools tools) {
+        this.tools = tools;
+        this.quietSinceMillis = tools.nowMillis();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        this.context = ctx;
+        tools.callers().add(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (closing) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (exchange != null) {
+            ahead.addLast((HttpObject) message);
+            ctx.channel().config().setAutoRead(ahead.size() < MOST_AHEAD);
+            return;
+        }
+        accept((HttpObject) message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        closing = true;
+        tools.callers().remove(this);
+        Exchange left = exchange;
+        exchange = null;
+        if (left != null) {
+            left.callerLeft();
+        }
+        dropInput();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (exchange != null) {
+            exchange.callerWritable(ctx.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        var unused = ctx.close();
+    }
+
+    ByteBufAllocator allocator() {
+        return ctx().alloc();
+    }
+
+    boolean writable() {
+        return ctx().channel().isWritable();
+    }
+
+    /** Tells whether no request is in progress or on its way in. */
+    boolean idle() {
+        return exchange == null && assembly == null;
+    }
+
+    /** Returns since when nothing has gone on, on the monotonic clock in milliseconds. */
+    long quietSinceMillis() {
+        return quietSinceMillis;
+    }
+
+    /** Tells whether a request has begun to come in and is not whole yet. */
+    boolean receiving() {
+        return assembly != null;
+    }
+
+    /** Closes the connection; a request in progress ends as if the caller had left. */
+    void close() {
+        var unused = ctx().close();
+    }
+
+    /** Sends the head of an answer whose body follows. */
+    void startAnswer(HttpResponse head) {
+        prepare(head);
+        var unused = ctx().write(head, ctx().voidPromise());
+    }
+
+    /** Sends a part of the body and releases it. */
+    void answerContent(ByteBuf part) {
+        var unused = ctx().write(new DefaultHttpContent(part), ctx().voidPromise());
+    }
+
+    void flush() {
+        ctx().flush();
+    }
+
+    /** Ends the answer whose head was sent. */
+    void finishAnswer() {
+        done();
+        var last = ctx().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (closeAfterAnswer) {
+            closing = true;
+            last.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        next();
+    }
+
+    /** Sends a whole answer of the router's own. */
+    void answer(HttpResponseStatus status, ByteBuf body, @Nullable String retryAfter) {
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        if (retryAfter != null) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter);
+        }
+        prepare(response);
+        done();
+        var written = ctx().writeAndFlush(response);
+        if (closeAfterAnswer) {
+            closing = true;
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        next();
+    }
+
+    /** Breaks off an answer in a way that cannot be taken for its end. */
+    void abort() {
+        done();
+        closing = true;
+        close();
+    }
+
+    private ChannelHandlerContext ctx() {
+        return Objects.requireNonNull(context, "not yet added to a channel");
+    }
+
+    private void prepare(HttpResponse head) {
+        if (tools.stopping()) {
+            closeAfterAnswer = true;
+        }
+        if (closeAfterAnswer) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void done() {
+        exchange = null;
+        quietSinceMillis = tools.nowMillis();
+    }
+
+    private void next() {
+        while (exchange == null && !closing && !ahead.isEmpty()) {
+            accept(ahead.removeFirst());
+        }
+        if (ahead.isEmpty() && !closing) {
+            ctx().channel().config().setAutoRead(true);
+        }
+    }
+
+    private void accept(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(message);
+            refuseMalformed(message.decoderResult().cause());
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            begin(request);
+        }
+        RequestAssembly current = assembly;
+        if (message instanceof HttpContent content) {
+            if (current == null) {
+                content.release();
+                return;
+            }
+            current.add(content.content());
+            if (current.tooLarge()) {
+                refuseEarly(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is larger than the limit");
+            } else if (content instanceof LastHttpContent) {
+                dispatch(current);
+            }
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        closeAfterAnswer = !HttpUtil.isKeepAlive(request);
+        assembly = new RequestAssembly(
+                request, tools.nowMillis(), tools.view().limits().maxBodyBytes(), allocator());
+        if (assembly.announcedTooLarge()) {
+            refuseEarly(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is larger than the limit");
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            var unused =
+                    ctx().writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void dispatch(RequestAssembly whole) {
+        assembly = null;
+        Exchange started = new Exchange(tools, this, whole);
+        exchange = started;
+        started.begin();
+    }
+
+    private void refuseMalformed(Throwable cause) {
+        boolean tooLong = cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException;
+        refuseEarly(
+                tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                tooLong ? "the request head is larger than the limit" : "the request is malformed");
+    }
+
+    /** Answers before the request is whole; what still comes in of it cannot be told from a next request. */
+    private void refuseEarly(HttpResponseStatus status, String detail) {
+        closeAfterAnswer = true;
+        dropInput();
+        tools.log().refusedEarly(status.code(), detail);
+        answer(status, Refusals.body(allocator(), status.code(), detail), null);
+    }
+
+    private void dropInput() {
+        if (assembly != null) {
+            assembly.release();
+            assembly = null;
+        }
+        ahead.forEach(ReferenceCountUtil::release);
+        ahead.clear();
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -0,0 +1,137 @@
+package org.radishpass.routing.traffic;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import jdk.net.ExtendedSocketOptions;
+import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.HealthBook;
+
+/**
+ * All connections to endpoints. Belongs to the traffic thread.
+ *
+ * @since 0.2.0
+ */
+final class EndpointConnections {
+    /**
+     * Milliseconds for a connection to be made. A lost opening packet is sent again after a second only, so waiting on is
+     * slower than another endpoint; within a region a connection takes under 10 ms.
+     */
+    private static final int CONNECT_TIMEOUT_MILLIS = 350;
+
+    /** Seconds without bytes after which the kernel asks whether the other side is still there, and between questions. */
+    private static final int KEEP_ALIVE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_PROBES = 2;
+    private static final int MAX_INITIAL_LINE = 4_096;
+    private static final int MAX_HEADERS = 65_536;
+    private static final int MAX_CHUNK = 65_536;
+
+    private final Bootstrap bootstrap;
+    private final RequestDialect dialect;
+    private final HealthBook health;
+    private final MonotonicClock clock;
+    private final Counter opened;
+    private final Counter foreignAnswers;
+    private final Map<String, EndpointPool> pools = new HashMap<>();
+    private final Set<String> retired = new HashSet<>();
+
+    EndpointConnections(
+            EventLoop loop, RequestDialect dialect, HealthBook health, MonotonicClock clock, MeterRegistry metrics) {
+        this.dialect = dialect;
+        this.health = health;
+        this.clock = clock;
+        this.opened = Counter.builder("radishpass.endpoint.connections.opened")
+                .description("connections made to endpoints")
+                .register(metrics);
+        this.foreignAnswers = Counter.builder("radishpass.endpoint.foreign.answers")
+                .description("answers that belonged to no waiting request and were dropped")
+                .register(metrics);
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(
+                                        MAX_INITIAL_LINE, MAX_HEADERS, MAX_CHUNK, false, false, false));
+                    }
+                });
+    }
+
+    RequestDialect dialect() {
+        return dialect;
+    }
+
+    long nowMillis() {
+        return clock.millis();
+    }
+
+    EndpointPool pool(ServiceEndpoint endpoint) {
+        return pools.computeIfAbsent(
+                endpoint.id(), id -> new EndpointPool(this, endpoint, health.of(id, clock.millis())));
+    }
+
+    void connect(EndpointPool pool, ConnectionTaker taker) {
+        InetSocketAddress address = new InetSocketAddress(
+                pool.endpoint().address().host(), pool.endpoint().address().port());
+        ChannelFuture connecting = bootstrap.connect(address);
+        connecting.addListener(future -> {
+            if (!future.isSuccess()) {
+                taker.unreachable(String.valueOf(future.cause()));
+                return;
+            }
+            opened.increment();
+            EndpointConnection connection = new EndpointConnection(pool, connecting.channel());
+            connecting.channel().pipeline().addLast(connection);
+            taker.connected(connection);
+        });
+    }
+
+    /** Closes idle connections to endpoints that have left, and those that the other side is about to close. */
+    void tidy(EndpointDirectory directory) {
+        long nowMillis = clock.millis();
+        retired.clear();
+        pools.forEach((id, pool) -> {
+            boolean open =
+                    directory.find(id).map(endpoint -> !endpoint.leaving()).orElse(false);
+            if (open) {
+                pool.closeExpired(nowMillis);
+            } else {
+                retired.add(id);
+                pool.closeIdle();
+            }
+        });
+        pools.keySet().removeIf(id -> directory.find(id).isEmpty());
+    }
+
+    boolean retired(String endpointId) {
+        return retired.contains(endpointId) || !pools.containsKey(endpointId);
+    }
+
+    void countForeignAnswer() {
+        foreignAnswers.increment();
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointWatch.java
@@ -0,0 +1,76 @@
+package org.radishpass.routing.traffic;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.EndpointHealth;
+
+/**
+ * Looks after endpoints in the background: finds out whether one that is down is back, and whether one that has gone
+ * silent with work in flight can still be reached. A connection alone is made for that; it is kept for later requests.
+ */
+final class EndpointWatch {
+    /**
+     * Milliseconds without a byte, with work in flight, after which an endpoint's silence is looked into. Engines that
+     * run anything send an event at least every 250 ms; plain services answer within it.
+     */
+    private static final long SILENCE_MILLIS = 400;
+
+    private final TrafficTools tools;
+    private final Set<String> checking = new HashSet<>();
+
+    EndpointWatch(TrafficTools tools) {
+        this.tools = tools;
+    }
+
+    /** Looks once at every endpoint. */
+    void look() {
+        long nowMillis = tools.nowMillis();
+        for (ServiceEndpoint endpoint : tools.view().directory().all()) {
+            EndpointHealth health = tools.health().of(endpoint.id(), nowMillis);
+            if (health.takeProbe(nowMillis)) {
+                check(endpoint, health);
+            } else if (silent(endpoint, health, nowMillis)) {
+                check(endpoint, health);
+            }
+        }
+    }
+
+    private boolean silent(ServiceEndpoint endpoint, EndpointHealth health, long nowMillis) {
+        return !health.down()
+                && nowMillis - health.heardAtMillis() > SILENCE_MILLIS
+                && tools.exchanges().stream()
+                        .anyMatch(exchange -> exchange.waitsLonger(endpoint.id(), SILENCE_MILLIS, nowMillis));
+    }
+
+    private void check(ServiceEndpoint endpoint, EndpointHealth health) {
+        if (!checking.add(endpoint.id())) {
+            return;
+        }
+        tools.connections().pool(endpoint).probe(new ConnectionTaker() {
+            @Override
+            public void connected(EndpointConnection connection) {
+                checking.remove(endpoint.id());
+                if (health.down()) {
+                    tools.log().endpointBack(endpoint);
+                }
+                health.connected(tools.nowMillis());
+                connection.release();
+            }
+
+            @Override
+            public void unreachable(String cause) {
+                checking.remove(endpoint.id());
+                if (health.unreachable(tools.nowMillis())) {
+                    tools.log().endpointDown(endpoint, cause);
+                }
+                List<Exchange> waiting = new ArrayList<>(tools.exchanges());
+                waiting.stream()
+                        .filter(exchange -> exchange.waitsFor(endpoint.id()))
+                        .forEach(Exchange::endpointUnreachable);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -0,0 +1,437 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.core.outcome.Verdict;
+import org.radishpass.core.placement.Rendezvous;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.AnswerHead;
+import org.radishpass.routing.dialect.MalformedHeadException;
+import org.radishpass.routing.dialect.PromptShape;
+import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.placement.PlacementChoice;
+import org.radishpass.routing.placement.PlacementQuery;
+
+/**
+ * The life of one request: from when it is whole until its answer is whole, refused or broken off.
+ *
+ * <p>It is at one endpoint at a time. What may be said of it in the end is kept as a {@link Verdict}: a refusal that
+ * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
+ */
+final class Exchange {
+    private final TrafficTools tools;
+    private final CallerConnection caller;
+    private final HttpRequest request;
+    private final ByteBuf body;
+    private final ExchangeRecord record;
+    private final List<String> triedEndpoints = new ArrayList<>();
+    private Terms terms = Terms.UNKNOWN;
+    private @Nullable AnswerRelay relay;
+    private @Nullable Attempt attempt;
+    private @Nullable Future<?> timer;
+    private Verdict verdict = Verdict.NOT_RUN;
+    private int sends;
+    private long sentAtMillis;
+    private boolean ended;
+
+    Exchange(TrafficTools tools, CallerConnection caller, RequestAssembly assembly) {
+        this.tools = tools;
+        this.caller = caller;
+        this.request = assembly.request();
+        this.body = assembly.body();
+        this.record = new ExchangeRecord(assembly.receivedAtMillis());
+        tools.exchanges().add(this);
+    }
+
+    /** Finds out what is to become of the request, and starts its first attempt. */
+    void begin() {
+        RoutingView view = tools.view();
+        Optional<RoutingConfiguration> configuration = view.configuration();
+        if (configuration.isEmpty() || !view.complete()) {
+            refuse(RefusalCode.NOT_READY, "no configuration or endpoint list is known yet", RetryDelay.NOT_READY);
+            return;
+        }
+        RequestHead head;
+        try {
+            head = tools.dialect().decode(request);
+        } catch (MalformedHeadException e) {
+            refuse(RefusalCode.BAD_REQUEST, String.valueOf(e.getMessage()), RetryDelay.NONE);
+            return;
+        }
+        record.request(head.id(), configuration.get().version());
+        Optional<Route> route = configuration.get().route(head.host(), head.path());
+        if (route.isEmpty()) {
+            refuse(RefusalCode.NOT_FOUND, "no route matches the host and path", RetryDelay.NONE);
+            return;
+        }
+        Optional<Workspace> workspace = head.key().flatMap(configuration.get()::workspace);
+        if (workspace.isEmpty()
+                && configuration.get().keysRequired()
+                && !route.get().anonymous()) {
+            refuse(RefusalCode.UNAUTHORIZED, "the key is missing or unknown", RetryDelay.NONE);
+            return;
+        }
+        start(head, route.get(), workspace, configuration.get());
+    }
+
+    private void start(
+            RequestHead head, Route route, Optional<Workspace> workspace, RoutingConfiguration configuration) {
+        long hash = Rendezvous.hash(head.id());
+        String service = route.split().service(Rendezvous.mix(hash, Rendezvous.hash(route.name())));
+        terms = Terms.of(head, route, workspace, configuration.service(service), service, record.receivedAtMillis());
+        relay = new AnswerRelay(caller, route.kind());
+        record.terms(terms);
+        if (tools.refusing() && route.kind().streams()) {
+            refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
+            return;
+        }
+        tools.budget().requested(service, tools.nowMillis());
+        long left = terms.leftMillis(tools.nowMillis());
+        timer = tools.loop().schedule(this::expired, Math.max(0, left), TimeUnit.MILLISECONDS);
+        attempt();
+    }
+
+    private void attempt() {
+        List<ServiceEndpoint> open = tools.view().directory().open(terms.service());
+        List<ServiceEndpoint> candidates = new ArrayList<>(tools.health().usable(open, tools.nowMillis()));
+        candidates.removeIf(endpoint -> triedEndpoints.contains(endpoint.id()));
+        List<ServiceEndpoint> sources =
+                tools.health().reachable(tools.view().directory().all(terms.service()), tools.nowMillis());
+        Optional<PlacementChoice> choice = tools.chooser()
+                .choose(new PlacementQuery(
+                        candidates, sources, terms.prompt(), Rendezvous.hash(terms.requestId()), tools.nowMillis()));
+        if (choice.isEmpty()) {
+            giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
+            return;
+        }
+        if (terms.full(choice.get())) {
+            record.chosen(choice.get(), tools.view(), tools.nowMillis());
+            giveUp(RefusalCode.OVERLOADED, "every endpoint of the service is full");
+            return;
+        }
+        record.chosen(choice.get(), tools.view(), tools.nowMillis());
+        Attempt next = new Attempt(choice.get());
+        attempt = next;
+        tools.connections().pool(next.endpoint).acquire(terms.kind().mayRunAgain(), next);
+    }
+
+    private void send(Attempt current, EndpointConnection connection) {
+        long left = terms.leftMillis(tools.nowMillis());
+        if (left <= 0) {
+            expired();
+            return;
+        }
+        sends++;
+        sentAtMillis = tools.nowMillis();
+        verdict = Verdict.MAY_HAVE_RUN;
+        record.sent(tools.nowMillis());
+        Optional<String> resumeAfter = relay().lastEventId();
+        connection.send(
+                OnwardRequest.of(
+                        request,
+                        body,
+                        tools.dialect(),
+                        terms.forwarding(current.endpoint, left, resumeAfter, current.cacheHolder)),
+                terms.requestId(),
+                current);
+    }
+
+    private AnswerRelay relay() {
+        AnswerRelay current = relay;
+        if (current == null) {
+            throw new IllegalStateException("an answer before the terms are known");
+        }
+        return current;
+    }
+
+    /** The endpoint has proved that it did not run the request. */
+    private void refusedByEndpoint(Attempt failed, AnswerHead head) {
+        verdict = relay().started() ? Verdict.RAN : Verdict.NOT_RUN;
+        record.attemptEnded("not run, status " + head.status());
+        if (head.status() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            tools.reportGone(failed.endpoint);
+        }
+        if (mayRetry()) {
+            attempt();
+        } else {
+            giveUp(RefusalCode.OVERLOADED, "the endpoint did not take the request");
+        }
+    }
+
+    /** The answer broke off, or was an error that another endpoint may do better. */
+    private void failedAtEndpoint(String cause) {
+        record.attemptEnded(cause);
+        relay().dropPending();
+        if (terms.kind().mayRunAgain() && (!relay().started() || terms.kind().resumes()) && mayRetry()) {
+            attempt();
+        } else {
+            giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint failed");
+        }
+    }
+
+    private boolean mayRetry() {
+        return sends < terms.maxAttempts()
+                && terms.leftMillis(tools.nowMillis()) > 0
+                && tools.budget().trySpend(terms.service(), tools.nowMillis());
+    }
+
+    private void giveUp(RefusalCode code, String detail) {
+        if (relay().started()) {
+            record.finished(Verdict.RAN, 0, "broken off: " + detail);
+            end();
+            caller.abort();
+            return;
+        }
+        if (verdict == Verdict.NOT_RUN) {
+            RefusalCode truthful = code == RefusalCode.ENDPOINT_FAILED ? RefusalCode.NO_ENDPOINT : code;
+            refuse(truthful, detail, RetryDelay.of(truthful));
+            return;
+        }
+        refuse(code == RefusalCode.DEADLINE ? code : RefusalCode.ENDPOINT_FAILED, detail, RetryDelay.NONE);
+    }
+
+    private void refuse(RefusalCode code, String detail, RetryDelay delay) {
+        record.finished(verdict, code.status(), detail);
+        end();
+        caller.answer(
+                HttpResponseStatus.valueOf(code.status()),
+                Refusals.body(caller.allocator(), code.status(), detail),
+                delay.header(tools.loop()));
+    }
+
+    private void expired() {
+        if (ended) {
+            return;
+        }
+        boolean atWork = attempt != null && attempt.atWork();
+        stopAttempt();
+        if (verdict == Verdict.NOT_RUN && !atWork) {
+            giveUp(RefusalCode.OVERLOADED, "the time for an answer is over");
+        } else {
+            giveUp(RefusalCode.DEADLINE, "the time for an answer is over");
+        }
+    }
+
+    /** The caller has closed its connection: what runs for it is stopped. */
+    void callerLeft() {
+        if (ended) {
+            return;
+        }
+        stopAttempt();
+        record.finished(verdict, 0, "the caller left");
+        end();
+    }
+
+    /** The caller reads again, or has stopped reading. */
+    void callerWritable(boolean writable) {
+        if (attempt != null && attempt.connection != null) {
+            attempt.connection.reading(writable);
+        }
+    }
+
+    /** Tells whether bytes of its endpoint are waited for. */
+    boolean waitsFor(String endpointId) {
+        return attempt != null && attempt.endpoint.id().equals(endpointId) && attempt.atWork();
+    }
+
+    /** Tells whether its endpoint has been waited for so long. */
+    boolean waitsLonger(String endpointId, long millis, long nowMillis) {
+        return waitsFor(endpointId) && nowMillis - sentAtMillis > millis;
+    }
+
+    /** The endpoint can no longer be reached: what may run again is tried elsewhere, the rest waits on. */
+    void endpointUnreachable() {
+        if (ended || attempt == null || !terms.kind().mayRunAgain()) {
+            return;
+        }
+        stopAttempt();
+        failedAtEndpoint("the endpoint cannot be reached any more");
+    }
+
+    private void stopAttempt() {
+        Attempt current = attempt;
+        attempt = null;
+        if (current != null) {
+            current.stop();
+        }
+    }
+
+    private void end() {
+        ended = true;
+        Future<?> running = timer;
+        if (running != null) {
+            running.cancel(false);
+        }
+        body.release();
+        if (relay != null) {
+            relay.dropPending();
+        }
+        tools.exchanges().remove(this);
+        tools.log().finished(record, tools.nowMillis());
+    }
+
+    /** One try at one endpoint. */
+    private final class Attempt implements AnswerListener, ConnectionTaker {
+        private final ServiceEndpoint endpoint;
+        private final @Nullable ServiceEndpoint cacheHolder;
+        private final long tokens;
+        private @Nullable EndpointConnection connection;
+        private boolean refused;
+        private int status;
+        private boolean over;
+
+        private Attempt(PlacementChoice choice) {
+            this.endpoint = choice.endpoint();
+            this.cacheHolder = choice.cacheHolder();
+            this.tokens = terms.prompt().map(Attempt::tokensOf).orElse(0L);
+            tools.book().started(endpoint.id(), tokens);
+        }
+
+        private static long tokensOf(PromptShape prompt) {
+            return (long) prompt.promptTokens() + prompt.maxOutputTokens();
+        }
+
+        private boolean atWork() {
+            return connection != null && !over;
+        }
+
+        @Override
+        public void connected(EndpointConnection made) {
+            tools.health().of(endpoint.id(), tools.nowMillis()).connected(tools.nowMillis());
+            if (over) {
+                made.release();
+                return;
+            }
+            connection = made;
+            send(this, made);
+        }
+
+        @Override
+        public void unreachable(String cause) {
+            if (tools.health().of(endpoint.id(), tools.nowMillis()).unreachable(tools.nowMillis())) {
+                tools.log().endpointDown(endpoint, cause);
+            }
+            if (over) {
+                return;
+            }
+            finish();
+            record.attemptEnded("unreachable: " + cause);
+            triedEndpoints.add(endpoint.id());
+            attempt();
+        }
+
+        @Override
+        public void head(HttpResponse response, AnswerHead head) {
+            status = head.status();
+            record.headCame(tools.nowMillis(), status);
+            refused = head.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+            if (refused) {
+                return;
+            }
+            if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+                noteFailure();
+                if (terms.kind().mayRunAgain() && mayRetry()) {
+                    finish();
+                    closeConnection();
+                    triedEndpoints.add(endpoint.id());
+                    record.attemptEnded("status " + status);
+                    attempt();
+                    return;
+                }
+                if (relay().started()) {
+                    finish();
+                    closeConnection();
+                    giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint could not go on with the answer");
+                    return;
+                }
+            } else {
+                tools.health().of(endpoint.id(), tools.nowMillis()).succeeded();
+            }
+            relay().head(response);
+        }
+
+        @Override
+        public void content(ByteBuf part) {
+            if (refused) {
+                part.release();
+                return;
+            }
+            relay().content(part);
+            if (connection != null && !caller.writable()) {
+                connection.reading(false);
+            }
+        }
+
+        @Override
+        public void pause() {
+            relay().flush();
+        }
+
+        @Override
+        public void completed() {
+            finish();
+            triedEndpoints.add(endpoint.id());
+            if (refused) {
+                refusedByEndpoint(
+                        this, new AnswerHead(status, true, null, null, java.util.OptionalLong.empty(), false));
+                return;
+            }
+            record.finished(Verdict.RAN, status, "answered");
+            if (relay().complete()) {
+                end();
+            } else {
+                failedAtEndpoint("the stream ended in the middle of an event");
+            }
+        }
+
+        @Override
+        public void broken(String cause) {
+            finish();
+            triedEndpoints.add(endpoint.id());
+            noteFailure();
+            failedAtEndpoint(cause);
+        }
+
+        private void noteFailure() {
+            if (tools.health().of(endpoint.id(), tools.nowMillis()).failed(tools.nowMillis())) {
+                tools.log().endpointFailing(endpoint);
+            }
+        }
+
+        private void stop() {
+            finish();
+            triedEndpoints.add(endpoint.id());
+            closeConnection();
+        }
+
+        private void closeConnection() {
+            EndpointConnection used = connection;
+            connection = null;
+            if (used != null) {
+                used.close();
+            }
+        }
+
+        private void finish() {
+            if (!over) {
+                over = true;
+                tools.book().ended(endpoint.id(), tokens);
+            }
+            if (attempt == this) {
+                attempt = null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -0,0 +1,119 @@
+package org.radishpass.routing.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.placement.PlacementChoice;
+
+/** The account of one request, for the log: what was decided, on what inputs of which age, and what came of it. */
+final class ExchangeRecord {
+    private final long receivedAtMillis;
+    private final List<Step> steps = new ArrayList<>(1);
+    private String requestId = "";
+    private long configurationVersion;
+    private Terms terms = Terms.UNKNOWN;
+    private Verdict verdict = Verdict.NOT_RUN;
+    private int status;
+    private String outcome = "";
+
+    ExchangeRecord(long receivedAtMillis) {
+        this.receivedAtMillis = receivedAtMillis;
+    }
+
+    long receivedAtMillis() {
+        return receivedAtMillis;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    long configurationVersion() {
+        return configurationVersion;
+    }
+
+    Terms terms() {
+        return terms;
+    }
+
+    Verdict verdict() {
+        return verdict;
+    }
+
+    int status() {
+        return status;
+    }
+
+    String outcome() {
+        return outcome;
+    }
+
+    List<Step> steps() {
+        return steps;
+    }
+
+    void request(String id, long version) {
+        this.requestId = id;
+        this.configurationVersion = version;
+    }
+
+    void terms(Terms newTerms) {
+        this.terms = newTerms;
+    }
+
+    void chosen(PlacementChoice choice, RoutingView view, long nowMillis) {
+        steps.add(new Step(choice, nowMillis - receivedAtMillis, nowMillis - view.directoryReadAtMillis()));
+    }
+
+    void sent(long nowMillis) {
+        last().sentAfterMillis = nowMillis - receivedAtMillis;
+    }
+
+    void headCame(long nowMillis, int newStatus) {
+        last().headAfterMillis = nowMillis - receivedAtMillis;
+        last().status = newStatus;
+    }
+
+    void attemptEnded(String how) {
+        if (!steps.isEmpty()) {
+            last().end = how;
+        }
+    }
+
+    void finished(Verdict newVerdict, int newStatus, String newOutcome) {
+        this.verdict = newVerdict;
+        this.status = newStatus;
+        this.outcome = newOutcome;
+    }
+
+    private Step last() {
+        return steps.get(steps.size() - 1);
+    }
+
+    /** One choice of an endpoint. Times are in milliseconds after the request came in; -1 where it did not happen. */
+    static final class Step {
+        private final PlacementChoice choice;
+        private final long chosenAfterMillis;
+        private final long directoryAgeMillis;
+        private long sentAfterMillis = -1;
+        private long headAfterMillis = -1;
+        private int status;
+        private @Nullable String end;
+
+        private Step(PlacementChoice choice, long chosenAfterMillis, long directoryAgeMillis) {
+            this.choice = choice;
+            this.chosenAfterMillis = chosenAfterMillis;
+            this.directoryAgeMillis = directoryAgeMillis;
+        }
+
+        @Override
+        public String toString() {
+            return choice.endpoint().id() + " rank " + choice.rank() + " load " + choice.load() + "/"
+                    + Math.round(choice.limit()) + " of " + choice.candidates() + " listAge " + directoryAgeMillis
+                    + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis
+                    + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
+                    + (status == 0 ? "" : " status " + status) + (end == null ? "" : ": " + end);
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/HopByHop.java
@@ -0,0 +1,40 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** The headers that concern one connection only (RFC 9110, section 7.6.1) and go no further. */
+final class HopByHop {
+    private static final List<CharSequence> NAMES = List.of(
+            HttpHeaderNames.CONNECTION,
+            HttpHeaderNames.PROXY_CONNECTION,
+            "Keep-Alive",
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION,
+            HttpHeaderNames.EXPECT);
+
+    private HopByHop() {
+        // static methods only
+    }
+
+    /**
+     * Removes them, and those that the connection header names.
+     *
+     * @param headers the headers; changed
+     */
+    static void strip(HttpHeaders headers) {
+        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",", -1)) {
+                if (!name.isBlank() && !HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name.strip())) {
+                    headers.remove(name.strip());
+                }
+            }
+        }
+        NAMES.forEach(headers::remove);
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
@@ -0,0 +1,44 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.outcome.RefusalCode;
+
+/** When a caller whose request has not run is told to come back. */
+enum RetryDelay {
+    /** Coming back makes no sense, or nothing is promised. */
+    NONE(0),
+    /** At once: another router takes the request. */
+    ELSEWHERE(10),
+    /** A process that has just started knows its configuration within about half a second. */
+    NOT_READY(300),
+    /** Endpoints that have gone are replaced, or found again, within about half a second. */
+    NO_ENDPOINT(250),
+    /** A place becomes free within a few turns of a plain service. */
+    OVERLOADED(100);
+
+    private final long millis;
+
+    RetryDelay(long millis) {
+        this.millis = millis;
+    }
+
+    static RetryDelay of(RefusalCode code) {
+        return switch (code) {
+            case OVERLOADED, WORKSPACE_LIMIT -> OVERLOADED;
+            case NO_ENDPOINT -> NO_ENDPOINT;
+            case NOT_READY -> NOT_READY;
+            default -> NONE;
+        };
+    }
+
+    /** Returns the header's value, spread by half so that callers do not come back together; null for none. */
+    @Nullable
+    String header(EventLoop loop) {
+        if (this == NONE) {
+            return null;
+        }
+        return Refusals.seconds(millis + ThreadLocalRandom.current().nextLong(millis / 2 + 1));
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
@@ -0,0 +1,42 @@
+package org.radishpass.routing.traffic;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.config.CallerLimits;
+import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.fleet.EndpointDirectory;
+
+/**
+ * What the control side believes at one moment; immutable, published to the traffic thread as a whole.
+ *
+ * @param published the configuration in force, or null before the first is known
+ * @param directory the endpoints
+ * @param directoryKnown whether a list of endpoints has been read at all
+ * @param directoryReadAtMillis when the endpoints were read, on the monotonic clock in milliseconds
+ * @param routers the routers that are registered, this one included
+ * @since 0.2.0
+ */
+public record RoutingView(
+        @Nullable RoutingConfiguration published,
+        EndpointDirectory directory,
+        boolean directoryKnown,
+        long directoryReadAtMillis,
+        int routers) {
+    /** What is believed before anything is known. */
+    public static final RoutingView UNKNOWN = new RoutingView(null, EndpointDirectory.EMPTY, false, 0, 1);
+
+    /** Returns the configuration in force. */
+    public Optional<RoutingConfiguration> configuration() {
+        return Optional.ofNullable(published);
+    }
+
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        return published == null ? CallerLimits.DEFAULT : published.limits();
+    }
+
+    /** Tells whether requests can be routed. */
+    public boolean complete() {
+        return published != null && directoryKnown;
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
@@ -0,0 +1,121 @@
+package org.radishpass.routing.traffic;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.config.EngineSpec;
+import org.radishpass.routing.config.RequestKind;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.ServiceSpec;
+import org.radishpass.routing.config.TrafficSplit;
+import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.ForwardingHead;
+import org.radishpass.routing.dialect.PromptShape;
+import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.placement.PlacementChoice;
+
+/**
+ * The terms on which a request is served, fixed when it starts.
+ *
+ * @param requestId the caller's name for it
+ * @param route its route
+ * @param workspaceSpec the workspace that it is run for, or null
+ * @param service the service that answers it
+ * @param engineSpec what the service's engines can take, or null for a plain service
+ * @param promptShape what it says of its prompt, or null
+ * @param callerLastEventId the event after which the caller wants the answer to go on, or null
+ * @param deadlineMillis when the answer must be whole, on the monotonic clock in milliseconds
+ */
+record Terms(
+        String requestId,
+        Route route,
+        @Nullable Workspace workspaceSpec,
+        String service,
+        @Nullable EngineSpec engineSpec,
+        @Nullable PromptShape promptShape,
+        @Nullable String callerLastEventId,
+        long deadlineMillis) {
+    /** The terms of a request of which nothing is known yet. */
+    static final Terms UNKNOWN = new Terms(
+            "", Route.builder("").split(TrafficSplit.all("")).build(), null, "", null, null, null, Long.MAX_VALUE);
+
+    /** Requests that may wait at a plain endpoint for each that it runs: two turns are far below its latency target. */
+    private static final double PLAIN_QUEUE_FACTOR = 2.5;
+
+    /** Requests that may wait at an engine beside its slots: the reports of peers lag by that much. */
+    private static final int ENGINE_QUEUE = 4;
+
+    private static final int LEAST_URGENT = 9;
+
+    static Terms of(
+            RequestHead head,
+            Route route,
+            Optional<Workspace> workspace,
+            Optional<ServiceSpec> spec,
+            String service,
+            long receivedAtMillis) {
+        long patience = Math.min(route.timeoutMillis(), head.patienceMillis().orElse(Long.MAX_VALUE));
+        return new Terms(
+                head.id(),
+                route,
+                workspace.orElse(null),
+                service,
+                spec.flatMap(ServiceSpec::engine).orElse(null),
+                head.promptShape(),
+                head.lastEventId(),
+                receivedAtMillis + patience);
+    }
+
+    RequestKind kind() {
+        return route.kind();
+    }
+
+    int maxAttempts() {
+        return Math.max(1, route.maxAttempts());
+    }
+
+    Optional<PromptShape> prompt() {
+        return route.promptAffinity() ? Optional.ofNullable(promptShape) : Optional.empty();
+    }
+
+    Optional<Workspace> workspace() {
+        return Optional.ofNullable(workspaceSpec);
+    }
+
+    long leftMillis(long nowMillis) {
+        return deadlineMillis - nowMillis;
+    }
+
+    /** Returns the rank of the request; a workspace's own goes before its route's. */
+    int urgency() {
+        int rank = workspace().flatMap(Terms::rank).orElse(route.priority());
+        return Math.min(LEAST_URGENT, Math.max(0, rank));
+    }
+
+    /** Tells whether the chosen endpoint holds all the work that it should. */
+    boolean full(PlacementChoice choice) {
+        int slots = choice.endpoint().slots();
+        double most = engineSpec == null ? slots * PLAIN_QUEUE_FACTOR : slots + ENGINE_QUEUE;
+        return choice.load() >= most;
+    }
+
+    ForwardingHead forwarding(
+            ServiceEndpoint endpoint,
+            long leftMillis,
+            Optional<String> resumeAfter,
+            @Nullable ServiceEndpoint cacheHolder) {
+        return new ForwardingHead(
+                endpoint.id(),
+                leftMillis,
+                urgency(),
+                workspaceSpec == null ? null : workspaceSpec.name(),
+                resumeAfter.orElse(callerLastEventId),
+                cacheHolder == null ? null : cacheHolder.address());
+    }
+
+    private static Optional<Integer> rank(Workspace workspace) {
+        return workspace.priority().isPresent()
+                ? Optional.of(workspace.priority().getAsInt())
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -0,0 +1,240 @@
+package org.radishpass.routing.traffic;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.HealthBook;
+import org.radishpass.routing.load.InFlight;
+import org.radishpass.routing.load.InFlightBook;
+import org.radishpass.routing.placement.EndpointChooser;
+import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.retry.SharedRetryBudget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes callers' requests and serves them. All of its state belongs to one event loop, the traffic thread; its methods
+ * may be called from any thread.
+ *
+ * @since 0.2.0
+ */
+public final class TrafficServer {
+    private static final Logger LOG = LoggerFactory.getLogger(TrafficServer.class);
+
+    /** Milliseconds between looks at endpoints: a fraction of the silence that is looked into. */
+    private static final long LOOK_MILLIS = 100;
+
+    /** Milliseconds between tidying: connections near their end, peers that fell silent. */
+    private static final long TIDY_MILLIS = 500;
+
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_INITIAL_LINE = 8_192;
+    private static final int MAX_CHUNK = 65_536;
+
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final Supplier<RoutingView> views;
+    private final InFlightBook book = new InFlightBook();
+    private final HealthBook health = new HealthBook();
+    private final SharedRetryBudget budget;
+    private final EndpointConnections connections;
+    private final TrafficTools tools;
+    private final EndpointWatch watch;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param loop the traffic thread
+     * @param clock the monotonic clock
+     * @param views gives what the control side believes
+     * @param dialect translates heads
+     * @param home where this router stands
+     * @param goneReports hears of endpoints whose address another start has taken; called on the traffic thread
+     * @param metrics where counters are kept
+     */
+    public TrafficServer(
+            EventLoop loop,
+            MonotonicClock clock,
+            Supplier<RoutingView> views,
+            RequestDialect dialect,
+            DataCentre home,
+            Consumer<ServiceEndpoint> goneReports,
+            MeterRegistry metrics) {
+        this.loop = loop;
+        this.clock = clock;
+        this.views = views;
+        this.budget = new SharedRetryBudget(RetryAllowance.DEFAULT, clock.millis());
+        this.connections = new EndpointConnections(loop, dialect, health, clock, metrics);
+        this.tools = new TrafficTools(
+                loop,
+                clock,
+                views,
+                dialect,
+                connections,
+                new EndpointChooser(book, home),
+                book,
+                health,
+                budget,
+                new RequestLog(metrics),
+                goneReports);
+        this.watch = new EndpointWatch(tools);
+        Gauge.builder("radishpass.requests.active", tools.exchanges(), java.util.Set::size)
+                .description("requests in progress")
+                .register(metrics);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where
+     * @return the channel that listens, once it does
+     */
+    public CompletableFuture<Channel> listen(InetSocketAddress address) {
+        CompletableFuture<Channel> listening = new CompletableFuture<>();
+        new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(
+                                        MAX_INITIAL_LINE, views.get().limits().maxHeaderBytes(), MAX_CHUNK))
+                                .addLast(new CallerConnection(tools));
+                    }
+                })
+                .bind(address)
+                .addListener((io.netty.channel.ChannelFuture bound) -> {
+                    if (bound.isSuccess()) {
+                        listening.complete(bound.channel());
+                    } else {
+                        listening.completeExceptionally(bound.cause());
+                    }
+                });
+        every(LOOK_MILLIS, watch::look);
+        every(TIDY_MILLIS, this::tidy);
+        return listening;
+    }
+
+    /**
+     * Takes over what all routers may send again.
+     *
+     * @param allowance the allowance
+     */
+    public void retryAllowance(RetryAllowance allowance) {
+        loop.execute(() -> budget.allowance(allowance));
+    }
+
+    /**
+     * Takes what a peer tells of its work.
+     *
+     * @param peerId the peer
+     * @param work all its work by endpoint
+     */
+    public void peerTold(String peerId, Map<String, InFlight> work) {
+        loop.execute(() -> book.peerTold(peerId, true, work, clock.millis()));
+    }
+
+    /**
+     * Gives this router's own work when it has changed since the last call, from the traffic thread.
+     *
+     * @param always whether it is wanted even if nothing has changed
+     * @param taker takes the work; called on the traffic thread
+     */
+    public void ownWork(boolean always, Consumer<Map<String, InFlight>> taker) {
+        loop.execute(() -> {
+            boolean changed = !book.takeChanges().isEmpty();
+            if (changed || always) {
+                taker.accept(book.ownWork());
+            }
+        });
+    }
+
+    /** From now on answers end their connections, and idle ones are closed after a while by {@link #closeIdle}. */
+    public void stopping() {
+        loop.execute(tools::stop);
+    }
+
+    /** From now on requests that could take long are refused, and connections without a request are closed. */
+    public void refuseNew() {
+        loop.execute(() -> {
+            tools.refuseNew();
+            closeIdle();
+        });
+    }
+
+    /**
+     * Tells how many requests are in progress.
+     *
+     * @param taker takes the number; called on the traffic thread
+     */
+    public void active(Consumer<Integer> taker) {
+        loop.execute(() -> taker.accept(tools.exchanges().size()));
+    }
+
+    private void every(long millis, Runnable task) {
+        var unused = loop.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        LOG.error("a task of the traffic thread failed; it runs again", e);
+                    }
+                },
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIdle() {
+        for (CallerConnection caller : new ArrayList<>(tools.callers())) {
+            if (caller.idle()) {
+                caller.close();
+            }
+        }
+    }
+
+    private void tidy() {
+        RoutingView view = views.get();
+        long nowMillis = clock.millis();
+        book.forgetSilentPeers(nowMillis);
+        budget.routers(view.routers());
+        connections.tidy(view.directory());
+        health.retain(view.directory());
+        if (tools.refusing()) {
+            closeIdle();
+            return;
+        }
+        long idleMillis = view.limits().idleTimeoutMillis();
+        long headMillis = view.limits().headerTimeoutMillis();
+        for (CallerConnection caller : new ArrayList<>(tools.callers())) {
+            long quietMillis = nowMillis - caller.quietSinceMillis();
+            boolean idleTooLong = caller.idle() && quietMillis > idleMillis;
+            boolean tooSlow = caller.receiving() && quietMillis > idleMillis + headMillis;
+            if (idleTooLong || tooSlow) {
+                caller.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -0,0 +1,128 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.HealthBook;
+import org.radishpass.routing.load.InFlightBook;
+import org.radishpass.routing.placement.EndpointChooser;
+import org.radishpass.routing.retry.SharedRetryBudget;
+
+/** What the connections and requests of the traffic thread share. All of it belongs to that thread. */
+final class TrafficTools {
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final Supplier<RoutingView> views;
+    private final RequestDialect dialect;
+    private final EndpointConnections connections;
+    private final EndpointChooser chooser;
+    private final InFlightBook book;
+    private final HealthBook health;
+    private final SharedRetryBudget budget;
+    private final RequestLog log;
+    private final Consumer<ServiceEndpoint> goneReports;
+    private final Set<CallerConnection> callers = new LinkedHashSet<>();
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private boolean stopping;
+    private boolean refusing;
+
+    TrafficTools(
+            EventLoop loop,
+            MonotonicClock clock,
+            Supplier<RoutingView> views,
+            RequestDialect dialect,
+            EndpointConnections connections,
+            EndpointChooser chooser,
+            InFlightBook book,
+            HealthBook health,
+            SharedRetryBudget budget,
+            RequestLog log,
+            Consumer<ServiceEndpoint> goneReports) {
+        this.loop = loop;
+        this.clock = clock;
+        this.views = views;
+        this.dialect = dialect;
+        this.connections = connections;
+        this.chooser = chooser;
+        this.book = book;
+        this.health = health;
+        this.budget = budget;
+        this.log = log;
+        this.goneReports = goneReports;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    long nowMillis() {
+        return clock.millis();
+    }
+
+    RoutingView view() {
+        return views.get();
+    }
+
+    RequestDialect dialect() {
+        return dialect;
+    }
+
+    EndpointConnections connections() {
+        return connections;
+    }
+
+    EndpointChooser chooser() {
+        return chooser;
+    }
+
+    InFlightBook book() {
+        return book;
+    }
+
+    HealthBook health() {
+        return health;
+    }
+
+    SharedRetryBudget budget() {
+        return budget;
+    }
+
+    RequestLog log() {
+        return log;
+    }
+
+    /** Tells the control side that another start has taken an endpoint's address. */
+    void reportGone(ServiceEndpoint endpoint) {
+        goneReports.accept(endpoint);
+    }
+
+    Set<CallerConnection> callers() {
+        return callers;
+    }
+
+    Set<Exchange> exchanges() {
+        return exchanges;
+    }
+
+    /** Tells whether answers end their connections, because the process is stopping. */
+    boolean stopping() {
+        return stopping;
+    }
+
+    void stop() {
+        stopping = true;
+    }
+
+    /** Tells whether new requests are refused, because they could not end before the process does. */
+    boolean refusing() {
+        return refusing;
+    }
+
+    void refuseNew() {
+        refusing = true;
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationTrackerTest.java
@@ -0,0 +1,44 @@
+package org.radishpass.routing.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.radishpass.routing.config.RoutingConfiguration;
+
+/** Checks that a configuration never goes back, whoever offers one. */
+final class ConfigurationTrackerTest {
+    private final ConfigurationTracker tracker = new ConfigurationTracker(ConfigurationTrackerTest::decode);
+
+    @Test
+    void onlyAHigherVersionComesIntoForce() {
+        assertThat(tracker.version()).isEqualTo(-1);
+        assertThat(tracker.offer(document("7"))).isTrue();
+        assertThat(tracker.offer(document("7"))).isFalse();
+        assertThat(tracker.offer(document("3"))).isFalse();
+        assertThat(tracker.offer(document("12"))).isTrue();
+        assertThat(tracker.version()).isEqualTo(12);
+        assertThat(tracker.content()).isEqualTo(document("12"));
+    }
+
+    @Test
+    void oneThatCannotBeReadChangesNothing() {
+        tracker.offer(document("7"));
+        assertThrows(MalformedDocumentException.class, () -> tracker.offer(document("x")));
+        assertThat(tracker.version()).isEqualTo(7);
+    }
+
+    private static byte[] document(String version) {
+        return version.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static RoutingConfiguration decode(byte[] content) {
+        try {
+            return RoutingConfiguration.builder(Long.parseLong(new String(content, StandardCharsets.UTF_8)))
+                    .build();
+        } catch (NumberFormatException e) {
+            throw new MalformedDocumentException("not a number", e);
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/placement/EndpointChooserTest.java
@@ -0,0 +1,142 @@
+package org.radishpass.routing.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.dialect.PromptPart;
+import org.radishpass.routing.dialect.PromptShape;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.load.InFlightBook;
+import org.radishpass.routing.load.LoadLimit;
+
+/** Checks where requests go. */
+final class EndpointChooserTest {
+    private final InFlightBook book = new InFlightBook();
+    private final EndpointChooser chooser = new EndpointChooser(book, new DataCentre("dc-0"));
+    private final List<ServiceEndpoint> endpoints = endpoints(8);
+
+    @Test
+    void promptsThatShareTheirPartsMeetWhateverTheirOwnPartIs() {
+        Set<String> chosen = new HashSet<>();
+        for (int request = 0; request < 20; request++) {
+            chosen.add(choose(endpoints, prompt("subject", request)).endpoint().id());
+        }
+        assertThat(chosen).hasSize(1);
+    }
+
+    @Test
+    void differentSubjectsSpread() {
+        Set<String> chosen = new HashSet<>();
+        for (int subject = 0; subject < 100; subject++) {
+            chosen.add(choose(endpoints, prompt("subject-" + subject, 0))
+                    .endpoint()
+                    .id());
+        }
+        assertThat(chosen).hasSize(8);
+    }
+
+    @Test
+    void onlySubjectsOfALostEndpointMove() {
+        for (int subject = 0; subject < 200; subject++) {
+            String before = choose(endpoints, prompt("subject-" + subject, 0))
+                    .endpoint()
+                    .id();
+            String after = choose(endpoints.subList(1, 8), prompt("subject-" + subject, 0))
+                    .endpoint()
+                    .id();
+            if (!before.equals("e0")) {
+                assertThat(after).isEqualTo(before);
+            }
+        }
+    }
+
+    @Test
+    void aHotSubjectNeverTakesAnEndpointAboveTheLimit() {
+        for (int request = 0; request < 400; request++) {
+            PlacementChoice choice = choose(endpoints, prompt("hot", request));
+            assertThat((double) choice.load()).isAtMost(LoadLimit.CHATS.requests(endpoints, book));
+            book.started(choice.endpoint().id(), 10);
+        }
+        for (ServiceEndpoint endpoint : endpoints) {
+            assertThat((double) book.at(endpoint.id()).requests()).isAtMost(2 * 50.0 + 3);
+        }
+    }
+
+    @Test
+    void anEndpointThatTakesOverIsToldWhereTheCacheIs() {
+        PlacementChoice first = choose(endpoints, prompt("subject", 0));
+        for (int request = 0; request < 10; request++) {
+            book.started(first.endpoint().id(), 1);
+        }
+        PlacementChoice second = choose(endpoints, prompt("subject", 1));
+        PlacementChoice third = choose(endpoints, prompt("subject", 2));
+
+        assertThat(second.endpoint()).isNotEqualTo(first.endpoint());
+        assertThat(second.rank()).isEqualTo(1);
+        assertThat(second.holder()).isEqualTo(Optional.of(first.endpoint()));
+        assertThat(third.endpoint()).isEqualTo(second.endpoint());
+        assertThat(third.holder()).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void plainRequestsGoWhereTheLeastWorkIs() {
+        endpoints.subList(0, 7).forEach(endpoint -> book.started(endpoint.id(), 0));
+        PlacementChoice choice = chooser.choose(plain(42)).orElseThrow();
+        assertThat(choice.endpoint().id()).isEqualTo("e7");
+    }
+
+    @Test
+    void amongEqualsTheOwnDataCentreIsTaken() {
+        for (long hash = 0; hash < 50; hash++) {
+            PlacementChoice choice = chooser.choose(plain(hash)).orElseThrow();
+            assertThat(choice.endpoint().dataCentre().name()).isEqualTo("dc-0");
+        }
+    }
+
+    @Test
+    void withoutCandidatesThereIsNoChoice() {
+        assertThat(chooser.choose(new PlacementQuery(List.of(), List.of(), Optional.empty(), 1, 0)))
+                .isEqualTo(Optional.empty());
+    }
+
+    private PlacementChoice choose(List<ServiceEndpoint> candidates, PromptShape prompt) {
+        return chooser.choose(new PlacementQuery(candidates, endpoints, Optional.of(prompt), 1, 0))
+                .orElseThrow();
+    }
+
+    private PlacementQuery plain(long hash) {
+        return new PlacementQuery(endpoints, endpoints, Optional.empty(), hash, 0);
+    }
+
+    private static PromptShape prompt(String subject, int request) {
+        return new PromptShape(
+                "m",
+                1_000,
+                100,
+                List.of(
+                        new PromptPart("workspace", 500),
+                        new PromptPart(subject, 400),
+                        new PromptPart("own-" + request, 100)));
+    }
+
+    private static List<ServiceEndpoint> endpoints(int count) {
+        List<ServiceEndpoint> endpoints = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            endpoints.add(new ServiceEndpoint(
+                    "e" + number,
+                    "llm",
+                    new Address("10.0.0." + (number + 1), 80),
+                    new DataCentre("dc-" + number % 4),
+                    64,
+                    false));
+        }
+        return endpoints;
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/retry/SharedRetryBudgetTest.java
@@ -0,0 +1,59 @@
+package org.radishpass.routing.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Checks that all routers' shares together stay within the fleet's budget. */
+final class SharedRetryBudgetTest {
+    private static final RetryAllowance ALLOWANCE = new RetryAllowance(0.2, 54, 10_000);
+    private static final String SERVICE = "orders";
+
+    @Test
+    void theSharesOfAllRoutersStayWithinTheFleetsBudget() {
+        int spent = 0;
+        int requests = 0;
+        for (int router = 0; router < 7; router++) {
+            SharedRetryBudget budget = new SharedRetryBudget(ALLOWANCE, 0);
+            budget.routers(7);
+            for (long now = 10_000; now < 20_000; now += 100) {
+                budget.requested(SERVICE, now);
+                requests++;
+                spent += budget.trySpend(SERVICE, now) ? 1 : 0;
+                spent += budget.trySpend(SERVICE, now) ? 1 : 0;
+            }
+        }
+        assertThat((double) spent).isAtMost(0.2 * requests + 54);
+        assertThat((double) spent).isAtLeast(0.7 * (0.2 * requests + 54) - 7);
+    }
+
+    @Test
+    void whatWasSpentComesBackWhenTheWindowHasPassed() {
+        SharedRetryBudget budget = new SharedRetryBudget(new RetryAllowance(0, 10, 10_000), -10_000);
+        int first = spendAll(budget, 0);
+        assertThat(first).isEqualTo(6);
+        assertThat(spendAll(budget, 9_000)).isEqualTo(0);
+        assertThat(spendAll(budget, 10_500)).isEqualTo(first);
+    }
+
+    @Test
+    void aRouterThatHasJustStartedMayHaveSpentBefore() {
+        SharedRetryBudget budget = new SharedRetryBudget(new RetryAllowance(0, 10, 10_000), 0);
+        assertThat(spendAll(budget, 1)).isEqualTo(3);
+    }
+
+    @Test
+    void servicesHaveBudgetsOfTheirOwn() {
+        SharedRetryBudget budget = new SharedRetryBudget(new RetryAllowance(0, 10, 10_000), -10_000);
+        spendAll(budget, 0);
+        assertThat(budget.trySpend("other", 0)).isTrue();
+    }
+
+    private static int spendAll(SharedRetryBudget budget, long now) {
+        int spent = 0;
+        while (budget.trySpend(SERVICE, now)) {
+            spent++;
+        }
+        return spent;
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
@@ -0,0 +1,190 @@
+package org.radishpass.routing.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/**
+ * An endpoint on loopback that answers each request with the bytes that a test gives it: so that any malformed, late or
+ * broken answer can be played.
+ */
+public final class FakeEndpoint implements AutoCloseable {
+    private static final int END_OF_HEAD = 4;
+
+    private final ServerSocket server;
+    private final String id;
+    private final Script script;
+    private final List<Socket> sockets = new ArrayList<>();
+    private final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+
+    /**
+     * Starts an endpoint.
+     *
+     * @param id its id
+     * @param script answers requests
+     */
+    public FakeEndpoint(String id, Script script) throws IOException {
+        this.id = id;
+        this.script = script;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    /** Returns it as routers know it. */
+    public ServiceEndpoint endpoint(String service) {
+        return new ServiceEndpoint(
+                id, service, new Address("127.0.0.1", server.getLocalPort()), new DataCentre("here"), 6, false);
+    }
+
+    /** Waits for the next request that came in. */
+    public Seen next() throws InterruptedException {
+        Seen request = seen.poll(20, TimeUnit.SECONDS);
+        if (request == null) {
+            throw new AssertionError("no request reached endpoint " + id);
+        }
+        return request;
+    }
+
+    /** Returns how many requests came in and were not waited for. */
+    public int unseen() {
+        return seen.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        synchronized (sockets) {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                synchronized (sockets) {
+                    sockets.add(socket);
+                }
+                daemon(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // closed by the test
+        }
+    }
+
+    private void serve(Socket socket) {
+        Seen last = null;
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (String head = readHead(in); head != null; head = readHead(in)) {
+                last = new Seen(head, new String(in.readNBytes(length(head)), StandardCharsets.UTF_8), socket);
+                seen.add(last);
+                script.answer(last, socket.getOutputStream());
+            }
+        } catch (IOException e) {
+            // the router, or the script, has ended the connection
+        } finally {
+            if (last != null) {
+                last.gone.countDown();
+            }
+        }
+    }
+
+    private static @Nullable String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.length() < END_OF_HEAD
+                || !head.substring(head.length() - END_OF_HEAD).equals("\r\n\r\n")) {
+            int read = in.read();
+            if (read < 0) {
+                return null;
+            }
+            head.append((char) read);
+        }
+        return head.toString();
+    }
+
+    private static int length(String head) {
+        String length = header(head, "content-length");
+        return length.isEmpty() ? 0 : Integer.parseInt(length);
+    }
+
+    private static String header(String head, String name) {
+        for (String line : head.split("\r\n", -1)) {
+            int colon = line.indexOf(':');
+            if (colon > 0 && line.substring(0, colon).equalsIgnoreCase(name)) {
+                return line.substring(colon + 1).strip();
+            }
+        }
+        return "";
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "fake-endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Answers a request with bytes. */
+    @FunctionalInterface
+    public interface Script {
+        /**
+         * Writes the answer, or ends the connection.
+         *
+         * @param request the request
+         * @param out the connection
+         */
+        void answer(Seen request, OutputStream out) throws IOException;
+    }
+
+    /** A request that came in. */
+    public static final class Seen {
+        /** Counted down once the connection has ended. */
+        public final java.util.concurrent.CountDownLatch gone = new java.util.concurrent.CountDownLatch(1);
+
+        private final String head;
+        private final String body;
+        private final Socket socket;
+
+        private Seen(String head, String body, Socket socket) {
+            this.head = head;
+            this.body = body;
+            this.socket = socket;
+        }
+
+        /** Returns the request line. */
+        public String line() {
+            return head.split("\r\n", -1)[0];
+        }
+
+        /** Returns a header; empty if there is none. */
+        public String header(String name) {
+            return FakeEndpoint.header(head, name);
+        }
+
+        /** Returns the body. */
+        public String body() {
+            return body;
+        }
+
+        /** Resets the connection. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -0,0 +1,69 @@
+package org.radishpass.routing.testing;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.OptionalLong;
+import org.radishpass.routing.dialect.AnswerHead;
+import org.radishpass.routing.dialect.ForwardingHead;
+import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.dialect.RequestHead;
+
+/** A dialect with header names of its own, for tests. */
+public final class PlainDialect implements RequestDialect {
+    /** Names a request. */
+    public static final String ID = "X-Id";
+
+    /** Names the endpoint that alone may run a request. */
+    public static final String ENDPOINT = "X-Endpoint";
+
+    /** Holds the milliseconds left. */
+    public static final String LEFT = "X-Left";
+
+    /** States that a request was not run. */
+    public static final String NOT_RUN = "X-Not-Run";
+
+    /** Holds the event after which an answer is to go on. */
+    public static final String AFTER = "X-After";
+
+    /** Names the workspace. */
+    public static final String WORKSPACE = "X-Workspace";
+
+    @Override
+    public RequestHead decode(HttpRequest request) {
+        HttpHeaders headers = request.headers();
+        String patience = headers.get("X-Patience");
+        String key = headers.get(HttpHeaderNames.AUTHORIZATION);
+        return new RequestHead(
+                headers.get(ID, ""),
+                headers.get(HttpHeaderNames.HOST, ""),
+                request.uri(),
+                patience == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(patience)),
+                key,
+                null,
+                headers.get(AFTER));
+    }
+
+    @Override
+    public void encode(HttpHeaders headers, ForwardingHead forwarding) {
+        headers.remove(HttpHeaderNames.AUTHORIZATION);
+        headers.remove(WORKSPACE);
+        headers.set(ENDPOINT, forwarding.endpointId());
+        headers.set(LEFT, forwarding.leftMillis());
+        forwarding.workspace().ifPresent(name -> headers.set(WORKSPACE, name));
+        forwarding.lastEventId().ifPresent(id -> headers.set(AFTER, id));
+    }
+
+    @Override
+    public AnswerHead decodeAnswer(HttpResponse response) {
+        return new AnswerHead(
+                response.status().code(),
+                response.headers().contains(NOT_RUN),
+                response.headers().get(ID),
+                null,
+                OptionalLong.empty(),
+                response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true));
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TestCaller.java
@@ -0,0 +1,66 @@
+package org.radishpass.routing.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A caller's connection, by bytes. */
+public final class TestCaller implements AutoCloseable {
+    private static final int PATIENCE_MILLIS = 20_000;
+
+    private final Socket socket;
+
+    /** Connects. */
+    public TestCaller(int port) throws IOException {
+        this.socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(PATIENCE_MILLIS);
+    }
+
+    /** Sends text. */
+    public TestCaller send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+        return this;
+    }
+
+    /** Sends a request. */
+    public TestCaller request(String method, String path, String id, String body) throws IOException {
+        return send(method + " " + path + " HTTP/1.1\r\nHost: api\r\n" + PlainDialect.ID + ": " + id
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    /** Reads up to and including a text. */
+    public String readUntil(String end) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        while (text.indexOf(end) < 0) {
+            int read = in.read();
+            if (read < 0) {
+                throw new IOException("the connection ended after: " + text);
+            }
+            text.append((char) read);
+        }
+        return text.toString();
+    }
+
+    /** Reads until the connection ends. */
+    public String readAll() throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        try {
+            for (int read = in.read(); read >= 0; read = in.read()) {
+                text.append((char) read);
+            }
+        } catch (java.net.SocketException e) {
+            text.append("<reset>");
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -0,0 +1,91 @@
+package org.radishpass.routing.testing;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.config.CallerLimits;
+import org.radishpass.routing.config.RequestKind;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.config.ServiceSpec;
+import org.radishpass.routing.config.TrafficSplit;
+import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.traffic.MonotonicClock;
+import org.radishpass.routing.traffic.RoutingView;
+import org.radishpass.routing.traffic.TrafficServer;
+import reactor.netty.resources.LoopResources;
+
+/** A router's traffic side on loopback, with what it believes given by the test. */
+public final class TrafficBed implements AutoCloseable {
+    /** The service of all routes. */
+    public static final String SERVICE = "service";
+
+    private final LoopResources loops = LoopResources.create("bed", 1, 1, true, false);
+    private final TrafficServer server;
+    private final Channel listening;
+    private volatile RoutingView view = RoutingView.UNKNOWN;
+
+    /** Starts a router that knows nothing yet. */
+    public TrafficBed() throws Exception {
+        server = new TrafficServer(
+                loops.onServer(false).next(),
+                MonotonicClock.SYSTEM,
+                () -> view,
+                new PlainDialect(),
+                new DataCentre("here"),
+                gone -> {},
+                new SimpleMeterRegistry());
+        server.retryAllowance(new RetryAllowance(1, 100, 10_000));
+        listening = server.listen(new InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 0))
+                .get(20, TimeUnit.SECONDS);
+    }
+
+    /** Lets it know endpoints, and the routes /once/, /again/, /stream/ and /resume/ with a timeout. */
+    public TrafficBed knows(long timeoutMillis, FakeEndpoint... endpoints) {
+        List<ServiceEndpoint> known = new ArrayList<>();
+        Arrays.stream(endpoints).forEach(endpoint -> known.add(endpoint.endpoint(SERVICE)));
+        RoutingConfiguration.Builder configuration = RoutingConfiguration.builder(1)
+                .service(new ServiceSpec(SERVICE, "/health", 100, null))
+                .limits(new CallerLimits(8_192, 10_000, 3_000, 15_000));
+        route(configuration, "/once/", RequestKind.NON_IDEMPOTENT, timeoutMillis);
+        route(configuration, "/again/", RequestKind.IDEMPOTENT, timeoutMillis);
+        route(configuration, "/stream/", RequestKind.STREAM, timeoutMillis);
+        route(configuration, "/resume/", RequestKind.RESUMABLE_STREAM, timeoutMillis);
+        view = new RoutingView(configuration.build(), new EndpointDirectory(known), true, 0, 1);
+        return this;
+    }
+
+    /** Returns the traffic side. */
+    public TrafficServer server() {
+        return server;
+    }
+
+    /** Connects a caller. */
+    public TestCaller caller() throws java.io.IOException {
+        return new TestCaller(((InetSocketAddress) listening.localAddress()).getPort());
+    }
+
+    @Override
+    public void close() {
+        listening.close().syncUninterruptibly();
+        loops.dispose();
+    }
+
+    private static void route(
+            RoutingConfiguration.Builder configuration, String prefix, RequestKind kind, long timeoutMillis) {
+        configuration.route(Route.builder(prefix)
+                .match("api", prefix)
+                .kind(kind)
+                .split(TrafficSplit.all(SERVICE))
+                .timeoutMillis(timeoutMillis)
+                .maxAttempts(3)
+                .build());
+    }
+}
--- a/radishpass-platform/src/main/java/org/radishpass/platform/configuration/ConfigurationStore.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/configuration/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.configuration;
+package org.radishpass.tables.configuration;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -7,14 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import org.radishpass.platform.table.TableResult;
-import org.radishpass.platform.table.TableRow;
-import org.radishpass.platform.table.TableService;
-import org.radishpass.platform.table.TableTransaction;
 import org.radishpass.records.Configuration;
 import org.radishpass.records.ConfigurationChange;
 import org.radishpass.records.RecordJson;
 import org.radishpass.records.StoredRecord;
+import org.radishpass.tables.table.TableResult;
+import org.radishpass.tables.table.TableRow;
+import org.radishpass.tables.table.TableService;
+import org.radishpass.tables.table.TableTransaction;
 import reactor.core.publisher.Mono;
 
 /**
--- a/radishpass-platform/src/main/java/org/radishpass/platform/configuration/ConfigurationWriter.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/configuration/ConfigurationWriter.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.configuration;
+package org.radishpass.tables.configuration;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,16 +9,16 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
-import org.radishpass.platform.table.TableResult;
-import org.radishpass.platform.table.TableRow;
-import org.radishpass.platform.table.TableService;
-import org.radishpass.platform.table.TableTransaction;
 import org.radishpass.records.ConfigurationChange;
 import org.radishpass.records.RecordDocument;
 import org.radishpass.records.RecordJson;
 import org.radishpass.records.RecordKey;
 import org.radishpass.records.StoredRecord;
 import org.radishpass.records.schema.SchemaConversion;
+import org.radishpass.tables.table.TableResult;
+import org.radishpass.tables.table.TableRow;
+import org.radishpass.tables.table.TableService;
+import org.radishpass.tables.table.TableTransaction;
 import reactor.core.publisher.Mono;
 
 /**
--- a/radishpass-platform/src/main/java/org/radishpass/platform/configuration/StoreUnavailableException.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/configuration/StoreUnavailableException.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.configuration;
+package org.radishpass.tables.configuration;
 
 /**
  * The table service gave no usable answer.
--- a/radishpass-platform/src/main/java/org/radishpass/platform/configuration/WriteResult.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/configuration/WriteResult.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.configuration;
+package org.radishpass.tables.configuration;
 
 import java.util.List;
 import org.radishpass.records.ConfigurationChange;
--- a/radishpass-platform/src/main/java/org/radishpass/platform/configuration/package-info.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/configuration/package-info.java
@@ -4,6 +4,6 @@
  * @since 0.1.0
  */
 @NullMarked
-package org.radishpass.platform.configuration;
+package org.radishpass.tables.configuration;
 
 import org.jspecify.annotations.NullMarked;
--- a/radishpass-platform/src/main/java/org/radishpass/platform/once/ClaimStore.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/once/ClaimStore.java
@@ -1,15 +1,15 @@
-package org.radishpass.platform.once;
+package org.radishpass.tables.once;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import org.radishpass.core.once.Claim;
 import org.radishpass.core.once.ClaimDecision;
-import org.radishpass.platform.table.TableResult;
-import org.radishpass.platform.table.TableRow;
-import org.radishpass.platform.table.TableService;
-import org.radishpass.platform.table.TableTransaction;
 import org.radishpass.records.RecordJson;
+import org.radishpass.tables.table.TableResult;
+import org.radishpass.tables.table.TableRow;
+import org.radishpass.tables.table.TableService;
+import org.radishpass.tables.table.TableTransaction;
 import reactor.core.publisher.Mono;
 
 /**
--- a/radishpass-platform/src/main/java/org/radishpass/platform/once/package-info.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/once/package-info.java
@@ -4,6 +4,6 @@
  * @since 0.1.0
  */
 @NullMarked
-package org.radishpass.platform.once;
+package org.radishpass.tables.once;
 
 import org.jspecify.annotations.NullMarked;
--- a/radishpass-platform/src/main/java/org/radishpass/platform/table/TableRow.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/table/TableRow.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.table;
+package org.radishpass.tables.table;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
--- a/radishpass-platform/src/main/java/org/radishpass/platform/table/TableService.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/table/TableService.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.table;
+package org.radishpass.tables.table;
 
 import reactor.core.publisher.Mono;
 
--- a/radishpass-platform/src/main/java/org/radishpass/platform/table/package-info.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/table/package-info.java
@@ -4,6 +4,6 @@
  * @since 0.1.0
  */
 @NullMarked
-package org.radishpass.platform.table;
+package org.radishpass.tables.table;
 
 import org.jspecify.annotations.NullMarked;
--- a/radishpass-platform/src/main/java/org/radishpass/platform/vmlist/VmListClient.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/vmlist/VmListClient.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.vmlist;
+package org.radishpass.tables.vmlist;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/radishpass-platform/src/main/java/org/radishpass/platform/vmlist/package-info.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/vmlist/package-info.java
@@ -4,6 +4,6 @@
  * @since 0.1.0
  */
 @NullMarked
-package org.radishpass.platform.vmlist;
+package org.radishpass.tables.vmlist;
 
 import org.jspecify.annotations.NullMarked;
--- a/radishpass-platform/src/test/java/org/radishpass/platform/configuration/ConfigurationWriterTest.java
+++ b/radishpass-tables/src/test/java/org/radishpass/tables/configuration/ConfigurationWriterTest.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.configuration;
+package org.radishpass.tables.configuration;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,13 +10,13 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
-import org.radishpass.platform.testing.FakeTables;
-import org.radishpass.platform.testing.FakeTables.Fault;
 import org.radishpass.records.Configuration;
 import org.radishpass.records.RecordDocument;
 import org.radishpass.records.RecordKey;
 import org.radishpass.records.schema.RecordKind;
 import org.radishpass.records.schema.SchemaVersion;
+import org.radishpass.tables.testing.FakeTables;
+import org.radishpass.tables.testing.FakeTables.Fault;
 
 /** Checks what becomes of operators' writes when the store fails and others write. */
 final class ConfigurationWriterTest {
--- a/radishpass-platform/src/test/java/org/radishpass/platform/once/ClaimStoreTest.java
+++ b/radishpass-tables/src/test/java/org/radishpass/tables/once/ClaimStoreTest.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.once;
+package org.radishpass.tables.once;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.once.Claim;
 import org.radishpass.core.once.ClaimDecision;
-import org.radishpass.platform.testing.FakeTables;
-import org.radishpass.platform.testing.FakeTables.Fault;
+import org.radishpass.tables.testing.FakeTables;
+import org.radishpass.tables.testing.FakeTables.Fault;
 
 /** Checks that of all attempts at a request at most one may run it. */
 final class ClaimStoreTest {
--- a/radishpass-platform/src/test/java/org/radishpass/platform/testing/FakeTables.java
+++ b/radishpass-tables/src/test/java/org/radishpass/tables/testing/FakeTables.java
@@ -1,4 +1,4 @@
-package org.radishpass.platform.testing;
+package org.radishpass.tables.testing;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.radishpass.platform.table.TableResult;
-import org.radishpass.platform.table.TableRow;
-import org.radishpass.platform.table.TableService;
-import org.radishpass.platform.table.TableTransaction;
+import org.radishpass.tables.table.TableResult;
+import org.radishpass.tables.table.TableRow;
+import org.radishpass.tables.table.TableService;
+import org.radishpass.tables.table.TableTransaction;
 import reactor.core.publisher.Mono;
 
 /** A table in memory whose writes fail as a test says, one after another. */
