--- a/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
@@ -77,13 +77,74 @@
                         "org.radishpass.records..",
                         "org.radishpass.runtime..",
                         "org.radishpass.tables..",
-                        "org.radishpass.peer..")
+                        "org.radishpass.peer..",
+                        "org.radishpass.routing..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(PROGRAMS)
+                .check(classes);
+    }
+
+    @Test
+    void nobodyKnowsTheAdapterToThePlatform() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackage("org.radishpass.platform..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.radishpass.platform..")
+                .check(classes);
+    }
+
+    @Test
+    void theAdapterKnowsRoutedRequestsAndNoOtherProgram() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.radishpass.platform..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(PROGRAMS)
                 .check(classes);
     }
 
+    @Test
+    void routedDecisionsDoNotKnowConnections() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "org.radishpass.routing.config..",
+                        "org.radishpass.routing.fleet..",
+                        "org.radishpass.routing.health..",
+                        "org.radishpass.routing.load..",
+                        "org.radishpass.routing.placement..",
+                        "org.radishpass.routing.retry..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "org.radishpass.routing.traffic..",
+                        "org.radishpass.routing.control..",
+                        "io.netty..",
+                        "reactor..",
+                        "org.slf4j..")
+                .check(classes);
+    }
+
+    @Test
+    void routedDecisionsHaveNoClockOfTheirOwn() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("org.radishpass.routing..")
+                .and()
+                .doNotHaveSimpleName("MonotonicClock")
+                .and()
+                .doNotHaveSimpleName("StopSequence")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(classes);
+    }
+
     @Test
     void noProcessStartsAnother() {
         noClasses()
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
@@ -1,5 +1,6 @@
 package org.radishpass.peer.transport;
 
+import io.netty.resolver.DefaultAddressResolverGroup;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Set;
@@ -172,6 +173,7 @@
         private Mono<PeerChannel> dial() {
             return TcpClient.newConnection()
                     .runOn(loops, false)
+                    .resolver(DefaultAddressResolverGroup.INSTANCE)
                     .host(address.host())
                     .port(address.port())
                     .connect()
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -33,11 +33,11 @@
     private static final String CONFIGURATION = "configuration";
     private static final String ENDPOINTS = "endpoints";
 
-    /** Milliseconds between messages while work in flight changes. */
-    private static final long TELL_MILLIS = 100;
+    /** Milliseconds between messages while work in flight changes; at 100, a seventh of a router's processor time. */
+    private static final long TELL_MILLIS = 200;
 
-    /** Messages without a change between two that are sent all the same: half a second. */
-    private static final int QUIET_TICKS = 5;
+    /** Ticks without a change until a message is sent all the same: 0.6 s. */
+    private static final int QUIET_TICKS = 3;
 
     /** Milliseconds without word from a peer until its link is dialled anew. */
     private static final long SILENT_MILLIS = 2_000;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -14,7 +14,7 @@
     private static final long FIRST_PAUSE_MILLIS = 250;
 
     /** The longest such pause in milliseconds: an endpoint that is back is in use again within it. */
-    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
     /** The weight of the newest outcome in the mean error rate: about the last six outcomes count. */
     private static final double NEWEST = 0.16;
@@ -28,10 +28,14 @@
     /** The error rate with which it is tried again: two more errors eject it at once. */
     private static final double RATE_ON_TRIAL = 0.25;
 
+    /** Milliseconds by which the last sign of life is set back when a connection breaks: beyond any use of it. */
+    private static final long FORGOTTEN_MILLIS = 10_000;
+
     private double errorRate;
     private long failingUntilMillis = Long.MIN_VALUE;
     private boolean down;
     private boolean probing;
+    private boolean doubted;
     private long probeAtMillis;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long heardAtMillis;
@@ -48,6 +52,7 @@
     /** Notes a connection that was made. */
     public void connected(long nowMillis) {
         down = false;
+        doubted = false;
         probing = false;
         pauseMillis = FIRST_PAUSE_MILLIS;
         heardAtMillis = nowMillis;
@@ -61,6 +66,7 @@
     public boolean unreachable(long nowMillis) {
         boolean news = !down;
         down = true;
+        doubted = false;
         probing = false;
         probeAtMillis = nowMillis + pauseMillis;
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
@@ -70,6 +76,22 @@
     /** Notes any bytes that came from it. */
     public void heard(long nowMillis) {
         heardAtMillis = nowMillis;
+        doubted = false;
+    }
+
+    /** Notes that a connection to it broke: until it is heard of again, nobody may take it to be reachable. */
+    public void broke(long nowMillis) {
+        heardAtMillis = Math.min(heardAtMillis, nowMillis - FORGOTTEN_MILLIS);
+    }
+
+    /** Notes that it may be cut off, as others are, and that this is being found out. */
+    public void doubt() {
+        doubted = true;
+    }
+
+    /** Tells whether it is being found out if it can be reached. */
+    public boolean doubted() {
+        return doubted;
     }
 
     /** Returns when bytes came from it last, on the monotonic clock in milliseconds. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/HealthBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/HealthBook.java
@@ -36,24 +36,28 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public List<ServiceEndpoint> usable(List<ServiceEndpoint> open, long nowMillis) {
-        List<ServiceEndpoint> reachable = new ArrayList<>(open.size());
+        List<ServiceEndpoint> reachable = surelyReachable(open, nowMillis);
         List<ServiceEndpoint> sound = new ArrayList<>(open.size());
-        for (ServiceEndpoint endpoint : open) {
-            EndpointHealth health = of(endpoint.id(), nowMillis);
-            if (health.down()) {
-                continue;
-            }
-            reachable.add(endpoint);
-            if (!health.failing(nowMillis)) {
-                sound.add(endpoint);
-            }
-        }
         if (reachable.isEmpty()) {
             return open;
         }
+        for (ServiceEndpoint endpoint : reachable) {
+            if (!of(endpoint.id(), nowMillis).failing(nowMillis)) {
+                sound.add(endpoint);
+            }
+        }
         return sound.size() < reachable.size() * (1 - MOST_EJECTED) ? reachable : sound;
     }
 
+    /** Those that are not down; without those in doubt unless there are no others. */
+    private List<ServiceEndpoint> surelyReachable(List<ServiceEndpoint> open, long nowMillis) {
+        List<ServiceEndpoint> reachable = reachable(open, nowMillis);
+        List<ServiceEndpoint> sure = reachable.stream()
+                .filter(endpoint -> !of(endpoint.id(), nowMillis).doubted())
+                .toList();
+        return sure.isEmpty() ? reachable : sure;
+    }
+
     /**
      * Returns the endpoints to which connections do not fail.
      *
@@ -66,6 +70,20 @@
                 .toList();
     }
 
+    /**
+     * Returns the endpoints that were heard of lately; all if none was.
+     *
+     * @param endpoints the endpoints
+     * @param withinMillis how lately, in milliseconds
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public List<ServiceEndpoint> heardLately(List<ServiceEndpoint> endpoints, long withinMillis, long nowMillis) {
+        List<ServiceEndpoint> heard = endpoints.stream()
+                .filter(endpoint -> nowMillis - of(endpoint.id(), nowMillis).heardAtMillis() <= withinMillis)
+                .toList();
+        return heard.isEmpty() ? endpoints : heard;
+    }
+
     /**
      * Forgets endpoints that are no longer known.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -32,12 +32,12 @@
     private final Channel channel;
     private @Nullable AnswerListener listener;
     private String requestId = "";
+    private boolean usedBefore;
     private boolean headSeen;
     private boolean skipping;
     private boolean closing;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long usableUntilMillis;
-    private long idleSinceMillis;
 
     EndpointConnection(EndpointPool pool, Channel channel) {
         this.pool = pool;
@@ -57,9 +57,9 @@
         return channel.isActive() && nowMillis < usableUntilMillis;
     }
 
-    /** Returns since when it has been idle, on the monotonic clock in milliseconds. */
-    long idleSinceMillis() {
-        return idleSinceMillis;
+    /** Tells whether it has carried a whole request and answer: its other end may have closed it since. */
+    boolean usedBefore() {
+        return usedBefore;
     }
 
     /** Writes a request. From here on it may run. */
@@ -83,8 +83,7 @@
 
     /** Gives back a connection on which nothing was sent. */
     void release() {
-        idleSinceMillis = pool.nowMillis();
-        usableUntilMillis = idleSinceMillis + keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
+        usableUntilMillis = pool.nowMillis() + keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
         pool.idle(this);
     }
 
@@ -176,9 +175,8 @@
     private void complete() {
         AnswerListener done = listener;
         listener = null;
-        long nowMillis = pool.nowMillis();
-        idleSinceMillis = nowMillis;
-        usableUntilMillis = nowMillis + Math.max(0, keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS);
+        usedBefore = true;
+        usableUntilMillis = pool.nowMillis() + Math.max(0, keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS);
         channel.config().setAutoRead(true);
         if (closing) {
             var unused = channel.close();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -16,8 +16,14 @@
     /** Idle connections kept for an endpoint: more than one router needs at once in steady traffic. */
     private static final int MOST_IDLE = 24;
 
-    /** Milliseconds of idleness up to which a connection may carry what cannot be sent again. */
-    private static final long FRESH_MILLIS = 2_000;
+    /**
+     * Milliseconds since the endpoint was heard of up to which an idle connection may carry what cannot be sent again. A
+     * new connection proves first that the endpoint can be reached; it takes 1 ms, and less than a lost request.
+     */
+    private static final long SURE_MILLIS = 300;
+
+    /** The same for what can be sent again. */
+    private static final long LIKELY_MILLIS = 1_000;
 
     private final EndpointConnections connections;
     private final ServiceEndpoint endpoint;
@@ -54,13 +60,13 @@
      */
     void acquire(boolean repeatable, ConnectionTaker taker) {
         long nowMillis = nowMillis();
-        while (true) {
-            EndpointConnection connection = idle.pollFirst();
-            if (connection == null) {
-                break;
-            }
-            boolean usable = connection.reusable(nowMillis);
-            if (usable && (repeatable || nowMillis - connection.idleSinceMillis() < FRESH_MILLIS)) {
+        long silentMillis = nowMillis - health.heardAtMillis();
+        if (silentMillis > (repeatable ? LIKELY_MILLIS : SURE_MILLIS)) {
+            connections.connect(this, taker);
+            return;
+        }
+        for (EndpointConnection connection = idle.pollFirst(); connection != null; connection = idle.pollFirst()) {
+            if (connection.reusable(nowMillis)) {
                 taker.connected(connection);
                 return;
             }
@@ -69,8 +75,8 @@
         connections.connect(this, taker);
     }
 
-    /** Opens a connection only to see whether the endpoint can be reached, and keeps it for later. */
-    void probe(ConnectionTaker taker) {
+    /** Opens a connection: it shows that the endpoint can be reached. */
+    void open(ConnectionTaker taker) {
         connections.connect(this, taker);
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointWatch.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointWatch.java
@@ -18,6 +18,12 @@
      */
     private static final long SILENCE_MILLIS = 400;
 
+    /** Milliseconds since an endpoint was heard of within which it is taken to be reachable: about one connection's try. */
+    private static final long RECENT_MILLIS = 300;
+
+    /** The same for an endpoint in the data centre of one that was lost: engines at work send events more often. */
+    private static final long RECENT_NEAR_MILLIS = 80;
+
     private final TrafficTools tools;
     private final Set<String> checking = new HashSet<>();
 
@@ -38,6 +44,25 @@
         }
     }
 
+    /**
+     * Finds out at once, of all endpoints that were not heard of lately, whether they can be reached: where one does not
+     * answer to a connection, others may be cut off with it, those of its data centre first.
+     *
+     * @param lost the endpoint that cannot be reached
+     */
+    void doubtOthers(ServiceEndpoint lost) {
+        long nowMillis = tools.nowMillis();
+        for (ServiceEndpoint endpoint : tools.view().directory().all()) {
+            EndpointHealth health = tools.health().of(endpoint.id(), nowMillis);
+            boolean near = endpoint.dataCentre().equals(lost.dataCentre());
+            long recentMillis = near ? RECENT_NEAR_MILLIS : RECENT_MILLIS;
+            if (!health.down() && nowMillis - health.heardAtMillis() > recentMillis) {
+                health.doubt();
+                check(endpoint, health);
+            }
+        }
+    }
+
     private boolean silent(ServiceEndpoint endpoint, EndpointHealth health, long nowMillis) {
         return !health.down()
                 && nowMillis - health.heardAtMillis() > SILENCE_MILLIS
@@ -49,7 +74,7 @@
         if (!checking.add(endpoint.id())) {
             return;
         }
-        tools.connections().pool(endpoint).probe(new ConnectionTaker() {
+        tools.connections().pool(endpoint).open(new ConnectionTaker() {
             @Override
             public void connected(EndpointConnection connection) {
                 checking.remove(endpoint.id());
@@ -65,6 +90,7 @@
                 checking.remove(endpoint.id());
                 if (health.unreachable(tools.nowMillis())) {
                     tools.log().endpointDown(endpoint, cause);
+                    doubtOthers(endpoint);
                 }
                 List<Exchange> waiting = new ArrayList<>(tools.exchanges());
                 waiting.stream()
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -31,6 +31,12 @@
  * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
  */
 final class Exchange {
+    /**
+     * Milliseconds within which an endpoint must have been heard of to be given a request that has failed elsewhere: what
+     * broke the first may have cut off others too. Engines at work send events at least that often.
+     */
+    private static final long SURELY_ALIVE_MILLIS = 150;
+
     private final TrafficTools tools;
     private final CallerConnection caller;
     private final HttpRequest request;
@@ -107,6 +113,9 @@
         List<ServiceEndpoint> open = tools.view().directory().open(terms.service());
         List<ServiceEndpoint> candidates = new ArrayList<>(tools.health().usable(open, tools.nowMillis()));
         candidates.removeIf(endpoint -> triedEndpoints.contains(endpoint.id()));
+        if (sends > 0) {
+            candidates = tools.health().heardLately(candidates, SURELY_ALIVE_MILLIS, tools.nowMillis());
+        }
         List<ServiceEndpoint> sources =
                 tools.health().reachable(tools.view().directory().all(terms.service()), tools.nowMillis());
         Optional<PlacementChoice> choice = tools.chooser()
@@ -124,7 +133,12 @@
         record.chosen(choice.get(), tools.view(), tools.nowMillis());
         Attempt next = new Attempt(choice.get());
         attempt = next;
-        tools.connections().pool(next.endpoint).acquire(terms.kind().mayRunAgain(), next);
+        EndpointPool pool = tools.connections().pool(next.endpoint);
+        if (sends > 0) {
+            pool.open(next);
+        } else {
+            pool.acquire(terms.kind().mayRunAgain(), next);
+        }
     }
 
     private void send(Attempt current, EndpointConnection connection) {
@@ -322,6 +336,7 @@
         public void unreachable(String cause) {
             if (tools.health().of(endpoint.id(), tools.nowMillis()).unreachable(tools.nowMillis())) {
                 tools.log().endpointDown(endpoint, cause);
+                tools.watch().doubtOthers(endpoint);
             }
             if (over) {
                 return;
@@ -399,11 +414,18 @@
         @Override
         public void broken(String cause) {
             finish();
-            triedEndpoints.add(endpoint.id());
-            noteFailure();
+            if (answered() || connection == null || !connection.usedBefore()) {
+                triedEndpoints.add(endpoint.id());
+                noteFailure();
+            }
+            tools.health().of(endpoint.id(), tools.nowMillis()).broke(tools.nowMillis());
             failedAtEndpoint(cause);
         }
 
+        private boolean answered() {
+            return status > 0;
+        }
+
         private void noteFailure() {
             if (tools.health().of(endpoint.id(), tools.nowMillis()).failed(tools.nowMillis())) {
                 tools.log().endpointFailing(endpoint);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -56,7 +56,6 @@
     private final SharedRetryBudget budget;
     private final EndpointConnections connections;
     private final TrafficTools tools;
-    private final EndpointWatch watch;
 
     /**
      * Creates a server that does not listen yet.
@@ -94,7 +93,6 @@
                 budget,
                 new RequestLog(metrics),
                 goneReports);
-        this.watch = new EndpointWatch(tools);
         Gauge.builder("radishpass.requests.active", tools.exchanges(), java.util.Set::size)
                 .description("requests in progress")
                 .register(metrics);
@@ -132,7 +130,7 @@
                         listening.completeExceptionally(bound.cause());
                     }
                 });
-        every(LOOK_MILLIS, watch::look);
+        every(LOOK_MILLIS, tools.watch()::look);
         every(TIDY_MILLIS, this::tidy);
         return listening;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -27,6 +27,7 @@
     private final Consumer<ServiceEndpoint> goneReports;
     private final Set<CallerConnection> callers = new LinkedHashSet<>();
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private final EndpointWatch watch = new EndpointWatch(this);
     private boolean stopping;
     private boolean refusing;
 
@@ -87,6 +88,10 @@
         return health;
     }
 
+    EndpointWatch watch() {
+        return watch;
+    }
+
     SharedRetryBudget budget() {
         return budget;
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
@@ -92,7 +92,8 @@
         try (socket) {
             InputStream in = socket.getInputStream();
             for (String head = readHead(in); head != null; head = readHead(in)) {
-                last = new Seen(head, new String(in.readNBytes(length(head)), StandardCharsets.UTF_8), socket);
+                last = new Seen(
+                        last == null, head, new String(in.readNBytes(length(head)), StandardCharsets.UTF_8), socket);
                 seen.add(last);
                 script.answer(last, socket.getOutputStream());
             }
@@ -156,16 +157,23 @@
         /** Counted down once the connection has ended. */
         public final java.util.concurrent.CountDownLatch gone = new java.util.concurrent.CountDownLatch(1);
 
+        private final boolean firstOnConnection;
         private final String head;
         private final String body;
         private final Socket socket;
 
-        private Seen(String head, String body, Socket socket) {
+        private Seen(boolean firstOnConnection, String head, String body, Socket socket) {
+            this.firstOnConnection = firstOnConnection;
             this.head = head;
             this.body = body;
             this.socket = socket;
         }
 
+        /** Tells whether no request came on its connection before. */
+        public boolean firstOnConnection() {
+            return firstOnConnection;
+        }
+
         /** Returns the request line. */
         public String line() {
             return head.split("\r\n", -1)[0];
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
@@ -227,6 +227,25 @@
         }
     }
 
+    @Test
+    void whatFailedIsTriedAgainOnANewConnection() throws Exception {
+        try (FakeEndpoint breaking = new FakeEndpoint("a", (request, out) -> request.reset());
+                FakeEndpoint forgetful = new FakeEndpoint("b", (request, out) -> {
+                    if (!request.firstOnConnection()) {
+                        request.reset();
+                    }
+                    write(out, whole(request, 200, "ok"));
+                });
+                TestCaller caller = bed.knows(LONG, forgetful).caller()) {
+            caller.request("GET", "/again/", "first", "").readUntil("ok");
+            bed.knows(LONG, breaking, forgetful);
+            for (int request = 0; request < 6; request++) {
+                assertThat(caller.request("GET", "/again/", "r" + request, "").readUntil("ok"))
+                        .startsWith("HTTP/1.1 200");
+            }
+        }
+    }
+
     @Test
     void aStreamThatCannotGoOnElsewhereIsCut() throws Exception {
         try (FakeEndpoint breaking = new FakeEndpoint("a", (request, out) -> {
