--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -254,10 +254,14 @@
      * @param configuration the version of the configuration that it has in force; -1 before it knows one
      * @param directory the revision of the endpoint list that it read last; -1 before it has read one
      * @param work all of its work in flight, by endpoint
+     * @param directoryHash the hash of the endpoint list
+     * @param directoryAgeMillis how long ago the store was read for that list, in milliseconds
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record RoutingState(long configuration, long directory, List<EndpointWork> work) implements PeerMessage {}
+    record RoutingState(
+            long configuration, long directory, List<EndpointWork> work, long directoryHash, long directoryAgeMillis)
+            implements PeerMessage {}
 
     /**
      * A router's work in flight at one endpoint.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -33,9 +33,11 @@
     Mono<RegistryReading> register(Address self);
 
     /**
-     * Removes this router's registration.
+     * Removes this router's registration, unless another process has registered at its address since.
      *
      * @param self where it listened for peers
+     * @param revision the store's revision of the registration
+     * @return whether it was removed
      */
-    Mono<Boolean> deregister(Address self);
+    Mono<Boolean> deregister(Address self, long revision);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
@@ -32,7 +33,8 @@
     private final Map<String, ServiceEndpoint> known = new LinkedHashMap<>();
     private final Set<String> left = new HashSet<>();
     private long revision = -1;
-    private long readAtMillis = Long.MIN_VALUE;
+    private long readAtMillis = Long.MIN_VALUE / 2;
+    private long hash;
     private boolean trouble;
     private long backSinceMillis = Long.MIN_VALUE / 2;
 
@@ -72,6 +74,11 @@
         return news;
     }
 
+    /** Tells whether the last reading of the store failed. */
+    public boolean trouble() {
+        return trouble;
+    }
+
     /**
      * Takes a reading of the store.
      *
@@ -98,10 +105,33 @@
      *
      * @param newRevision the store's revision at which the peer read it
      * @param endpoints all that the peer believes in
+     * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
      * @return whether what is believed has changed
      */
-    public boolean peerListed(long newRevision, Collection<ServiceEndpoint> endpoints) {
-        return newRevision > revision && replace(newRevision, endpoints, true);
+    public boolean peerListed(long newRevision, Collection<ServiceEndpoint> endpoints, long peerReadAtMillis) {
+        if (newRevision <= revision) {
+            return false;
+        }
+        readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
+        return replace(newRevision, endpoints, true);
+    }
+
+    /**
+     * Takes a peer's word that the list is still the same.
+     *
+     * @param newRevision the store's revision at which the peer read it
+     * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
+     */
+    public void confirmed(long newRevision, long peerReadAtMillis) {
+        if (newRevision > revision) {
+            revision = newRevision;
+            readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
+        }
+    }
+
+    /** Returns a hash of what is believed of the endpoints; equal for routers that believe the same. */
+    public long hash() {
+        return hash;
     }
 
     /**
@@ -117,6 +147,7 @@
         }
         left.add(id);
         known.put(id, endpoint.asLeaving());
+        hash = hashOf(known.values());
         return true;
     }
 
@@ -134,6 +165,16 @@
             known.put(endpoint.id(), left.contains(endpoint.id()) ? endpoint.asLeaving() : endpoint);
         }
         left.retainAll(known.keySet());
+        hash = hashOf(known.values());
         return first || !before.equals(known);
     }
+
+    /** The order of the endpoints does not matter. */
+    private static long hashOf(Collection<ServiceEndpoint> endpoints) {
+        long sum = endpoints.size();
+        for (ServiceEndpoint endpoint : endpoints) {
+            sum += Rendezvous.mix(endpoint.hash(), endpoint.leaving() ? 1 : 2);
+        }
+        return sum;
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -1,7 +1,5 @@
 package org.radishpass.routing.control;
 
-import static net.logstash.logback.argument.StructuredArguments.kv;
-
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,6 +14,7 @@
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerNode;
+import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.TrafficServer;
@@ -48,8 +47,11 @@
     /** How long a document may take; within a region it takes under 50 ms. */
     private static final Duration DOCUMENT_PATIENCE = Duration.ofMillis(800);
 
-    /** Milliseconds without a reading of the store after which a peer's newer list of endpoints is asked for. */
-    private static final long STALE_LIST_MILLIS = 1_500;
+    /**
+     * Milliseconds after which a reading of the endpoints is too old to rely on: an endpoint that leaves must get nothing
+     * new after two seconds.
+     */
+    private static final long STALE_LIST_MILLIS = 1_300;
 
     private final ControlThread thread;
     private final MonotonicClock clock;
@@ -90,7 +92,7 @@
     void learn(List<Address> routers) {
         for (Address address : routers) {
             if (!address.equals(self) && !peers.containsKey(address.toString())) {
-                LOG.info("router {} is known from now on", address, kv("event", "peer-known"));
+                LOG.info("router {} is known from now on", address, LogEvent.PEER_KNOWN.field());
                 Peer peer = new Peer(address, clock.millis());
                 peers.put(address.toString(), peer);
                 listener.routersChanged();
@@ -129,7 +131,7 @@
 
     @Override
     public void disconnected(String from) {
-        LOG.info("the connection from router {} has ended", from, kv("event", "peer-disconnected"));
+        LOG.info("the connection from router {} has ended", from, LogEvent.PEER_DISCONNECTED.field());
     }
 
     private PeerNode node() {
@@ -165,12 +167,36 @@
         if (state.configuration() > configuration.version()) {
             fetch(peer, CONFIGURATION);
         }
-        boolean stale = clock.millis() - directory.readAtMillis() > STALE_LIST_MILLIS || !directory.known();
-        if (stale && state.directory() > directory.revision()) {
+        peer.readAtMillis = clock.millis() - state.directoryAgeMillis();
+        if (state.directory() <= directory.revision()) {
+            return;
+        }
+        if (directory.known() && state.directoryHash() == directory.hash()) {
+            directory.confirmed(state.directory(), peer.readAtMillis);
+        } else if (state.directoryAgeMillis() < STALE_LIST_MILLIS) {
             fetch(peer, ENDPOINTS);
         }
     }
 
+    /**
+     * Tells whether another router reads the list of endpoints for all. Of those that were heard of lately and have read
+     * it lately the first by name does; while it is in doubt, several may.
+     */
+    boolean anotherReads() {
+        long nowMillis = clock.millis();
+        if (nowMillis - directory.readAtMillis() > STALE_LIST_MILLIS) {
+            return false;
+        }
+        for (Peer peer : peers.values()) {
+            boolean present = nowMillis - peer.heardAtMillis < STALE_LIST_MILLIS;
+            boolean reading = nowMillis - peer.readAtMillis < STALE_LIST_MILLIS;
+            if (present && reading && peer.vm.id().compareTo(self.toString()) < 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void fetch(Peer peer, String name) {
         if (!fetching.add(name)) {
             return;
@@ -192,12 +218,13 @@
             return;
         }
         try {
-            if (directory.peerListed(document.version(), EndpointListCodec.decode(document.content()))) {
+            if (directory.peerListed(
+                    document.version(), EndpointListCodec.decode(document.content()), peer.readAtMillis)) {
                 LOG.info(
                         "the endpoints are taken from router {}, as of revision {}",
                         peer.vm.id(),
                         document.version(),
-                        kv("event", "endpoints"));
+                        LogEvent.ENDPOINTS.field());
                 listener.endpointsChanged();
             }
         } catch (IOException e) {
@@ -221,8 +248,13 @@
         quietTicks = 0;
         List<PeerMessage.EndpointWork> entries = new ArrayList<>(work.size());
         work.forEach((id, amount) -> entries.add(new PeerMessage.EndpointWork(id, amount.requests(), amount.tokens())));
-        PeerMessage state = new PeerMessage.RoutingState(configuration.version(), directory.revision(), entries);
         long nowMillis = clock.millis();
+        PeerMessage state = new PeerMessage.RoutingState(
+                configuration.version(),
+                directory.revision(),
+                entries,
+                directory.hash(),
+                nowMillis - directory.readAtMillis());
         boolean forgotten = peers.values().removeIf(peer -> nowMillis - peer.heardAtMillis > FORGET_MILLIS);
         for (Peer peer : peers.values()) {
             if (nowMillis - peer.heardAtMillis <= SILENT_MILLIS) {
@@ -275,6 +307,7 @@
         private final Vm vm;
         private long heardAtMillis;
         private long redialAtMillis;
+        private long readAtMillis = Long.MIN_VALUE / 2;
 
         private Peer(Address address, long nowMillis) {
             this.vm = new Vm(address.toString(), new DataCentre("peer"), address, false);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
@@ -13,9 +13,10 @@
      * The routers that are registered, this one included.
      *
      * @param routers where they listen for peers
+     * @param revision the store's revision of this router's own registration
      * @since 0.2.0
      */
-    record Registered(List<Address> routers) implements RegistryReading {}
+    record Registered(List<Address> routers, long revision) implements RegistryReading {}
 
     /**
      * The store did not answer, or refused.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -8,16 +8,15 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerNode;
 import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.traffic.CallerSocket;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.routing.traffic.TrafficServer;
@@ -35,8 +34,11 @@
 public final class RoutedRouter {
     private static final Logger LOG = LoggerFactory.getLogger(RoutedRouter.class);
 
-    /** How long listening may take at the start. */
-    private static final long LISTEN_SECONDS = 5;
+    /**
+     * How long callers wait at the start for a configuration and the endpoints; after it they are told that the router is
+     * not ready. A caller waits a second for its request to be read.
+     */
+    private static final Duration SERVE_ANYWAY = Duration.ofMillis(800);
 
     /** How long a registration in the store may take to be tried again. */
     private static final Duration REGISTER_AGAIN = Duration.ofMillis(700);
@@ -53,6 +55,8 @@
     private final StoreFollower follower;
     private final PeerExchange peers;
     private final MeterRegistry metrics;
+    private @Nullable CallerSocket waiting;
+    private long registration = -1;
     private volatile boolean stopping;
 
     private RoutedRouter(Builder builder) {
@@ -88,19 +92,17 @@
     }
 
     /**
-     * Starts it.
+     * Starts it. Callers are served once a configuration and the endpoints are known, or after a while without them.
      *
      * @param callers where callers' requests come in
      * @param allowance what all routers may send again
      * @param seeds where other routers may listen for peers, known beforehand
-     * @throws InterruptedException if the wait is broken off
-     * @throws ExecutionException if it cannot listen
-     * @throws TimeoutException if it does not listen in time
      */
-    public void start(InetSocketAddress callers, RetryAllowance allowance, List<Address> seeds)
-            throws InterruptedException, ExecutionException, TimeoutException {
+    public void start(CallerSocket callers, RetryAllowance allowance, List<Address> seeds) {
         traffic.retryAllowance(allowance);
-        CompletableFuture<?> listening = traffic.listen(callers);
+        follower.start();
+        thread.run(() -> waiting = callers);
+        thread.after(SERVE_ANYWAY, this::serve);
         PeerNode node = new PeerNode(
                 new InetSocketAddress(peerAddress.host(), peerAddress.port()),
                 loops,
@@ -112,9 +114,25 @@
             peers.learn(seeds);
             register();
         });
-        follower.start();
-        listening.get(LISTEN_SECONDS, TimeUnit.SECONDS);
-        LOG.info("the router listens", kv("event", "start"), kv("callers", callers), kv("peers", peerAddress));
+        LOG.info("the router has started", LogEvent.START.field(), kv("peers", peerAddress.toString()));
+    }
+
+    /** Serves the callers that have been waiting. */
+    private void serve() {
+        CallerSocket socket = waiting;
+        waiting = null;
+        if (socket != null) {
+            var unused = traffic.serve(socket).whenComplete((channel, error) -> {
+                if (error == null) {
+                    LOG.info(
+                            "callers are served",
+                            LogEvent.SERVING.field(),
+                            kv("address", String.valueOf(channel.localAddress())));
+                } else {
+                    LOG.error("callers cannot be served", error);
+                }
+            });
+        }
     }
 
     /** Tells whether it takes new callers. */
@@ -130,13 +148,21 @@
     /** From now on it is not ready, and asks callers to go elsewhere. */
     public void beginStop() {
         stopping = true;
-        LOG.info("the router is stopping", kv("event", "stop"));
+        LOG.info("the router is stopping", LogEvent.STOP.field());
         traffic.stopping();
+        thread.run(this::deregister);
+    }
+
+    private void deregister() {
+        if (registration >= 0) {
+            source.deregister(peerAddress, registration).subscribe();
+        }
     }
 
     private void register() {
         source.register(peerAddress).publishOn(thread.scheduler()).subscribe(reading -> {
             if (reading instanceof RegistryReading.Registered registered) {
+                registration = registered.revision();
                 peers.learn(registered.routers());
             } else if (reading instanceof RegistryReading.Unavailable unavailable) {
                 LOG.info("this router cannot be registered yet: {}", unavailable.reason());
@@ -147,7 +173,10 @@
 
     private void gone(String endpointId) {
         if (directory.gone(endpointId)) {
-            LOG.info("the address of endpoint {} belongs to another one now", endpointId, kv("event", "endpoint-gone"));
+            LOG.info(
+                    "the address of endpoint {} belongs to another one now",
+                    endpointId,
+                    LogEvent.ENDPOINT_GONE.field());
             publish();
         }
     }
@@ -163,6 +192,9 @@
                 directory.known(),
                 directory.readAtMillis(),
                 peers.routers());
+        if (view.complete()) {
+            serve();
+        }
     }
 
     /** Hears what the store brought. */
@@ -176,6 +208,12 @@
         @Override
         public void directoryRead() {
             publish();
+            peers.tellNow();
+        }
+
+        @Override
+        public boolean anotherReadsDirectory() {
+            return peers.anotherReads();
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.radishpass.routing.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,10 +56,9 @@
     public void begin() {
         long startedNanos = System.nanoTime();
         router.beginStop();
-        var refusing = timer.schedule(() -> router.traffic().refuseNew(), SERVE_ON_MILLIS, TimeUnit.MILLISECONDS);
-        var looking = timer.scheduleWithFixedDelay(
+        var unusedRefusal = timer.schedule(() -> router.traffic().refuseNew(), SERVE_ON_MILLIS, TimeUnit.MILLISECONDS);
+        var unusedLook = timer.scheduleWithFixedDelay(
                 () -> look(startedNanos), LEAST_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
-        LOG.debug("stopping: {} {}", refusing, looking);
     }
 
     /**
@@ -74,7 +74,8 @@
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
         router.traffic().active(active -> {
             if (active == 0 || millis > grace.toMillis() - MARGIN_MILLIS) {
-                LOG.info("the router has stopped", kv("event", "stopped"), kv("active", active), kv("millis", millis));
+                LOG.info(
+                        "the router has stopped", LogEvent.STOPPED.field(), kv("active", active), kv("millis", millis));
                 ended.countDown();
             }
         });
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
+import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
@@ -24,6 +25,9 @@
     /** Milliseconds between readings of the list; an endpoint that leaves must get nothing new after two seconds. */
     private static final long LIST_MILLIS = 900;
 
+    /** Milliseconds between looks at whether another router still reads the list for all. */
+    private static final long LOOK_AGAIN_MILLIS = 300;
+
     /** Milliseconds between tries while the store does not answer. */
     private static final long RETRY_MILLIS = 350;
 
@@ -82,7 +86,7 @@
         } else if (result instanceof ConfigurationReading.Unchanged unchanged) {
             awaitConfiguration(unchanged.revision());
         } else if (result instanceof ConfigurationReading.HistoryLost) {
-            LOG.info("the store has lost its history; the configuration is read anew", kv("event", "store-history"));
+            LOG.info("the store has lost its history; the configuration is read anew", LogEvent.STORE_HISTORY.field());
             readConfiguration();
         } else if (result instanceof ConfigurationReading.Unavailable unavailable) {
             LOG.debug("the configuration cannot be read: {}", unavailable.reason());
@@ -100,7 +104,7 @@
                         configuration.version(),
                         before,
                         origin,
-                        kv("event", "configuration"),
+                        LogEvent.CONFIGURATION.field(),
                         kv("version", configuration.version()));
                 listener.configurationChanged();
             }
@@ -110,16 +114,20 @@
     }
 
     private void readDirectory() {
+        if (listener.anotherReadsDirectory()) {
+            thread.after(jittered(LOOK_AGAIN_MILLIS), this::readDirectory);
+            return;
+        }
         source.directory().publishOn(thread.scheduler()).subscribe(this::directoryRead);
     }
 
     private void directoryRead(DirectoryReading result) {
         if (result instanceof DirectoryReading.Listed listed) {
             listed(listed);
-            thread.after(jittered(LIST_MILLIS), this::readDirectory);
+            thread.after(Duration.ofMillis(LIST_MILLIS), this::readDirectory);
         } else if (result instanceof DirectoryReading.Unavailable unavailable) {
             if (directory.failed()) {
-                LOG.warn("the store does not answer: {}", unavailable.reason(), kv("event", "store-lost"));
+                LOG.warn("the store does not answer: {}", unavailable.reason(), LogEvent.STORE_LOST.field());
             }
             restartWait();
             thread.after(jittered(RETRY_MILLIS), this::readDirectory);
@@ -127,11 +135,14 @@
     }
 
     private void listed(DirectoryReading.Listed listed) {
+        if (directory.trouble()) {
+            LOG.info("the store answers again", LogEvent.STORE_BACK.field());
+        }
         if (directory.listed(listed.revision(), listed.endpoints(), clock.millis())) {
             LOG.info(
                     "{} endpoints are listed",
                     listed.endpoints().size(),
-                    kv("event", "endpoints"),
+                    LogEvent.ENDPOINTS.field(),
                     kv("revision", listed.revision()));
         }
         listener.directoryRead();
@@ -155,5 +166,8 @@
 
         /** The endpoints have been read. */
         void directoryRead();
+
+        /** Tells whether another router reads the endpoints for all. */
+        boolean anotherReadsDirectory();
     }
 }
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -0,0 +1,78 @@
+package org.radishpass.routing.event;
+
+import net.logstash.logback.argument.StructuredArgument;
+import net.logstash.logback.argument.StructuredArguments;
+
+/**
+ * The events that a router writes to its log; the field {@value #FIELD} of a line holds the name. docs/OPERATIONS.md lists
+ * them, and a test holds the page to this list.
+ *
+ * @since 0.2.0
+ */
+public enum LogEvent {
+    /** See {@link #meaning}. */
+    START("start", "the process has started; callers may not be served yet"),
+    /** See {@link #meaning}. */
+    SERVING("serving", "callers are served from now on"),
+    /** See {@link #meaning}. */
+    RELOAD("reload", "the settings file was read anew"),
+    /** See {@link #meaning}. */
+    STOP("stop", "the process was told to stop; it is no longer ready"),
+    /** See {@link #meaning}. */
+    STOPPED("stopped", "the process ends; `active` requests were still in progress"),
+    /** See {@link #meaning}. */
+    CONFIGURATION("configuration", "a configuration came into force; `version`, and where it came from"),
+    /** See {@link #meaning}. */
+    ENDPOINTS("endpoints", "the list of endpoints has changed; `revision` of the store"),
+    /** See {@link #meaning}. */
+    ENDPOINT_GONE("endpoint-gone", "another process answers at an endpoint's address"),
+    /** See {@link #meaning}. */
+    ENDPOINT_DOWN("endpoint-down", "connections to an endpoint fail; it gets nothing until one succeeds"),
+    /** See {@link #meaning}. */
+    ENDPOINT_BACK("endpoint-back", "a connection to an endpoint that was down succeeded"),
+    /** See {@link #meaning}. */
+    ENDPOINT_FAILING(
+            "endpoint-failing", "too many answers of an endpoint were errors or broke off; it is left out for 2.5 s"),
+    /** See {@link #meaning}. */
+    STORE_LOST("store-lost", "the store does not answer or refuses; what is known stays in force"),
+    /** See {@link #meaning}. */
+    STORE_BACK("store-back", "the store answers again"),
+    /** See {@link #meaning}. */
+    STORE_HISTORY("store-history", "the store has lost its history; the configuration is read as a whole"),
+    /** See {@link #meaning}. */
+    PEER_KNOWN("peer-known", "another router was heard of for the first time"),
+    /** See {@link #meaning}. */
+    PEER_DISCONNECTED("peer-disconnected", "the connection from another router has ended"),
+    /** See {@link #meaning}. */
+    REQUEST("request", "a request has ended; the line has every decision that was taken for it"),
+    /** See {@link #meaning}. */
+    MALFORMED("malformed", "a request was refused before it was whole: malformed or larger than the limits"),
+    /** See {@link #meaning}. */
+    LOG_SUPPRESSED("log-suppressed", "lines that were left out in the second before, to keep the volume bounded");
+
+    /** The field that holds the name of the event. */
+    public static final String FIELD = "event";
+
+    private final String text;
+    private final String meaning;
+
+    LogEvent(String text, String meaning) {
+        this.text = text;
+        this.meaning = meaning;
+    }
+
+    /** Returns the name as it is written. */
+    public String text() {
+        return text;
+    }
+
+    /** Returns what the event says, for people. */
+    public String meaning() {
+        return meaning;
+    }
+
+    /** Returns the event as an argument of a log line. */
+    public StructuredArgument field() {
+        return StructuredArguments.kv(FIELD, text);
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * The events that a router writes to its log.
+ *
+ * @since 0.2.0
+ */
+@NullMarked
+package org.radishpass.routing.event;
+
+import org.jspecify.annotations.NullMarked;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,7 +53,7 @@
                 "request {} {}",
                 record.requestId(),
                 record.outcome(),
-                kv("event", "request"),
+                LogEvent.REQUEST.field(),
                 kv("request", record.requestId()),
                 kv("configuration", record.configurationVersion()),
                 kv("route", record.terms().route().name()),
@@ -72,7 +73,7 @@
     }
 
     void refusedEarly(int status, String detail) {
-        LOG.info("request refused before it was whole: {}", detail, kv("event", "malformed"), kv("status", status));
+        LOG.info("request refused before it was whole: {}", detail, LogEvent.MALFORMED.field(), kv("status", status));
     }
 
     void endpointDown(ServiceEndpoint endpoint, String cause) {
@@ -81,7 +82,7 @@
                 endpoint.id(),
                 endpoint.address(),
                 cause,
-                kv("event", "endpoint-down"));
+                LogEvent.ENDPOINT_DOWN.field());
     }
 
     void endpointBack(ServiceEndpoint endpoint) {
@@ -89,7 +90,7 @@
                 "endpoint {} at {} can be reached again",
                 endpoint.id(),
                 endpoint.address(),
-                kv("event", "endpoint-back"));
+                LogEvent.ENDPOINT_BACK.field());
     }
 
     void endpointFailing(ServiceEndpoint endpoint) {
@@ -97,7 +98,7 @@
                 "endpoint {} at {} fails too many requests and is left out",
                 endpoint.id(),
                 endpoint.address(),
-                kv("event", "endpoint-failing"));
+                LogEvent.ENDPOINT_FAILING.field());
     }
 
     private boolean admit(int most, long nowMillis) {
@@ -106,7 +107,7 @@
             second = now;
             lines = 0;
             if (leftOut > 0) {
-                LOG.info("{} log lines were left out", leftOut, kv("event", "log-suppressed"));
+                LOG.info("{} log lines were left out", leftOut, LogEvent.LOG_SUPPRESSED.field());
                 leftOut = 0;
             }
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -44,7 +43,6 @@
     /** Milliseconds between tidying: connections near their end, peers that fell silent. */
     private static final long TIDY_MILLIS = 500;
 
-    private static final int BACKLOG = 1_024;
     private static final int MAX_INITIAL_LINE = 8_192;
     private static final int MAX_CHUNK = 65_536;
 
@@ -99,18 +97,16 @@
     }
 
     /**
-     * Starts to listen.
+     * Starts to serve the callers of a socket.
      *
-     * @param address where
-     * @return the channel that listens, once it does
+     * @param socket the socket
+     * @return the channel that accepts them, once it does
      */
-    public CompletableFuture<Channel> listen(InetSocketAddress address) {
-        CompletableFuture<Channel> listening = new CompletableFuture<>();
+    public CompletableFuture<Channel> serve(CallerSocket socket) {
+        CompletableFuture<Channel> serving = new CompletableFuture<>();
         new ServerBootstrap()
                 .group(loop, loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -122,17 +118,17 @@
                                 .addLast(new CallerConnection(tools));
                     }
                 })
-                .bind(address)
-                .addListener((io.netty.channel.ChannelFuture bound) -> {
-                    if (bound.isSuccess()) {
-                        listening.complete(bound.channel());
+                .register()
+                .addListener((io.netty.channel.ChannelFuture registered) -> {
+                    if (registered.isSuccess()) {
+                        serving.complete(registered.channel());
                     } else {
-                        listening.completeExceptionally(bound.cause());
+                        serving.completeExceptionally(registered.cause());
                     }
                 });
         every(LOOK_MILLIS, tools.watch()::look);
         every(TIDY_MILLIS, this::tidy);
-        return listening;
+        return serving;
     }
 
     /**
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -48,11 +48,27 @@
     @Test
     void aPeersListCountsOnlyIfItIsNewer() {
         tracker.listed(5, List.of(endpoint("a")), 10_000);
-        assertThat(tracker.peerListed(5, List.of())).isFalse();
-        assertThat(tracker.peerListed(6, List.of(endpoint("a").asLeaving()))).isTrue();
+        assertThat(tracker.peerListed(5, List.of(), 10_500)).isFalse();
+        assertThat(tracker.peerListed(6, List.of(endpoint("a").asLeaving()), 10_500))
+                .isTrue();
         assertThat(tracker.directory().open("orders")).isEmpty();
     }
 
+    @Test
+    void aPeersWordThatNothingHasChangedMakesTheListYounger() {
+        tracker.listed(5, List.of(endpoint("a"), endpoint("b")), 10_000);
+        DirectoryTracker other = new DirectoryTracker();
+        other.listed(6, List.of(endpoint("b"), endpoint("a")), 10_700);
+        assertThat(other.hash()).isEqualTo(tracker.hash());
+
+        tracker.confirmed(other.revision(), 10_700);
+        assertThat(tracker.readAtMillis()).isEqualTo(10_700);
+        tracker.confirmed(4, 20_000);
+        assertThat(tracker.readAtMillis()).isEqualTo(10_700);
+        other.gone("a");
+        assertThat(other.hash()).isNotEqualTo(tracker.hash());
+    }
+
     @Test
     void anAddressThatAnotherStartHasTakenIsUsedNoMore() {
         tracker.listed(5, List.of(endpoint("a")), 10_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -17,6 +17,7 @@
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.traffic.CallerSocket;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.routing.traffic.TrafficServer;
@@ -43,8 +44,8 @@
                 gone -> {},
                 new SimpleMeterRegistry());
         server.retryAllowance(new RetryAllowance(1, 100, 10_000));
-        listening = server.listen(new InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 0))
-                .get(20, TimeUnit.SECONDS);
+        CallerSocket socket = CallerSocket.open(new InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 0));
+        listening = server.serve(socket).get(20, TimeUnit.SECONDS);
     }
 
     /** Lets it know endpoints, and the routes /once/, /again/, /stream/ and /resume/ with a timeout. */
