--- a/radishpass-cli/src/main/java/org/radishpass/cli/CliSettings.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/CliSettings.java
@@ -36,6 +36,9 @@
     @Option(name = "--server", metaVar = "URL", usage = "router or controller to ask, http://IP:PORT; may be repeated")
     private List<String> servers = new ArrayList<>();
 
+    @Option(name = "--logs", metaVar = "FILE", usage = "log of a router, for explain; may be repeated")
+    private List<Path> logs = new ArrayList<>();
+
     @Option(
             name = "--revision",
             metaVar = "N",
@@ -71,7 +74,10 @@
         files.stream()
                 .filter(file -> !Files.exists(file))
                 .forEach(file -> faults.add("--file " + file + " is not there"));
-        if (name.needsServers() && servers.isEmpty()) {
+        logs.stream()
+                .filter(file -> !Files.isReadable(file))
+                .forEach(file -> faults.add("--logs " + file + " cannot be read"));
+        if (name.needsServers() && servers.isEmpty() && logs.isEmpty()) {
             faults.add("--server is missing (or RADISHPASS_SERVER)");
         }
         servers.forEach(server -> SettingChecks.httpAddress("--server", server, faults));
@@ -106,6 +112,11 @@
         return files;
     }
 
+    /** Returns the logs to explain a request from. */
+    public List<Path> logs() {
+        return logs;
+    }
+
     /** Returns the platform's address. */
     public String platform() {
         return String.valueOf(platform);
--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/Commands.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/Commands.java
@@ -210,7 +210,10 @@
         return code;
     }
 
-    private ExitCode explain() {
+    private ExitCode explain() throws IOException {
+        if (!settings.logs().isEmpty()) {
+            return explainFromLogs();
+        }
         for (String server : settings.servers()) {
             Optional<JsonNode> account =
                     fetch(server + "/v1/explain/" + settings.words().get(0));
@@ -223,6 +226,24 @@
         return ExitCode.FAILED;
     }
 
+    private ExitCode explainFromLogs() throws IOException {
+        RequestHistory history = RequestHistory.read(settings.words().get(0), settings.logs());
+        if (history.unreadable() > 0) {
+            reporter.fault(history.unreadable() + " lines of the logs are no JSON and were left out");
+        }
+        if (history.empty()) {
+            reporter.fault(
+                    "no line of the logs names request " + settings.words().get(0));
+            return ExitCode.FAILED;
+        }
+        if (settings.json()) {
+            reporter.document(history.json(), true);
+        } else {
+            history.table().forEach(reporter::line);
+        }
+        return ExitCode.OK;
+    }
+
     private Optional<JsonNode> fetch(String address) {
         return runtime.client()
                 .get()
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -123,7 +123,7 @@
      * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
      */
     public void confirmed(long newRevision, long peerReadAtMillis) {
-        if (newRevision > revision) {
+        if (newRevision >= revision) {
             revision = newRevision;
             readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -168,12 +168,12 @@
             fetch(peer, CONFIGURATION);
         }
         peer.readAtMillis = clock.millis() - state.directoryAgeMillis();
-        if (state.directory() <= directory.revision()) {
+        if (state.directory() < directory.revision()) {
             return;
         }
         if (directory.known() && state.directoryHash() == directory.hash()) {
             directory.confirmed(state.directory(), peer.readAtMillis);
-        } else if (state.directoryAgeMillis() < STALE_LIST_MILLIS) {
+        } else if (state.directory() > directory.revision() && state.directoryAgeMillis() < STALE_LIST_MILLIS) {
             fetch(peer, ENDPOINTS);
         }
     }
--- a/radishpass-runtime/src/main/java/org/radishpass/runtime/log/JsonLogging.java
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/log/JsonLogging.java
@@ -23,6 +23,7 @@
  * <ul>
  *   <li>{@value #LEVEL} (system property or environment): the least level that is written; INFO unless set.
  *   <li>{@value #TARGET} (system property or environment): System.out or System.err; the latter unless set.
+ *   <li>{@value #VM} (system property or environment): the name of this VM; left out unless set.
  * </ul>
  *
  * @since 0.2.0
@@ -35,6 +36,12 @@
     /** Names the setting of where lines go. */
     public static final String TARGET = "RADISHPASS_LOG_TARGET";
 
+    /** Names the setting of the VM's name, which each line then has as {@code vm}. */
+    public static final String VM = "RADISHPASS_LOG_VM";
+
+    /** What needs no escape in JSON. */
+    private static final String PLAIN_NAME = "[A-Za-z0-9._-]+";
+
     /** Lines that may wait to be written: some seconds of the most that a router writes; under 2 MB. */
     private static final int QUEUE = 1_024;
 
@@ -42,6 +49,10 @@
     public ExecutionStatus configure(LoggerContext loggerContext) {
         LogstashEncoder encoder = new LogstashEncoder();
         encoder.setContext(loggerContext);
+        String vm = setting(VM, "");
+        if (vm.matches(PLAIN_NAME)) {
+            encoder.setCustomFields("{\"vm\":\"" + vm + "\"}");
+        }
         encoder.setFindAndRegisterJacksonModules(false);
         encoder.start();
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
