--- a/radishpass-cli/src/main/java/org/radishpass/cli/CliSettings.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/CliSettings.java
@@ -71,24 +71,32 @@
         if (name.needsFiles() && files.isEmpty()) {
             faults.add("--file is missing; write the file or directory of records");
         }
+        checkFiles(faults);
+        checkServers(name, faults);
+        if (words.size() < name.leastWords()) {
+            faults.add(name.wireName() + " needs " + name.wordsUsage());
+        }
+        if (SchemaVersion.byWireName(apiVersion).isEmpty()) {
+            faults.add("--api-version is '" + apiVersion + "'; write radishpass/v1 or radishpass/v2");
+        }
+        checkRevision(faults);
+        return faults;
+    }
+
+    private void checkFiles(List<String> faults) {
         files.stream()
                 .filter(file -> !Files.exists(file))
                 .forEach(file -> faults.add("--file " + file + " is not there"));
         logs.stream()
                 .filter(file -> !Files.isReadable(file))
                 .forEach(file -> faults.add("--logs " + file + " cannot be read"));
+    }
+
+    private void checkServers(CommandName name, List<String> faults) {
         if (name.needsServers() && servers.isEmpty() && logs.isEmpty()) {
             faults.add("--server is missing (or RADISHPASS_SERVER)");
         }
         servers.forEach(server -> SettingChecks.httpAddress("--server", server, faults));
-        if (words.size() < name.leastWords()) {
-            faults.add(name.wireName() + " needs " + name.wordsUsage());
-        }
-        if (SchemaVersion.byWireName(apiVersion).isEmpty()) {
-            faults.add("--api-version is '" + apiVersion + "'; write radishpass/v1 or radishpass/v2");
-        }
-        checkRevision(faults);
-        return faults;
     }
 
     private void checkRevision(List<String> faults) {
