--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -114,14 +114,14 @@
     @Override
     public Mono<PeerMessage> handle(String from, PeerMessage message) {
         if (message instanceof PeerMessage.RoutingState state) {
-            traffic.peerTold(from, work(state));
+            traffic.peerTold(from, PeerStates.work(state));
             return later(() -> told(from, state));
         }
         if (message instanceof PeerMessage.Hello hello) {
             return later(() -> greeted(hello.vmId()));
         }
         if (message instanceof PeerMessage.RouterList list) {
-            return later(() -> learn(addresses(list.addresses())));
+            return later(() -> learn(PeerStates.addresses(list.addresses())));
         }
         if (message instanceof PeerMessage.DocumentWanted wanted) {
             return thread.call(() -> document(wanted.name()));
@@ -144,7 +144,7 @@
     }
 
     private void greeted(String peerId) {
-        learn(addresses(List.of(peerId)));
+        learn(PeerStates.addresses(List.of(peerId)));
         Peer peer = peers.get(peerId);
         if (peer != null) {
             peer.heardAtMillis = clock.millis();
@@ -157,7 +157,7 @@
     private void told(String from, PeerMessage.RoutingState state) {
         Peer peer = peers.get(from);
         if (peer == null) {
-            learn(addresses(List.of(from)));
+            learn(PeerStates.addresses(List.of(from)));
             peer = peers.get(from);
         }
         if (peer == null) {
@@ -252,7 +252,7 @@
         PeerMessage state = new PeerMessage.RoutingState(
                 configuration.version(),
                 directory.revision(),
-                entries,
+                PeerStates.entries(work),
                 directory.hash(),
                 nowMillis - directory.readAtMillis());
         boolean forgotten = peers.values().removeIf(peer -> nowMillis - peer.heardAtMillis > FORGET_MILLIS);
@@ -270,26 +270,6 @@
         }
     }
 
-    private static Map<String, InFlight> work(PeerMessage.RoutingState state) {
-        Map<String, InFlight> work = new HashMap<>();
-        state.work().forEach(entry -> work.put(entry.endpointId(), new InFlight(entry.requests(), entry.tokens())));
-        return work;
-    }
-
-    private static List<Address> addresses(List<String> texts) {
-        List<Address> addresses = new ArrayList<>();
-        for (String text : texts) {
-            int colon = text.lastIndexOf(':');
-            try {
-                addresses.add(new Address(
-                        text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
-            } catch (IllegalArgumentException e) {
-                LOG.warn("{} is not the address of a router: {}", text, e.getMessage());
-            }
-        }
-        return addresses;
-    }
-
     /** Hears of what peers brought; called on the control thread. */
     interface Listener {
         /** A peer offers a configuration. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
@@ -16,9 +15,7 @@
 import org.radishpass.routing.config.Route;
 import org.radishpass.routing.config.RoutingConfiguration;
 import org.radishpass.routing.config.Workspace;
-import org.radishpass.routing.dialect.AnswerHead;
 import org.radishpass.routing.dialect.MalformedHeadException;
-import org.radishpass.routing.dialect.PromptShape;
 import org.radishpass.routing.dialect.RequestHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
@@ -30,7 +27,7 @@
  * <p>It is at one endpoint at a time. What may be said of it in the end is kept as a {@link Verdict}: a refusal that
  * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
  */
-final class Exchange {
+final class Exchange implements Attempt.Owner {
     /**
      * Milliseconds within which an endpoint must have been heard of to be given a request that has failed elsewhere: what
      * broke the first may have cut off others too. Engines at work send events at least that often.
@@ -131,9 +128,9 @@
             return;
         }
         record.chosen(choice.get(), tools.view(), tools.nowMillis());
-        Attempt next = new Attempt(choice.get());
+        Attempt next = new Attempt(tools, this, caller, relay(), record, choice.get(), terms.tokens());
         attempt = next;
-        EndpointPool pool = tools.connections().pool(next.endpoint);
+        EndpointPool pool = tools.connections().pool(next.endpoint());
         if (sends > 0) {
             pool.open(next);
         } else {
@@ -141,27 +138,6 @@
         }
     }
 
-    private void send(Attempt current, EndpointConnection connection) {
-        long left = terms.leftMillis(tools.nowMillis());
-        if (left <= 0) {
-            expired();
-            return;
-        }
-        sends++;
-        sentAtMillis = tools.nowMillis();
-        verdict = Verdict.MAY_HAVE_RUN;
-        record.sent(tools.nowMillis());
-        Optional<String> resumeAfter = relay().lastEventId();
-        connection.send(
-                OnwardRequest.of(
-                        request,
-                        body,
-                        tools.dialect(),
-                        terms.forwarding(current.endpoint, left, resumeAfter, current.cacheHolder)),
-                terms.requestId(),
-                current);
-    }
-
     private AnswerRelay relay() {
         AnswerRelay current = relay;
         if (current == null) {
@@ -170,20 +146,6 @@
         return current;
     }
 
-    /** The endpoint has proved that it did not run the request. */
-    private void refusedByEndpoint(Attempt failed, AnswerHead head) {
-        verdict = relay().started() ? Verdict.RAN : Verdict.NOT_RUN;
-        record.attemptEnded("not run, status " + head.status());
-        if (head.status() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-            tools.reportGone(failed.endpoint);
-        }
-        if (mayRetry()) {
-            attempt();
-        } else {
-            giveUp(RefusalCode.OVERLOADED, "the endpoint did not take the request");
-        }
-    }
-
     /** The answer broke off, or was an error that another endpoint may do better. */
     private void failedAtEndpoint(String cause) {
         record.attemptEnded(cause);
@@ -229,13 +191,9 @@
         if (ended) {
             return;
         }
-        boolean atWork = attempt != null && attempt.atWork();
         stopAttempt();
-        if (verdict == Verdict.NOT_RUN && !atWork) {
-            giveUp(RefusalCode.OVERLOADED, "the time for an answer is over");
-        } else {
-            giveUp(RefusalCode.DEADLINE, "the time for an answer is over");
-        }
+        RefusalCode code = verdict == Verdict.NOT_RUN ? RefusalCode.OVERLOADED : RefusalCode.DEADLINE;
+        giveUp(code, "the time for an answer is over");
     }
 
     /** The caller has closed its connection: what runs for it is stopped. */
@@ -250,14 +208,14 @@
 
     /** The caller reads again, or has stopped reading. */
     void callerWritable(boolean writable) {
-        if (attempt != null && attempt.connection != null) {
-            attempt.connection.reading(writable);
+        if (attempt != null) {
+            attempt.reading(writable);
         }
     }
 
     /** Tells whether bytes of its endpoint are waited for. */
     boolean waitsFor(String endpointId) {
-        return attempt != null && attempt.endpoint.id().equals(endpointId) && attempt.atWork();
+        return attempt != null && attempt.endpoint().id().equals(endpointId) && attempt.atWork();
     }
 
     /** Tells whether its endpoint has been waited for so long. */
@@ -278,6 +236,7 @@
         Attempt current = attempt;
         attempt = null;
         if (current != null) {
+            triedEndpoints.add(current.endpoint().id());
             current.stop();
         }
     }
@@ -296,164 +255,87 @@
         tools.log().finished(record, tools.nowMillis());
     }
 
-    /** One try at one endpoint. */
-    private final class Attempt implements AnswerListener, ConnectionTaker {
-        private final ServiceEndpoint endpoint;
-        private final @Nullable ServiceEndpoint cacheHolder;
-        private final long tokens;
-        private @Nullable EndpointConnection connection;
-        private boolean refused;
-        private int status;
-        private boolean over;
-
-        private Attempt(PlacementChoice choice) {
-            this.endpoint = choice.endpoint();
-            this.cacheHolder = choice.cacheHolder();
-            this.tokens = terms.prompt().map(Attempt::tokensOf).orElse(0L);
-            tools.book().started(endpoint.id(), tokens);
-        }
-
-        private static long tokensOf(PromptShape prompt) {
-            return (long) prompt.promptTokens() + prompt.maxOutputTokens();
-        }
-
-        private boolean atWork() {
-            return connection != null && !over;
+    @Override
+    public void connected(Attempt current, EndpointConnection connection) {
+        long left = terms.leftMillis(tools.nowMillis());
+        if (left <= 0) {
+            expired();
+            return;
         }
+        sends++;
+        sentAtMillis = tools.nowMillis();
+        verdict = Verdict.MAY_HAVE_RUN;
+        record.sent(tools.nowMillis());
+        connection.send(
+                OnwardRequest.of(
+                        request,
+                        body,
+                        tools.dialect(),
+                        terms.forwarding(current.endpoint(), left, relay().lastEventId(), current.cacheHolder())),
+                terms.requestId(),
+                current);
+    }
 
-        @Override
-        public void connected(EndpointConnection made) {
-            tools.health().of(endpoint.id(), tools.nowMillis()).connected(tools.nowMillis());
-            if (over) {
-                made.release();
-                return;
-            }
-            connection = made;
-            send(this, made);
-        }
+    @Override
+    public void unreachable(Attempt failed) {
+        attempt = null;
+        triedEndpoints.add(failed.endpoint().id());
+        attempt();
+    }
 
-        @Override
-        public void unreachable(String cause) {
-            if (tools.health().of(endpoint.id(), tools.nowMillis()).unreachable(tools.nowMillis())) {
-                tools.log().endpointDown(endpoint, cause);
-                tools.watch().doubtOthers(endpoint);
-            }
-            if (over) {
-                return;
-            }
-            finish();
-            record.attemptEnded("unreachable: " + cause);
-            triedEndpoints.add(endpoint.id());
+    @Override
+    public boolean takesError(Attempt failed, int status) {
+        if (terms.kind().mayRunAgain() && mayRetry()) {
+            attempt = null;
+            failed.stop();
+            triedEndpoints.add(failed.endpoint().id());
+            record.attemptEnded("status " + status);
             attempt();
+            return true;
         }
-
-        @Override
-        public void head(HttpResponse response, AnswerHead head) {
-            status = head.status();
-            record.headCame(tools.nowMillis(), status);
-            refused = head.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-            if (refused) {
-                return;
-            }
-            if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-                noteFailure();
-                if (terms.kind().mayRunAgain() && mayRetry()) {
-                    finish();
-                    closeConnection();
-                    triedEndpoints.add(endpoint.id());
-                    record.attemptEnded("status " + status);
-                    attempt();
-                    return;
-                }
-                if (relay().started()) {
-                    finish();
-                    closeConnection();
-                    giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint could not go on with the answer");
-                    return;
-                }
-            } else {
-                tools.health().of(endpoint.id(), tools.nowMillis()).succeeded();
-            }
-            relay().head(response);
-        }
-
-        @Override
-        public void content(ByteBuf part) {
-            if (refused) {
-                part.release();
-                return;
-            }
-            relay().content(part);
-            if (connection != null && !caller.writable()) {
-                connection.reading(false);
-            }
-        }
-
-        @Override
-        public void pause() {
-            relay().flush();
-        }
-
-        @Override
-        public void completed() {
-            finish();
-            triedEndpoints.add(endpoint.id());
-            if (refused) {
-                refusedByEndpoint(
-                        this, new AnswerHead(status, true, null, null, java.util.OptionalLong.empty(), false));
-                return;
-            }
-            record.finished(Verdict.RAN, status, "answered");
-            if (relay().complete()) {
-                end();
-            } else {
-                failedAtEndpoint("the stream ended in the middle of an event");
-            }
-        }
-
-        @Override
-        public void broken(String cause) {
-            finish();
-            if (answered() || connection == null || !connection.usedBefore()) {
-                triedEndpoints.add(endpoint.id());
-                noteFailure();
-            }
-            tools.health().of(endpoint.id(), tools.nowMillis()).broke(tools.nowMillis());
-            failedAtEndpoint(cause);
-        }
-
-        private boolean answered() {
-            return status > 0;
+        if (relay().started()) {
+            attempt = null;
+            failed.stop();
+            giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint could not go on with the answer");
+            return true;
         }
+        return false;
+    }
 
-        private void noteFailure() {
-            if (tools.health().of(endpoint.id(), tools.nowMillis()).failed(tools.nowMillis())) {
-                tools.log().endpointFailing(endpoint);
-            }
+    @Override
+    public void notRun(Attempt refused, int status) {
+        attempt = null;
+        triedEndpoints.add(refused.endpoint().id());
+        verdict = relay().started() ? Verdict.RAN : Verdict.NOT_RUN;
+        record.attemptEnded("not run, status " + status);
+        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            tools.reportGone(refused.endpoint());
         }
-
-        private void stop() {
-            finish();
-            triedEndpoints.add(endpoint.id());
-            closeConnection();
+        if (mayRetry()) {
+            attempt();
+        } else {
+            giveUp(RefusalCode.OVERLOADED, "the endpoint did not take the request");
         }
+    }
 
-        private void closeConnection() {
-            EndpointConnection used = connection;
-            connection = null;
-            if (used != null) {
-                used.close();
-            }
+    @Override
+    public void answered(Attempt whole, int status) {
+        attempt = null;
+        triedEndpoints.add(whole.endpoint().id());
+        record.finished(Verdict.RAN, status, "answered");
+        if (relay().complete()) {
+            end();
+        } else {
+            failedAtEndpoint("the stream ended in the middle of an event");
         }
+    }
 
-        private void finish() {
-            if (!over) {
-                over = true;
-                tools.book().ended(endpoint.id(), tokens);
-            }
-            if (attempt == this) {
-                attempt = null;
-            }
+    @Override
+    public void broken(Attempt failed, String cause) {
+        attempt = null;
+        if (!failed.keptConnectionWasClosed()) {
+            triedEndpoints.add(failed.endpoint().id());
         }
+        failedAtEndpoint(cause);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
@@ -78,6 +78,12 @@
         return route.promptAffinity() ? Optional.ofNullable(promptShape) : Optional.empty();
     }
 
+    /** Returns the tokens that it needs of an engine's memory at most. */
+    long tokens() {
+        return prompt().map(prompt -> (long) prompt.promptTokens() + prompt.maxOutputTokens())
+                .orElse(0L);
+    }
+
     Optional<Workspace> workspace() {
         return Optional.ofNullable(workspaceSpec);
     }
