--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -256,11 +256,17 @@
      * @param work all of its work in flight, by endpoint
      * @param directoryHash the hash of the endpoint list
      * @param directoryAgeMillis how long ago the store was read for that list, in milliseconds
+     * @param failing the endpoints that it has seen to fail too many requests
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record RoutingState(
-            long configuration, long directory, List<EndpointWork> work, long directoryHash, long directoryAgeMillis)
+            long configuration,
+            long directory,
+            List<EndpointWork> work,
+            long directoryHash,
+            long directoryAgeMillis,
+            List<String> failing)
             implements PeerMessage {}
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -114,7 +114,7 @@
     @Override
     public Mono<PeerMessage> handle(String from, PeerMessage message) {
         if (message instanceof PeerMessage.RoutingState state) {
-            traffic.peerTold(from, PeerStates.work(state));
+            traffic.peerTold(from, PeerStates.work(state), state.failing());
             return later(() -> told(from, state));
         }
         if (message instanceof PeerMessage.Hello hello) {
@@ -241,10 +241,10 @@
 
     private void tell() {
         boolean always = ++quietTicks >= QUIET_TICKS;
-        traffic.ownWork(always, work -> thread.run(() -> tellAll(work)));
+        traffic.ownWork(always, (work, failing) -> thread.run(() -> tellAll(work, failing)));
     }
 
-    private void tellAll(Map<String, InFlight> work) {
+    private void tellAll(Map<String, InFlight> work, List<String> failing) {
         quietTicks = 0;
         List<PeerMessage.EndpointWork> entries = new ArrayList<>(work.size());
         work.forEach((id, amount) -> entries.add(new PeerMessage.EndpointWork(id, amount.requests(), amount.tokens())));
@@ -254,7 +254,8 @@
                 directory.revision(),
                 PeerStates.entries(work),
                 directory.hash(),
-                nowMillis - directory.readAtMillis());
+                nowMillis - directory.readAtMillis(),
+                failing);
         boolean forgotten = peers.values().removeIf(peer -> nowMillis - peer.heardAtMillis > FORGET_MILLIS);
         for (Peer peer : peers.values()) {
             if (nowMillis - peer.heardAtMillis <= SILENT_MILLIS) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -25,14 +25,15 @@
     /** Milliseconds for which a failing endpoint is left out. */
     private static final long EJECTION_MILLIS = 2_500;
 
-    /** The error rate with which it is tried again: two more errors eject it at once. */
-    private static final double RATE_ON_TRIAL = 0.25;
+    /** The error rate with which it is tried again: one more error ejects it at once. */
+    private static final double RATE_ON_TRIAL = 0.3;
 
     /** Milliseconds by which the last sign of life is set back when a connection breaks: beyond any use of it. */
     private static final long FORGOTTEN_MILLIS = 10_000;
 
     private double errorRate;
     private long failingUntilMillis = Long.MIN_VALUE;
+    private long saidToFailUntilMillis = Long.MIN_VALUE;
     private boolean down;
     private boolean probing;
     private boolean doubted;
@@ -111,7 +112,7 @@
      */
     public boolean failed(long nowMillis) {
         errorRate += NEWEST * (1 - errorRate);
-        if (errorRate < FAILING_RATE || failing(nowMillis)) {
+        if (errorRate < FAILING_RATE || seenFailing(nowMillis)) {
             return false;
         }
         failingUntilMillis = nowMillis + EJECTION_MILLIS;
@@ -119,6 +120,20 @@
         return true;
     }
 
+    /**
+     * Takes a peer's word that too many of its answers are errors.
+     *
+     * @param untilMillis until when to leave it out, on the monotonic clock in milliseconds
+     */
+    public void saidToFail(long untilMillis) {
+        saidToFailUntilMillis = Math.max(saidToFailUntilMillis, untilMillis);
+    }
+
+    /** Tells whether this router itself has seen too many errors. */
+    public boolean seenFailing(long nowMillis) {
+        return nowMillis < failingUntilMillis;
+    }
+
     /** Tells whether connections to it fail. */
     public boolean down() {
         return down;
@@ -126,7 +141,7 @@
 
     /** Tells whether too many of its answers were errors. */
     public boolean failing(long nowMillis) {
-        return nowMillis < failingUntilMillis;
+        return seenFailing(nowMillis) || nowMillis < saidToFailUntilMillis;
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/HealthBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/HealthBook.java
@@ -16,6 +16,12 @@
     /** The part of a service's endpoints that may be left out for errors; beyond it, the errors are not theirs. */
     private static final double MOST_EJECTED = 0.4;
 
+    /**
+     * Milliseconds for which a peer's word that an endpoint fails is taken: a few of its messages. Each router sees only a
+     * part of an endpoint's answers; what one has found out spares the others the same errors.
+     */
+    private static final long WORD_MILLIS = 1_000;
+
     private final Map<String, EndpointHealth> byEndpoint = new HashMap<>();
 
     /**
@@ -58,6 +64,24 @@
         return sure.isEmpty() ? reachable : sure;
     }
 
+    /** Returns the endpoints that this router itself has seen to fail too often. */
+    public List<String> seenFailing(long nowMillis) {
+        return byEndpoint.entrySet().stream()
+                .filter(entry -> entry.getValue().seenFailing(nowMillis))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /**
+     * Takes a peer's word on endpoints that fail too often.
+     *
+     * @param endpointIds the endpoints
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public void saidToFail(List<String> endpointIds, long nowMillis) {
+        endpointIds.forEach(id -> of(id, nowMillis).saidToFail(nowMillis + WORD_MILLIS));
+    }
+
     /**
      * Returns the endpoints to which connections do not fail.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -11,9 +11,11 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.radishpass.core.fleet.DataCentre;
@@ -145,22 +147,27 @@
      *
      * @param peerId the peer
      * @param work all its work by endpoint
+     * @param failing the endpoints that it has seen to fail too often
      */
-    public void peerTold(String peerId, Map<String, InFlight> work) {
-        loop.execute(() -> book.peerTold(peerId, true, work, clock.millis()));
+    public void peerTold(String peerId, Map<String, InFlight> work, List<String> failing) {
+        loop.execute(() -> {
+            book.peerTold(peerId, true, work, clock.millis());
+            health.saidToFail(failing, clock.millis());
+        });
     }
 
     /**
-     * Gives this router's own work when it has changed since the last call, from the traffic thread.
+     * Gives this router's own work and the endpoints that it has seen to fail, when its work has changed since the last
+     * call.
      *
      * @param always whether it is wanted even if nothing has changed
-     * @param taker takes the work; called on the traffic thread
+     * @param taker takes them; called on the traffic thread
      */
-    public void ownWork(boolean always, Consumer<Map<String, InFlight>> taker) {
+    public void ownWork(boolean always, BiConsumer<Map<String, InFlight>, List<String>> taker) {
         loop.execute(() -> {
             boolean changed = !book.takeChanges().isEmpty();
             if (changed || always) {
-                taker.accept(book.ownWork());
+                taker.accept(book.ownWork(), health.seenFailing(clock.millis()));
             }
         });
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/health/HealthBookTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/health/HealthBookTest.java
@@ -51,6 +51,16 @@
         assertThat(book.usable(open, 2_600)).hasSize(5);
     }
 
+    @Test
+    void aPeersWordLeavesAnEndpointOutAndIsNotPassedOn() {
+        book.saidToFail(List.of("e0"), 0);
+        assertThat(book.usable(open, 999)).hasSize(4);
+        assertThat(book.usable(open, 1_000)).hasSize(5);
+        assertThat(book.seenFailing(0)).isEmpty();
+        fail("e1", 4);
+        assertThat(book.seenFailing(100)).containsExactly("e1");
+    }
+
     @Test
     void anEndpointThatFailsOneRequestInSevenStaysIn() {
         EndpointHealth health = book.of("e0", 0);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
@@ -9,6 +9,7 @@
 import static org.radishpass.routing.testing.Answers.whole;
 import static org.radishpass.routing.testing.Answers.write;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -316,6 +317,9 @@
             endpoint.next();
             bed.server().stopping();
             bed.server().refuseNew();
+            CompletableFuture<Integer> active = new CompletableFuture<>();
+            bed.server().active(active::complete);
+            assertThat(active.get(20, TimeUnit.SECONDS)).isEqualTo(1);
             go.countDown();
             String answer = caller.readAll();
             assertThat(answer).startsWith("HTTP/1.1 200");
