--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -45,6 +45,7 @@
     private @Nullable Attempt attempt;
     private @Nullable Future<?> timer;
     private Verdict verdict = Verdict.NOT_RUN;
+    private Verdict verdictBeforeAttempt = Verdict.NOT_RUN;
     private int sends;
     private long sentAtMillis;
     private boolean ended;
@@ -264,7 +265,8 @@
         }
         sends++;
         sentAtMillis = tools.nowMillis();
-        verdict = Verdict.MAY_HAVE_RUN;
+        verdictBeforeAttempt = verdict;
+        verdict = verdict.and(Verdict.MAY_HAVE_RUN);
         record.sent(tools.nowMillis());
         connection.send(
                 OnwardRequest.of(
@@ -306,7 +308,7 @@
     public void notRun(Attempt refused, int status) {
         attempt = null;
         triedEndpoints.add(refused.endpoint().id());
-        verdict = relay().started() ? Verdict.RAN : Verdict.NOT_RUN;
+        verdict = verdictBeforeAttempt;
         record.attemptEnded("not run, status " + status);
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             tools.reportGone(refused.endpoint());
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
@@ -60,7 +60,7 @@
     }
 
     @Test
-    void arouterThatKnowsNothingSaysThatTheRequestHasNotRun() throws Exception {
+    void aRouterThatKnowsNothingSaysThatTheRequestHasNotRun() throws Exception {
         try (TestCaller caller = bed.caller()) {
             String answer = caller.request("POST", "/once/", "7", "x").readUntil("\r\n\r\n");
             assertThat(answer).startsWith("HTTP/1.1 503");
@@ -100,6 +100,18 @@
         }
     }
 
+    @Test
+    void aRefusalAfterAnAttemptThatMayHaveRunPromisesNothing() throws Exception {
+        try (FakeEndpoint resetting = new FakeEndpoint("a", (request, out) -> request.reset());
+                FakeEndpoint full = new FakeEndpoint("b", (request, out) -> write(out, notRun(request)));
+                TestCaller caller = bed.knows(LONG, resetting, full).caller()) {
+            for (int request = 0; request < 8; request++) {
+                assertThat(caller.request("GET", "/again/", "r" + request, "").readUntil("}"))
+                        .startsWith("HTTP/1.1 502");
+            }
+        }
+    }
+
     @Test
     void anEndpointThatRefusesConnectionsIsPassedOver() throws Exception {
         FakeEndpoint gone = new FakeEndpoint("a", (request, out) -> write(out, whole(request, 200, "ok")));
