--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
@@ -0,0 +1,143 @@
+package org.radishpass.routing.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.Answers.whole;
+import static org.radishpass.routing.testing.Answers.write;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.config.TrafficSplit;
+import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.testing.FakeEndpoint;
+import org.radishpass.routing.testing.FakeStore;
+import org.radishpass.routing.testing.PlainDialect;
+import org.radishpass.routing.testing.TestCaller;
+import org.radishpass.routing.traffic.CallerSocket;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Checks routers that share a store over loopback, and lose it. A configuration here is a text {@code VERSION:PREFIX}: it has
+ * one route for the prefix.
+ */
+final class RoutedRouterTest {
+    private static final String SERVICE = "service";
+    private static final int MOST_TRIES = 20_000;
+
+    private final FakeStore store = new FakeStore();
+    private final LoopResources loops = LoopResources.create("test", 2, 2, true, false);
+
+    @AfterEach
+    void close() {
+        loops.dispose();
+    }
+
+    @Test
+    void aRouterServesWhatTheStorePublishes() throws Exception {
+        try (FakeEndpoint endpoint = answering("first")) {
+            store.publish("1:/a/");
+            store.list(endpoint.endpoint(SERVICE));
+            int router = start(store.link(), List.of()).port();
+            awaitStatus(router, "/a/", 200);
+            store.publish("2:/b/");
+            awaitStatus(router, "/b/", 200);
+            awaitStatus(router, "/a/", 404);
+        }
+    }
+
+    @Test
+    void aRouterThatKnowsNothingSaysSoAfterAWhile() throws Exception {
+        int router = start(store.link().cut(true), List.of()).port();
+        awaitStatus(router, "/a/", 503);
+    }
+
+    @Test
+    void aRouterCutOffFromTheStoreTakesConfigurationAndEndpointsFromAPeer() throws Exception {
+        try (FakeEndpoint endpoint = answering("first");
+                FakeEndpoint next = answering("next")) {
+            store.publish("1:/a/");
+            store.list(endpoint.endpoint(SERVICE));
+            Started reader = start(store.link(), List.of());
+            int cutOff = start(store.link().cut(true), List.of(reader.peers())).port();
+            awaitStatus(cutOff, "/a/", 200);
+
+            endpoint.close();
+            store.list(next.endpoint(SERVICE));
+            store.publish("2:/b/");
+            awaitStatus(cutOff, "/b/", 200);
+        }
+    }
+
+    @Test
+    void anOlderConfigurationNeverComesBack() throws Exception {
+        try (FakeEndpoint endpoint = answering("first")) {
+            store.publish("5:/new/");
+            store.list(endpoint.endpoint(SERVICE));
+            Started first = start(store.link(), List.of());
+            awaitStatus(first.port(), "/new/", 200);
+            store.publish("4:/old/");
+            Started second = start(store.link(), List.of(first.peers()));
+            awaitStatus(second.port(), "/new/", 200);
+            awaitStatus(first.port(), "/old/", 404);
+            awaitStatus(first.port(), "/new/", 200);
+        }
+    }
+
+    private static FakeEndpoint answering(String id) throws IOException {
+        return new FakeEndpoint(id, (request, out) -> write(out, whole(request, 200, "ok")));
+    }
+
+    private Started start(ControlSource source, List<Address> seeds) throws IOException {
+        Address peers = new Address("127.0.0.1", freePort());
+        CallerSocket callers = CallerSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        RoutedRouter.builder(loops, source, RoutedRouterTest::decode, new PlainDialect())
+                .peerAddress(peers)
+                .home(new DataCentre("here"))
+                .build()
+                .start(callers, RetryAllowance.DEFAULT, seeds);
+        return new Started(callers.port(), peers);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static void awaitStatus(int port, String path, int status) throws IOException {
+        String answer = "";
+        try (TestCaller caller = new TestCaller(port)) {
+            for (int attempt = 0; attempt < MOST_TRIES; attempt++) {
+                answer = caller.request("GET", path, "r" + attempt, "").readUntil("\r\n\r\n");
+                caller.readBody(answer);
+                if (answer.startsWith("HTTP/1.1 " + status)) {
+                    return;
+                }
+            }
+        }
+        assertThat(answer).startsWith("HTTP/1.1 " + status);
+    }
+
+    private static RoutingConfiguration decode(byte[] content) {
+        String text = new String(content, StandardCharsets.UTF_8);
+        int colon = text.indexOf(':');
+        return RoutingConfiguration.builder(Long.parseLong(text.substring(0, colon)))
+                .route(Route.builder("route")
+                        .match("api", text.substring(colon + 1))
+                        .split(TrafficSplit.all(SERVICE))
+                        .build())
+                .build();
+    }
+
+    /** A router that has been started. */
+    private record Started(int port, Address peers) {}
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -0,0 +1,99 @@
+package org.radishpass.routing.testing;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.routing.control.ConfigurationReading;
+import org.radishpass.routing.control.ControlSource;
+import org.radishpass.routing.control.DirectoryReading;
+import org.radishpass.routing.control.RegistryReading;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import reactor.core.publisher.Mono;
+
+/** A store in memory that several routers share; each reaches it by a link of its own, which a test can cut. */
+public final class FakeStore {
+    private static final Duration PAUSE = Duration.ofMillis(20);
+
+    private final Set<Address> routers = ConcurrentHashMap.newKeySet();
+    private volatile List<ServiceEndpoint> endpoints = List.of();
+    private volatile String document = "";
+    private final AtomicLong revision = new AtomicLong(1);
+
+    /** Publishes a configuration. */
+    public void publish(String newDocument) {
+        document = newDocument;
+        revision.incrementAndGet();
+    }
+
+    /** Lists endpoints. */
+    public void list(ServiceEndpoint... newEndpoints) {
+        endpoints = List.of(newEndpoints);
+        revision.incrementAndGet();
+    }
+
+    /** Opens a router's link to the store. */
+    public Link link() {
+        return new Link();
+    }
+
+    /** One router's way to the store. */
+    public final class Link implements ControlSource {
+        private volatile boolean cut;
+
+        private Link() {}
+
+        /** Cuts the link, or mends it. */
+        public Link cut(boolean newCut) {
+            cut = newCut;
+            return this;
+        }
+
+        @Override
+        public Mono<ConfigurationReading> configuration() {
+            return Mono.fromSupplier(this::reading);
+        }
+
+        @Override
+        public Mono<ConfigurationReading> configurationAfter(long after, Duration wait) {
+            return Mono.delay(PAUSE)
+                    .map(tick ->
+                            revision.get() > after ? reading() : new ConfigurationReading.Unchanged(revision.get()));
+        }
+
+        @Override
+        public Mono<DirectoryReading> directory() {
+            return Mono.fromSupplier(() -> cut
+                    ? new DirectoryReading.Unavailable("cut")
+                    : new DirectoryReading.Listed(revision.get(), endpoints));
+        }
+
+        @Override
+        public Mono<RegistryReading> register(Address self) {
+            return Mono.fromSupplier(() -> {
+                if (cut) {
+                    return new RegistryReading.Unavailable("cut");
+                }
+                routers.add(self);
+                return new RegistryReading.Registered(List.copyOf(routers), revision.get());
+            });
+        }
+
+        @Override
+        public Mono<Boolean> deregister(Address self, long ofRevision) {
+            return Mono.fromSupplier(() -> routers.remove(self));
+        }
+
+        private ConfigurationReading reading() {
+            if (cut) {
+                return new ConfigurationReading.Unavailable("cut");
+            }
+            return document.isEmpty()
+                    ? new ConfigurationReading.Unchanged(revision.get())
+                    : new ConfigurationReading.Published(revision.get(), document.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TestCaller.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TestCaller.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** A caller's connection, by bytes. */
 public final class TestCaller implements AutoCloseable {
@@ -45,6 +46,18 @@
         return text.toString();
     }
 
+    /** Reads the body that a head announces by its length. */
+    public String readBody(String head) throws IOException {
+        for (String line : head.split("\r\n", -1)) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                int length =
+                        Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+                return new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
+            }
+        }
+        return "";
+    }
+
     /** Reads until the connection ends. */
     public String readAll() throws IOException {
         StringBuilder text = new StringBuilder();
