--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -143,6 +143,10 @@
             skipping = true;
             return;
         }
+        if (head.unprovenSuccess()) {
+            fail("a success without the endpoint's signature");
+            return;
+        }
         headSeen = true;
         skipping = false;
         closing = head.closing();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -28,6 +28,9 @@
     /** Holds the event after which an answer is to go on. */
     public static final String AFTER = "X-After";
 
+    /** Marks an answer whose signature was lost. */
+    public static final String UNSIGNED = "X-Unsigned";
+
     /** Names the workspace. */
     public static final String WORKSPACE = "X-Workspace";
 
@@ -64,6 +67,7 @@
                 response.headers().get(ID),
                 null,
                 OptionalLong.empty(),
+                !response.headers().contains(UNSIGNED),
                 response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true));
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/TrafficFailureTest.java
@@ -178,6 +178,19 @@
         }
     }
 
+    @Test
+    void aSuccessWithoutTheEndpointsSignatureIsNotPassedOn() throws Exception {
+        try (FakeEndpoint endpoint = new FakeEndpoint(
+                        "a",
+                        (request, out) -> write(
+                                out,
+                                whole(request, 200, "").replace("Content-Length", "X-Unsigned: 1\r\nContent-Length")));
+                TestCaller caller = bed.knows(LONG, endpoint).caller()) {
+            assertThat(caller.request("POST", "/stream/", "7", "x").readUntil("}"))
+                    .startsWith("HTTP/1.1 502");
+        }
+    }
+
     @Test
     void anAnswerThatIsCutNeverLooksComplete() throws Exception {
         String longBody = "x".repeat(100_000);
