--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Optional;
 import org.radishpass.core.admission.PriorityClass;
 import org.radishpass.core.fleet.EndpointState;
 import org.radishpass.core.load.SlotAnswer;
@@ -35,18 +36,44 @@
     @JsonSubTypes.Type(value = PeerMessage.TicketRun.class, name = "t"),
     @JsonSubTypes.Type(value = PeerMessage.TicketDone.class, name = "td"),
     @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "d"),
-    @JsonSubTypes.Type(value = PeerMessage.RoutingState.class, name = "rs"),
-    @JsonSubTypes.Type(value = PeerMessage.RouterList.class, name = "rl"),
-    @JsonSubTypes.Type(value = PeerMessage.DocumentWanted.class, name = "dw"),
-    @JsonSubTypes.Type(value = PeerMessage.Document.class, name = "do")
+    @JsonSubTypes.Type(value = RoutingMessage.RoutingState.class, name = "rs"),
+    @JsonSubTypes.Type(value = RoutingMessage.RouterList.class, name = "rl"),
+    @JsonSubTypes.Type(value = RoutingMessage.DocumentWanted.class, name = "dw"),
+    @JsonSubTypes.Type(value = RoutingMessage.Document.class, name = "do"),
+    @JsonSubTypes.Type(value = RoutingMessage.Introduction.class, name = "in")
 })
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public sealed interface PeerMessage {
+public sealed interface PeerMessage
+        permits PeerMessage.Hello,
+                PeerMessage.Head,
+                PeerMessage.ChangesWanted,
+                PeerMessage.Changes,
+                PeerMessage.SlotWanted,
+                PeerMessage.SlotReply,
+                PeerMessage.SlotFreed,
+                PeerMessage.SlotHeld,
+                PeerMessage.PoolParts,
+                PeerMessage.PoolTotals,
+                PeerMessage.EndpointReports,
+                PeerMessage.Leaving,
+                PeerMessage.TicketRun,
+                PeerMessage.TicketDone,
+                PeerMessage.Done,
+                RoutingMessage {
     /** Returns the name under which its bytes are counted. */
     default String kind() {
         return getClass().getSimpleName();
     }
 
+    /**
+     * Returns who speaks, if this is the first message on a connection.
+     *
+     * @since 0.3.0
+     */
+    default Optional<String> speaker() {
+        return Optional.empty();
+    }
+
     /**
      * The first message on a connection: who speaks.
      *
@@ -55,7 +82,12 @@
      * @param revision the configuration it has in force
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Hello(String vmId, String incarnation, long revision) implements PeerMessage {}
+    record Hello(String vmId, String incarnation, long revision) implements PeerMessage {
+        @Override
+        public Optional<String> speaker() {
+            return Optional.of(vmId);
+        }
+    }
 
     /**
      * Tells of a revision that the store has accepted.
@@ -247,65 +279,4 @@
     /** An answer without content. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Done() implements PeerMessage {}
-
-    /**
-     * What a router of routed requests tells its peers several times a second.
-     *
-     * @param configuration the version of the configuration that it has in force; -1 before it knows one
-     * @param directory the revision of the endpoint list that it read last; -1 before it has read one
-     * @param work all of its work in flight, by endpoint
-     * @param directoryHash the hash of the endpoint list
-     * @param directoryAgeMillis how long ago the store was read for that list, in milliseconds
-     * @param failing the endpoints that it has seen to fail too many requests
-     * @since 0.2.0
-     */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record RoutingState(
-            long configuration,
-            long directory,
-            List<EndpointWork> work,
-            long directoryHash,
-            long directoryAgeMillis,
-            List<String> failing)
-            implements PeerMessage {}
-
-    /**
-     * A router's work in flight at one endpoint.
-     *
-     * @param endpointId the endpoint
-     * @param requests the requests
-     * @param tokens their prompt tokens and the most tokens that they may generate
-     * @since 0.2.0
-     */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record EndpointWork(String endpointId, int requests, long tokens) {}
-
-    /**
-     * The routers that the sender knows, for one that has just started.
-     *
-     * @param addresses where they listen for peers, as IP:PORT
-     * @since 0.2.0
-     */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record RouterList(List<String> addresses) implements PeerMessage {}
-
-    /**
-     * Asks for a document that the receiver holds; it is answered with a {@link Document}.
-     *
-     * @param name which
-     * @since 0.2.0
-     */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record DocumentWanted(String name) implements PeerMessage {}
-
-    /**
-     * A document as the sender holds it.
-     *
-     * @param name which
-     * @param version its version; -1 if the sender has none
-     * @param content its bytes
-     * @since 0.2.0
-     */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Document(String name, long version, byte[] content) implements PeerMessage {}
 }
--- /dev/null
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -0,0 +1,100 @@
+package org.radishpass.peer.message;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A message between routers of routed requests.
+ *
+ * @since 0.3.0
+ */
+public sealed interface RoutingMessage extends PeerMessage {
+    /**
+     * The first message on a connection: the router that speaks.
+     *
+     * @param router the speaker
+     * @since 0.3.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Introduction(RouterEntry router) implements RoutingMessage {
+        @Override
+        public Optional<String> speaker() {
+            return Optional.of(router.address());
+        }
+    }
+
+    /**
+     * One router.
+     *
+     * @param address where it listens for peers, as IP:PORT
+     * @param dataCentre where it stands; empty if the sender does not know
+     * @param cores the processor time that it may use, in cores
+     * @since 0.3.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record RouterEntry(String address, String dataCentre, double cores) {}
+
+    /**
+     * Routers that the sender knows to be alive.
+     *
+     * @param routers the routers
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record RouterList(List<RouterEntry> routers) implements RoutingMessage {}
+
+    /**
+     * What a router tells several times a second: work in flight, and how new its knowledge is.
+     *
+     * @param configuration the version of the configuration that it has in force; -1 before it knows one
+     * @param directory the revision of the endpoint list that it read last; -1 before it has read one
+     * @param work the work in flight that the message speaks of, by endpoint
+     * @param directoryHash the hash of the endpoint list
+     * @param directoryAgeMillis how long ago the store was read for that list, in milliseconds
+     * @param failing the endpoints that were seen to fail too many requests
+     * @param scope whose work this is
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record RoutingState(
+            long configuration,
+            long directory,
+            List<EndpointWork> work,
+            long directoryHash,
+            long directoryAgeMillis,
+            List<String> failing,
+            @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope)
+            implements RoutingMessage {}
+
+    /**
+     * Work in flight at one endpoint.
+     *
+     * @param endpointId the endpoint
+     * @param requests the requests
+     * @param tokens their prompt tokens and the most tokens that they may generate
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record EndpointWork(String endpointId, int requests, long tokens) {}
+
+    /**
+     * Asks for a document that the receiver holds; it is answered with a {@link Document}.
+     *
+     * @param name which
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record DocumentWanted(String name) implements RoutingMessage {}
+
+    /**
+     * A document as the sender holds it.
+     *
+     * @param name which
+     * @param version its version; -1 if the sender has none
+     * @param content its bytes
+     * @since 0.2.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Document(String name, long version, byte[] content) implements RoutingMessage {}
+}
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerChannel.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerChannel.java
@@ -133,9 +133,7 @@
             }
             return;
         }
-        if (envelope.message() instanceof PeerMessage.Hello hello) {
-            peerId = hello.vmId();
-        }
+        envelope.message().speaker().ifPresent(speaker -> peerId = speaker);
         handler.handle(peerId, envelope.message())
                 .subscribe(
                         answer -> {
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerHandler.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerHandler.java
@@ -23,4 +23,12 @@
      * @param from the peer
      */
     void disconnected(String from);
+
+    /**
+     * Learns that no connection to a peer could be made.
+     *
+     * @param peer the peer
+     * @since 0.3.0
+     */
+    default void unreachable(String peer) {}
 }
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
@@ -179,7 +179,10 @@
                     .connect()
                     .timeout(DIAL_PATIENCE)
                     .map(this::connected)
-                    .doOnError(error -> lost())
+                    .doOnError(error -> {
+                        lost();
+                        handler.unreachable(peerId);
+                    })
                     .onErrorMap(error -> new IOException("no link to " + peerId + ": " + error.getMessage(), error));
         }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.radishpass.core.fleet.Address;
+import org.radishpass.routing.fleet.FleetRouter;
 import reactor.core.publisher.Mono;
 
 /**
@@ -28,9 +29,9 @@
     /**
      * Registers this router, and reads all routers that are registered after that.
      *
-     * @param self where it listens for peers
+     * @param self this router
      */
-    Mono<RegistryReading> register(Address self);
+    Mono<RegistryReading> register(FleetRouter self);
 
     /**
      * Removes this router's registration, unless another process has registered at its address since.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -1,21 +1,23 @@
 package org.radishpass.routing.control;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
-import org.radishpass.core.fleet.DataCentre;
-import org.radishpass.core.fleet.Vm;
 import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.peer.message.RoutingMessage;
+import org.radishpass.peer.message.WorkScope;
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerNode;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.InFlight;
+import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.TrafficServer;
 import org.radishpass.runtime.thread.ControlThread;
@@ -24,13 +26,11 @@
 import reactor.core.publisher.Mono;
 
 /**
- * What routers tell each other: work in flight several times a second, and configuration and endpoints to those that have
- * older ones. State belongs to the control thread.
+ * What routers tell each other: work in flight several times a second by the {@link GatheringPlan}, who they are, and by
+ * {@link DocumentExchange} what is newer than what others have. State belongs to the control thread.
  */
 final class PeerExchange implements PeerHandler {
     private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
-    private static final String CONFIGURATION = "configuration";
-    private static final String ENDPOINTS = "endpoints";
 
     /** Milliseconds between messages while work in flight changes; at 100, a seventh of a router's processor time. */
     private static final long TELL_MILLIS = 200;
@@ -38,37 +38,33 @@
     /** Ticks without a change until a message is sent all the same: 0.6 s. */
     private static final int QUIET_TICKS = 3;
 
-    /** Milliseconds without word from a peer until its link is dialled anew. */
-    private static final long SILENT_MILLIS = 2_000;
-
-    /** Milliseconds without word from a peer until it is forgotten. */
-    private static final long FORGET_MILLIS = 60_000;
-
-    /** How long a document may take; within a region it takes under 50 ms. */
-    private static final Duration DOCUMENT_PATIENCE = Duration.ofMillis(800);
+    /** Ticks between lists of the routers that are alive: 5 s, far below the time after which one is forgotten. */
+    private static final int LIST_TICKS = 25;
 
     /**
      * Milliseconds after which a reading of the endpoints is too old to rely on: an endpoint that leaves must get nothing
      * new after two seconds.
      */
-    private static final long STALE_LIST_MILLIS = 1_300;
+    static final long STALE_LIST_MILLIS = 1_400;
 
     private final ControlThread thread;
     private final MonotonicClock clock;
-    private final Address self;
+    private final FleetRouter self;
     private final TrafficServer traffic;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
     private final Listener listener;
-    private final Map<String, Peer> peers = new HashMap<>();
-    private final java.util.Set<String> fetching = new java.util.HashSet<>();
+    private final PeerBook peers;
+    private final DocumentExchange documents;
     private @Nullable PeerNode node;
+    private boolean gathering = true;
     private int quietTicks;
+    private int listTicks;
 
     PeerExchange(
             ControlThread thread,
             MonotonicClock clock,
-            Address self,
+            FleetRouter self,
             TrafficServer traffic,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
@@ -80,32 +76,43 @@
         this.configuration = configuration;
         this.directory = directory;
         this.listener = listener;
+        this.peers = new PeerBook(self);
+        this.documents = new DocumentExchange(thread, clock, configuration, directory, listener);
     }
 
     /** Starts to tell. */
     void start(PeerNode peerNode) {
         this.node = peerNode;
-        thread.every(Duration.ofMillis(TELL_MILLIS), this::tell);
+        thread.every(Duration.ofMillis(TELL_MILLIS), this::tick);
     }
 
-    /** Learns of routers from the store, the settings or a peer. */
-    void learn(List<Address> routers) {
-        for (Address address : routers) {
-            if (!address.equals(self) && !peers.containsKey(address.toString())) {
-                LOG.info("router {} is known from now on", address, LogEvent.PEER_KNOWN.field());
-                Peer peer = new Peer(address, clock.millis());
-                peers.put(address.toString(), peer);
-                listener.routersChanged();
-            }
+    /** Returns the first message on each connection. */
+    PeerMessage introduction() {
+        return new RoutingMessage.Introduction(PeerStates.entry(self));
+    }
+
+    /** Learns of routers from the store, the settings or a peer; new ones are introduced to each other. */
+    void learn(Collection<FleetRouter> routers) {
+        List<Peer> news = peers.learn(routers, clock.millis());
+        if (news.isEmpty()) {
+            return;
         }
+        listener.routersChanged();
+        listTicks = LIST_TICKS;
+        news.stream().filter(peer -> !peer.router().located()).forEach(this::meet);
+    }
+
+    /** Learns of routers by their address alone; they are asked who they are. */
+    void learnAddresses(List<Address> addresses) {
+        learn(addresses.stream().map(FleetRouter::unlocated).toList());
     }
 
     /** Returns the number of routers, this one included. */
     int routers() {
-        return peers.size() + 1;
+        return peers.routers();
     }
 
-    /** Tells all peers at once that there is a newer configuration. */
+    /** Tells at once that there is something newer. */
     void tellNow() {
         quietTicks = QUIET_TICKS;
         tell();
@@ -113,18 +120,18 @@
 
     @Override
     public Mono<PeerMessage> handle(String from, PeerMessage message) {
-        if (message instanceof PeerMessage.RoutingState state) {
-            traffic.peerTold(from, PeerStates.work(state), state.failing());
+        if (message instanceof RoutingMessage.RoutingState state) {
+            traffic.peerTold(from, state.scope(), PeerStates.work(state), state.failing());
             return later(() -> told(from, state));
         }
-        if (message instanceof PeerMessage.Hello hello) {
-            return later(() -> greeted(hello.vmId()));
+        if (message instanceof RoutingMessage.Introduction introduction) {
+            return later(() -> introduced(introduction.router()));
         }
-        if (message instanceof PeerMessage.RouterList list) {
-            return later(() -> learn(PeerStates.addresses(list.addresses())));
+        if (message instanceof RoutingMessage.RouterList list) {
+            return later(() -> listed(from, list));
         }
-        if (message instanceof PeerMessage.DocumentWanted wanted) {
-            return thread.call(() -> document(wanted.name()));
+        if (message instanceof RoutingMessage.DocumentWanted wanted) {
+            return thread.call(() -> documents.document(wanted.name()));
         }
         return Mono.empty();
     }
@@ -132,6 +139,30 @@
     @Override
     public void disconnected(String from) {
         LOG.info("the connection from router {} has ended", from, LogEvent.PEER_DISCONNECTED.field());
+        thread.run(() -> suspect(from));
+    }
+
+    @Override
+    public void unreachable(String peer) {
+        thread.run(() -> suspect(peer));
+    }
+
+    /**
+     * Tells whether another router reads the list of endpoints for all. Its gatherer does for a member; of those that gather,
+     * the first by name that has read it lately. While that is in doubt, several may.
+     */
+    boolean anotherReads() {
+        long nowMillis = clock.millis();
+        if (nowMillis - directory.readAtMillis() > STALE_LIST_MILLIS) {
+            return false;
+        }
+        for (Peer peer : peers.all()) {
+            boolean reading = peer.leads(nowMillis) && nowMillis - peer.readAtMillis() < STALE_LIST_MILLIS;
+            if (reading && (!gathering || peer.id().compareTo(self.id()) < 0)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private PeerNode node() {
@@ -143,132 +174,146 @@
         return Mono.empty();
     }
 
-    private void greeted(String peerId) {
-        learn(PeerStates.addresses(List.of(peerId)));
-        Peer peer = peers.get(peerId);
-        if (peer != null) {
-            peer.heardAtMillis = clock.millis();
-            List<String> known = new ArrayList<>(peers.keySet());
-            node().send(peer.vm, new PeerMessage.RouterList(known));
+    private void meet(Peer peer) {
+        peer.asked(clock.millis());
+        node().send(peer.vm(), new RoutingMessage.RouterList(List.of(PeerStates.entry(self))));
+    }
+
+    private void introduced(RoutingMessage.RouterEntry entry) {
+        PeerStates.router(entry).ifPresent(router -> {
+            learn(List.of(router));
+            peers.find(router.id()).ifPresent(peer -> {
+                heard(peer, peer.heard(clock.millis()));
+                node().send(peer.vm(), new RoutingMessage.RouterList(PeerStates.entries(peers.known())));
+            });
             tellNow();
-        }
+        });
     }
 
-    private void told(String from, PeerMessage.RoutingState state) {
-        Peer peer = peers.get(from);
-        if (peer == null) {
-            learn(PeerStates.addresses(List.of(from)));
-            peer = peers.get(from);
-        }
-        if (peer == null) {
-            return;
-        }
-        peer.heardAtMillis = clock.millis();
-        if (state.configuration() > configuration.version()) {
-            fetch(peer, CONFIGURATION);
+    private void listed(String from, RoutingMessage.RouterList list) {
+        learn(PeerStates.routers(list.routers()));
+        peers.find(from).ifPresent(peer -> heard(peer, peer.heard(clock.millis())));
+    }
+
+    private void told(String from, RoutingMessage.RoutingState state) {
+        if (peers.find(from).isEmpty()) {
+            learnAddresses(PeerStates.addresses(List.of(from)));
         }
-        peer.readAtMillis = clock.millis() - state.directoryAgeMillis();
-        if (state.directory() < directory.revision()) {
+        Optional<Peer> found = peers.find(from);
+        if (found.isEmpty()) {
             return;
         }
-        if (directory.known() && state.directoryHash() == directory.hash()) {
-            directory.confirmed(state.directory(), peer.readAtMillis);
-        } else if (state.directory() > directory.revision() && state.directoryAgeMillis() < STALE_LIST_MILLIS) {
-            fetch(peer, ENDPOINTS);
+        Peer peer = found.get();
+        long nowMillis = clock.millis();
+        heard(peer, peer.told(state.scope(), nowMillis - state.directoryAgeMillis(), nowMillis));
+        documents.compare(node(), peer, state);
+    }
+
+    private static void heard(Peer peer, boolean news) {
+        if (news) {
+            LOG.info("router {} answers again", peer.id(), LogEvent.PEER_BACK.field());
         }
     }
 
-    /**
-     * Tells whether another router reads the list of endpoints for all. Of those that were heard of lately and have read
-     * it lately the first by name does; while it is in doubt, several may.
-     */
-    boolean anotherReads() {
+    private void suspect(String id) {
+        peers.find(id).filter(peer -> peer.suspect(clock.millis())).ifPresent(peer -> {
+            node().drop(id);
+            LOG.info("router {} does not answer and is left out", id, LogEvent.PEER_LOST.field());
+        });
+    }
+
+    private void tick() {
         long nowMillis = clock.millis();
-        if (nowMillis - directory.readAtMillis() > STALE_LIST_MILLIS) {
-            return false;
+        peers.all().stream()
+                .filter(peer -> peer.silent(nowMillis))
+                .map(Peer::id)
+                .toList()
+                .forEach(this::suspect);
+        if (peers.forget(nowMillis)) {
+            listener.routersChanged();
         }
-        for (Peer peer : peers.values()) {
-            boolean present = nowMillis - peer.heardAtMillis < STALE_LIST_MILLIS;
-            boolean reading = nowMillis - peer.readAtMillis < STALE_LIST_MILLIS;
-            if (present && reading && peer.vm.id().compareTo(self.toString()) < 0) {
-                return true;
-            }
+        if (++listTicks >= LIST_TICKS) {
+            listTicks = 0;
+            tellRouters(nowMillis);
         }
-        return false;
+        tell();
     }
 
-    private void fetch(Peer peer, String name) {
-        if (!fetching.add(name)) {
+    /** Tells other groups of this one's routers, and the members of this one of all. */
+    private void tellRouters(long nowMillis) {
+        GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
+        if (!plan.gathers()) {
             return;
         }
-        node().request(peer.vm, new PeerMessage.DocumentWanted(name), DOCUMENT_PATIENCE)
-                .publishOn(thread.scheduler())
-                .doFinally(signal -> thread.run(() -> fetching.remove(name)))
-                .subscribe(
-                        answer -> received(peer, answer),
-                        error -> LOG.info("router {} did not give its {}: {}", peer.vm.id(), name, error.toString()));
+        PeerMessage group = new RoutingMessage.RouterList(PeerStates.entries(peers.present(nowMillis)));
+        plan.otherGatherers().forEach(peer -> send(peer, group, nowMillis));
+        PeerMessage all = new RoutingMessage.RouterList(PeerStates.entries(peers.known()));
+        members(nowMillis).forEach(peer -> send(peer, all, nowMillis));
     }
 
-    private void received(Peer peer, PeerMessage answer) {
-        if (!(answer instanceof PeerMessage.Document document) || document.version() < 0) {
-            return;
-        }
-        if (document.name().equals(CONFIGURATION)) {
-            listener.configurationOffered(document.content(), "router " + peer.vm.id());
-            return;
-        }
-        try {
-            if (directory.peerListed(
-                    document.version(), EndpointListCodec.decode(document.content()), peer.readAtMillis)) {
-                LOG.info(
-                        "the endpoints are taken from router {}, as of revision {}",
-                        peer.vm.id(),
-                        document.version(),
-                        LogEvent.ENDPOINTS.field());
-                listener.endpointsChanged();
+    private void tell() {
+        boolean always = ++quietTicks >= QUIET_TICKS;
+        List<String> members = members(clock.millis()).stream().map(Peer::id).toList();
+        traffic.workReport(members, always, report -> thread.run(() -> tellAll(report)));
+    }
+
+    private void tellAll(WorkReport report) {
+        quietTicks = 0;
+        long nowMillis = clock.millis();
+        GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
+        noteRole(plan);
+        PeerMessage own = plan.gathers()
+                ? state(report.group(), report.failing(), WorkScope.GROUP)
+                : state(report.own(), report.failing(), WorkScope.MEMBER);
+        plan.otherGatherer().ifPresent(peer -> send(peer, own, nowMillis));
+        plan.otherGatherers().forEach(peer -> send(peer, own, nowMillis));
+        report.withoutMember()
+                .forEach((id, others) -> peers.find(id)
+                        .ifPresent(
+                                peer -> send(peer, state(others, report.allFailing(), WorkScope.OTHERS), nowMillis)));
+        probe(plan, own, nowMillis);
+    }
+
+    /** Tries those that are suspected, if this router would tell them something. */
+    private void probe(GatheringPlan plan, PeerMessage own, long nowMillis) {
+        for (Peer peer : new ArrayList<>(peers.all())) {
+            boolean near = peer.router().dataCentre().equals(self.dataCentre());
+            if ((near || plan.gathers()) && peer.probeDue(nowMillis)) {
+                peer.suspect(nowMillis);
+                node().drop(peer.id());
+                node().send(peer.vm(), own);
             }
-        } catch (IOException e) {
-            LOG.error("router {} gave an endpoint list that cannot be read", peer.vm.id(), e);
         }
     }
 
-    private PeerMessage document(String name) throws IOException {
-        if (name.equals(CONFIGURATION)) {
-            return new PeerMessage.Document(name, configuration.version(), configuration.content());
+    private void noteRole(GatheringPlan plan) {
+        if (plan.gathers() != gathering) {
+            gathering = plan.gathers();
+            LOG.info(
+                    "work in flight is gathered by {}",
+                    plan.otherGatherer().map(Peer::id).orElse("this router"),
+                    LogEvent.GATHERER.field());
         }
-        return new PeerMessage.Document(name, directory.revision(), EndpointListCodec.encode(directory.endpoints()));
     }
 
-    private void tell() {
-        boolean always = ++quietTicks >= QUIET_TICKS;
-        traffic.ownWork(always, (work, failing) -> thread.run(() -> tellAll(work, failing)));
+    private List<Peer> members(long nowMillis) {
+        return peers.all().stream().filter(peer -> peer.member(nowMillis)).toList();
     }
 
-    private void tellAll(Map<String, InFlight> work, List<String> failing) {
-        quietTicks = 0;
-        List<PeerMessage.EndpointWork> entries = new ArrayList<>(work.size());
-        work.forEach((id, amount) -> entries.add(new PeerMessage.EndpointWork(id, amount.requests(), amount.tokens())));
-        long nowMillis = clock.millis();
-        PeerMessage state = new PeerMessage.RoutingState(
+    private void send(Peer peer, PeerMessage message, long nowMillis) {
+        peer.asked(nowMillis);
+        node().send(peer.vm(), message);
+    }
+
+    private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
+        return new RoutingMessage.RoutingState(
                 configuration.version(),
                 directory.revision(),
                 PeerStates.entries(work),
                 directory.hash(),
-                nowMillis - directory.readAtMillis(),
-                failing);
-        boolean forgotten = peers.values().removeIf(peer -> nowMillis - peer.heardAtMillis > FORGET_MILLIS);
-        for (Peer peer : peers.values()) {
-            if (nowMillis - peer.heardAtMillis <= SILENT_MILLIS) {
-                node().send(peer.vm, state);
-            } else if (nowMillis >= peer.redialAtMillis) {
-                peer.redialAtMillis = nowMillis + SILENT_MILLIS;
-                node().drop(peer.vm.id());
-                node().send(peer.vm, state);
-            }
-        }
-        if (forgotten) {
-            listener.routersChanged();
-        }
+                clock.millis() - directory.readAtMillis(),
+                failing,
+                scope);
     }
 
     /** Hears of what peers brought; called on the control thread. */
@@ -282,17 +327,4 @@
         /** There are more or fewer routers. */
         void routersChanged();
     }
-
-    /** What is known of one peer. */
-    private static final class Peer {
-        private final Vm vm;
-        private long heardAtMillis;
-        private long redialAtMillis;
-        private long readAtMillis = Long.MIN_VALUE / 2;
-
-        private Peer(Address address, long nowMillis) {
-            this.vm = new Vm(address.toString(), new DataCentre("peer"), address, false);
-            this.heardAtMillis = nowMillis;
-        }
-    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.radishpass.core.fleet.Address;
-import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.peer.message.RoutingMessage;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.InFlight;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -18,15 +21,44 @@
         // static methods only
     }
 
+    /** Returns the entry that tells of a router. */
+    static RoutingMessage.RouterEntry entry(FleetRouter router) {
+        return new RoutingMessage.RouterEntry(
+                router.id(), router.located() ? router.dataCentre().name() : "", router.cores());
+    }
+
+    /** Returns the entries that tell of routers. */
+    static List<RoutingMessage.RouterEntry> entries(List<FleetRouter> routers) {
+        return routers.stream().map(PeerStates::entry).toList();
+    }
+
+    /** Returns the router that an entry tells of, if it can be read. */
+    static Optional<FleetRouter> router(RoutingMessage.RouterEntry entry) {
+        return addresses(List.of(entry.address())).stream()
+                .findFirst()
+                .map(address -> entry.dataCentre().isBlank()
+                        ? FleetRouter.unlocated(address)
+                        : new FleetRouter(address, new DataCentre(entry.dataCentre()), entry.cores()));
+    }
+
+    /** Returns the routers that can be read. */
+    static List<FleetRouter> routers(List<RoutingMessage.RouterEntry> entries) {
+        return entries.stream()
+                .map(PeerStates::router)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
     /** Returns the entries that tell of work, by endpoint. */
-    static List<PeerMessage.EndpointWork> entries(Map<String, InFlight> work) {
-        List<PeerMessage.EndpointWork> entries = new ArrayList<>(work.size());
-        work.forEach((id, amount) -> entries.add(new PeerMessage.EndpointWork(id, amount.requests(), amount.tokens())));
+    static List<RoutingMessage.EndpointWork> entries(Map<String, InFlight> work) {
+        List<RoutingMessage.EndpointWork> entries = new ArrayList<>(work.size());
+        work.forEach(
+                (id, amount) -> entries.add(new RoutingMessage.EndpointWork(id, amount.requests(), amount.tokens())));
         return entries;
     }
 
     /** Returns the work that a message tells of, by endpoint. */
-    static Map<String, InFlight> work(PeerMessage.RoutingState state) {
+    static Map<String, InFlight> work(RoutingMessage.RoutingState state) {
         Map<String, InFlight> work = new HashMap<>();
         state.work().forEach(entry -> work.put(entry.endpointId(), new InFlight(entry.requests(), entry.tokens())));
         return work;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
@@ -1,7 +1,7 @@
 package org.radishpass.routing.control;
 
 import java.util.List;
-import org.radishpass.core.fleet.Address;
+import org.radishpass.routing.fleet.FleetRouter;
 
 /**
  * What came of registering this router and asking for the others.
@@ -12,11 +12,11 @@
     /**
      * The routers that are registered, this one included.
      *
-     * @param routers where they listen for peers
+     * @param routers the routers
      * @param revision the store's revision of this router's own registration
      * @since 0.2.0
      */
-    record Registered(List<Address> routers, long revision) implements RegistryReading {}
+    record Registered(List<FleetRouter> routers, long revision) implements RegistryReading {}
 
     /**
      * The store did not answer, or refused.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -11,10 +11,10 @@
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
-import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerNode;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.traffic.CallerSocket;
 import org.radishpass.routing.traffic.MonotonicClock;
@@ -47,7 +47,7 @@
     private final MonotonicClock clock = MonotonicClock.SYSTEM;
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private final LoopResources loops;
-    private final Address peerAddress;
+    private final FleetRouter self;
     private final ControlSource source;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory = new DirectoryTracker();
@@ -61,7 +61,7 @@
 
     private RoutedRouter(Builder builder) {
         this.loops = builder.loops;
-        this.peerAddress = builder.peerAddress;
+        this.self = new FleetRouter(builder.peerAddress, builder.home, builder.cores);
         this.source = builder.source;
         this.metrics = builder.metrics;
         this.configuration = new ConfigurationTracker(builder.decoder);
@@ -75,7 +75,7 @@
                 gone -> thread.run(() -> gone(gone.id())),
                 metrics);
         this.follower = new StoreFollower(thread, clock, source, configuration, directory, new StoreNews());
-        this.peers = new PeerExchange(thread, clock, peerAddress, traffic, configuration, directory, new PeerNews());
+        this.peers = new PeerExchange(thread, clock, self, traffic, configuration, directory, new PeerNews());
     }
 
     /**
@@ -104,17 +104,17 @@
         thread.run(() -> waiting = callers);
         thread.after(SERVE_ANYWAY, this::serve);
         PeerNode node = new PeerNode(
-                new InetSocketAddress(peerAddress.host(), peerAddress.port()),
+                new InetSocketAddress(self.address().host(), self.address().port()),
                 loops,
                 peers,
                 new TrafficMeter(metrics),
-                () -> new PeerMessage.Hello(peerAddress.toString(), "", configuration.version()));
+                peers::introduction);
         thread.run(() -> {
             peers.start(node);
-            peers.learn(seeds);
+            peers.learnAddresses(seeds);
             register();
         });
-        LOG.info("the router has started", LogEvent.START.field(), kv("peers", peerAddress.toString()));
+        LOG.info("the router has started", LogEvent.START.field(), kv("peers", self.id()));
     }
 
     /** Serves the callers that have been waiting. */
@@ -155,12 +155,12 @@
 
     private void deregister() {
         if (registration >= 0) {
-            source.deregister(peerAddress, registration).subscribe();
+            source.deregister(self.address(), registration).subscribe();
         }
     }
 
     private void register() {
-        source.register(peerAddress).publishOn(thread.scheduler()).subscribe(reading -> {
+        source.register(self).publishOn(thread.scheduler()).subscribe(reading -> {
             if (reading instanceof RegistryReading.Registered registered) {
                 registration = registered.revision();
                 peers.learn(registered.routers());
@@ -248,6 +248,7 @@
         private MeterRegistry metrics = new SimpleMeterRegistry();
         private Address peerAddress = new Address("127.0.0.1", 1);
         private DataCentre home = new DataCentre("unknown");
+        private double cores = 1;
 
         private Builder(
                 LoopResources loops, ControlSource source, ConfigurationDecoder decoder, RequestDialect dialect) {
@@ -275,6 +276,12 @@
             return this;
         }
 
+        /** Sets the processor time that it may use, in cores; larger routers do more for others. */
+        public Builder cores(double count) {
+            this.cores = count;
+            return this;
+        }
+
         /** Returns the router, not yet started. */
         public RoutedRouter build() {
             return new RoutedRouter(this);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -42,6 +42,12 @@
     /** See {@link #meaning}. */
     PEER_KNOWN("peer-known", "another router was heard of for the first time"),
     /** See {@link #meaning}. */
+    PEER_LOST("peer-lost", "another router does not answer; it is tried again after a pause"),
+    /** See {@link #meaning}. */
+    PEER_BACK("peer-back", "another router that was lost answers again"),
+    /** See {@link #meaning}. */
+    GATHERER("gatherer", "who gathers this router's work in flight has changed"),
+    /** See {@link #meaning}. */
     PEER_DISCONNECTED("peer-disconnected", "the connection from another router has ended"),
     /** See {@link #meaning}. */
     REQUEST("request", "a request has ended; the line has every decision that was taken for it"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.health;
 
+import org.radishpass.peer.message.WorkScope;
+
 /**
  * What this router has seen of one start of an endpoint. Belongs to the traffic thread.
  *
@@ -34,6 +36,7 @@
     private double errorRate;
     private long failingUntilMillis = Long.MIN_VALUE;
     private long saidToFailUntilMillis = Long.MIN_VALUE;
+    private long memberSaidUntilMillis = Long.MIN_VALUE;
     private boolean down;
     private boolean probing;
     private boolean doubted;
@@ -123,10 +126,14 @@
     /**
      * Takes a peer's word that too many of its answers are errors.
      *
+     * @param scope for whom the peer speaks
      * @param untilMillis until when to leave it out, on the monotonic clock in milliseconds
      */
-    public void saidToFail(long untilMillis) {
+    public void saidToFail(WorkScope scope, long untilMillis) {
         saidToFailUntilMillis = Math.max(saidToFailUntilMillis, untilMillis);
+        if (!scope.leads()) {
+            memberSaidUntilMillis = Math.max(memberSaidUntilMillis, untilMillis);
+        }
     }
 
     /** Tells whether this router itself has seen too many errors. */
@@ -134,6 +141,11 @@
         return nowMillis < failingUntilMillis;
     }
 
+    /** Tells whether this router, or a member of its group, has seen too many errors. */
+    public boolean failingInGroup(long nowMillis) {
+        return seenFailing(nowMillis) || nowMillis < memberSaidUntilMillis;
+    }
+
     /** Tells whether connections to it fail. */
     public boolean down() {
         return down;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/HealthBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/HealthBook.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
+import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
@@ -64,10 +66,19 @@
         return sure.isEmpty() ? reachable : sure;
     }
 
-    /** Returns the endpoints that this router itself has seen to fail too often. */
-    public List<String> seenFailing(long nowMillis) {
+    /** Returns the endpoints that this router, or a member of its group, has seen to fail too often. */
+    public List<String> failingInGroup(long nowMillis) {
+        return those(health -> health.failingInGroup(nowMillis));
+    }
+
+    /** Returns the endpoints that any router has seen to fail too often, as far as this one was told. */
+    public List<String> failing(long nowMillis) {
+        return those(health -> health.failing(nowMillis));
+    }
+
+    private List<String> those(Predicate<EndpointHealth> wanted) {
         return byEndpoint.entrySet().stream()
-                .filter(entry -> entry.getValue().seenFailing(nowMillis))
+                .filter(entry -> wanted.test(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
     }
@@ -76,10 +87,11 @@
      * Takes a peer's word on endpoints that fail too often.
      *
      * @param endpointIds the endpoints
+     * @param scope for whom the peer speaks
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void saidToFail(List<String> endpointIds, long nowMillis) {
-        endpointIds.forEach(id -> of(id, nowMillis).saidToFail(nowMillis + WORD_MILLIS));
+    public void saidToFail(List<String> endpointIds, WorkScope scope, long nowMillis) {
+        endpointIds.forEach(id -> of(id, nowMillis).saidToFail(scope, nowMillis + WORD_MILLIS));
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightBook.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.radishpass.peer.message.WorkScope;
 
 /**
  * The work in flight at each endpoint: this router's own, and what its peers told last.
@@ -17,10 +19,14 @@
     /** Milliseconds without word from a peer until its work no longer counts: six missed messages. */
     public static final long PEER_MEMORY_MILLIS = 3_000;
 
+    /** Milliseconds for which the word on all others' work makes that of single groups needless: five messages. */
+    static final long COVERED_MILLIS = 1_000;
+
     private final Map<String, InFlight> own = new HashMap<>();
     private final Map<String, InFlight> total = new HashMap<>();
     private final Map<String, PeerWork> peers = new HashMap<>();
     private final Set<String> changed = new HashSet<>();
+    private long coveredUntilMillis = Long.MIN_VALUE;
 
     /**
      * Counts a request that is about to be sent.
@@ -73,26 +79,50 @@
         return changes;
     }
 
+    /** Returns this router's own work and that which members of its group told it. */
+    public Map<String, InFlight> groupWork() {
+        Map<String, InFlight> group = new HashMap<>(own);
+        peers.values().stream()
+                .filter(peer -> peer.scope == WorkScope.MEMBER)
+                .forEach(peer -> peer.work.forEach((endpointId, amount) -> addTo(group, endpointId, amount)));
+        return group;
+    }
+
+    /**
+     * Returns all work that is known, but for what one peer told.
+     *
+     * @param peerId the peer
+     */
+    public Map<String, InFlight> workWithout(String peerId) {
+        Map<String, InFlight> others = new HashMap<>(total);
+        PeerWork peer = peers.get(peerId);
+        if (peer != null) {
+            peer.work.forEach((endpointId, amount) -> addTo(others, endpointId, InFlight.NONE.minus(amount)));
+        }
+        return others;
+    }
+
     /**
-     * Takes what a peer tells of its work.
+     * Takes what a peer tells of work; it replaces what that peer told before.
      *
      * @param peerId the peer
-     * @param whole whether endpoints that are not named have none of its work
-     * @param work its work by endpoint
+     * @param scope whose work it is; that of all others replaces what any leader told
+     * @param work the work by endpoint
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void peerTold(String peerId, boolean whole, Map<String, InFlight> work, long nowMillis) {
-        if (whole) {
-            forget(peerId);
+    public void peerTold(String peerId, WorkScope scope, Map<String, InFlight> work, long nowMillis) {
+        if (scope == WorkScope.GROUP && nowMillis < coveredUntilMillis) {
+            return;
         }
-        PeerWork peer = peers.computeIfAbsent(peerId, id -> new PeerWork());
-        peer.heardAtMillis = nowMillis;
-        work.forEach((endpointId, amount) -> {
-            InFlight before = amount.requests() <= 0 && amount.tokens() <= 0
-                    ? peer.work.remove(endpointId)
-                    : peer.work.put(endpointId, amount);
-            addTotal(endpointId, amount.minus(before == null ? InFlight.NONE : before));
-        });
+        if (scope == WorkScope.OTHERS) {
+            coveredUntilMillis = nowMillis + COVERED_MILLIS;
+            forgetAll(peer -> peer.scope.leads());
+        } else if (scope == WorkScope.GROUP) {
+            forgetAll(peer -> peer.scope == WorkScope.OTHERS);
+        }
+        forget(peerId);
+        peers.put(peerId, new PeerWork(scope, Map.copyOf(work), nowMillis));
+        work.forEach(this::addTotal);
     }
 
     /**
@@ -101,13 +131,17 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public void forgetSilentPeers(long nowMillis) {
-        Set<String> silent = new HashSet<>();
+        forgetAll(peer -> nowMillis - peer.heardAtMillis > PEER_MEMORY_MILLIS);
+    }
+
+    private void forgetAll(Predicate<PeerWork> unwanted) {
+        Set<String> ids = new HashSet<>();
         peers.forEach((id, peer) -> {
-            if (nowMillis - peer.heardAtMillis > PEER_MEMORY_MILLIS) {
-                silent.add(id);
+            if (unwanted.test(peer)) {
+                ids.add(id);
             }
         });
-        silent.forEach(this::forget);
+        ids.forEach(this::forget);
     }
 
     private void forget(String peerId) {
@@ -135,8 +169,5 @@
     }
 
     /** What one peer told. */
-    private static final class PeerWork {
-        private final Map<String, InFlight> work = new HashMap<>();
-        private long heardAtMillis;
-    }
+    private record PeerWork(WorkScope scope, Map<String, InFlight> work, long heardAtMillis) {}
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -11,19 +11,21 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.HealthBook;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.InFlightBook;
+import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
@@ -146,32 +148,46 @@
      * Takes what a peer tells of its work.
      *
      * @param peerId the peer
-     * @param work all its work by endpoint
-     * @param failing the endpoints that it has seen to fail too often
+     * @param scope whose work it is
+     * @param work the work by endpoint
+     * @param failing the endpoints that were seen to fail too often
      */
-    public void peerTold(String peerId, Map<String, InFlight> work, List<String> failing) {
+    public void peerTold(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
         loop.execute(() -> {
-            book.peerTold(peerId, true, work, clock.millis());
-            health.saidToFail(failing, clock.millis());
+            book.peerTold(peerId, scope, work, clock.millis());
+            health.saidToFail(failing, scope, clock.millis());
         });
     }
 
     /**
-     * Gives this router's own work and the endpoints that it has seen to fail, when its work has changed since the last
-     * call.
+     * Gives what other routers are to be told, when there are members to tell it to or this router's own work has changed
+     * since the last call.
      *
+     * @param members the peers whose work this router gathers
      * @param always whether it is wanted even if nothing has changed
-     * @param taker takes them; called on the traffic thread
+     * @param taker takes it; called on the traffic thread
      */
-    public void ownWork(boolean always, BiConsumer<Map<String, InFlight>, List<String>> taker) {
+    public void workReport(List<String> members, boolean always, Consumer<WorkReport> taker) {
         loop.execute(() -> {
             boolean changed = !book.takeChanges().isEmpty();
-            if (changed || always) {
-                taker.accept(book.ownWork(), health.seenFailing(clock.millis()));
+            if (changed || always || !members.isEmpty()) {
+                taker.accept(report(members));
             }
         });
     }
 
+    private WorkReport report(List<String> members) {
+        Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
+        members.forEach(id -> withoutMember.put(id, book.workWithout(id)));
+        long nowMillis = clock.millis();
+        return new WorkReport(
+                book.ownWork(),
+                book.groupWork(),
+                withoutMember,
+                health.failingInGroup(nowMillis),
+                health.failing(nowMillis));
+    }
+
     /** From now on answers end their connections, and idle ones are closed after a while by {@link #closeIdle}. */
     public void stopping() {
         loop.execute(tools::stop);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -92,6 +93,23 @@
         }
     }
 
+    @Test
+    void inALargeFleetARouterCutOffFromTheStoreLearnsFromItsGatherer() throws Exception {
+        try (FakeEndpoint endpoint = answering("first")) {
+            store.publish("1:/a/");
+            store.list(endpoint.endpoint(SERVICE));
+            List<Address> seeds = new ArrayList<>();
+            for (int number = 0; number <= GatheringPlan.FLAT_FLEET; number++) {
+                seeds.add(start(store.link(), List.of()).peers());
+            }
+            int cutOff = start(store.link().cut(true), seeds).port();
+            awaitStatus(cutOff, "/a/", 200);
+
+            store.publish("2:/b/");
+            awaitStatus(cutOff, "/b/", 200);
+        }
+    }
+
     private static FakeEndpoint answering(String id) throws IOException {
         return new FakeEndpoint(id, (request, out) -> write(out, whole(request, 200, "ok")));
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/health/HealthBookTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/health/HealthBookTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /** Checks that suspicion narrows the choice of endpoints and never empties it. */
@@ -53,12 +54,12 @@
 
     @Test
     void aPeersWordLeavesAnEndpointOutAndIsNotPassedOn() {
-        book.saidToFail(List.of("e0"), 0);
+        book.saidToFail(List.of("e0"), WorkScope.GROUP, 0);
         assertThat(book.usable(open, 999)).hasSize(4);
         assertThat(book.usable(open, 1_000)).hasSize(5);
-        assertThat(book.seenFailing(0)).isEmpty();
+        assertThat(book.failingInGroup(0)).isEmpty();
         fail("e1", 4);
-        assertThat(book.seenFailing(100)).containsExactly("e1");
+        assertThat(book.failingInGroup(100)).containsExactly("e1");
     }
 
     @Test
--- a/radishpass-routing/src/test/java/org/radishpass/routing/load/InFlightBookTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/load/InFlightBookTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.radishpass.peer.message.WorkScope;
 
 /** Checks the sum of own and peers' work. */
 final class InFlightBookTest {
@@ -12,7 +13,7 @@
     @Test
     void ownWorkAndThatOfPeersAddUp() {
         book.started("a", 100);
-        book.peerTold("peer", true, Map.of("a", new InFlight(2, 30), "b", new InFlight(1, 5)), 0);
+        book.peerTold("peer", WorkScope.GROUP, Map.of("a", new InFlight(2, 30), "b", new InFlight(1, 5)), 0);
 
         assertThat(book.at("a")).isEqualTo(new InFlight(3, 130));
         assertThat(book.at("b")).isEqualTo(new InFlight(1, 5));
@@ -21,8 +22,8 @@
 
     @Test
     void whatAPeerTellsReplacesWhatItToldBefore() {
-        book.peerTold("peer", true, Map.of("a", new InFlight(2, 30)), 0);
-        book.peerTold("peer", true, Map.of("b", new InFlight(1, 5)), 10);
+        book.peerTold("peer", WorkScope.GROUP, Map.of("a", new InFlight(2, 30)), 0);
+        book.peerTold("peer", WorkScope.GROUP, Map.of("b", new InFlight(1, 5)), 10);
 
         assertThat(book.at("a")).isEqualTo(InFlight.NONE);
         assertThat(book.at("b")).isEqualTo(new InFlight(1, 5));
@@ -30,7 +31,7 @@
 
     @Test
     void aPeerThatFallsSilentCountsNoLonger() {
-        book.peerTold("peer", true, Map.of("a", new InFlight(2, 30)), 0);
+        book.peerTold("peer", WorkScope.GROUP, Map.of("a", new InFlight(2, 30)), 0);
 
         book.forgetSilentPeers(InFlightBook.PEER_MEMORY_MILLIS);
         assertThat(book.at("a").requests()).isEqualTo(2);
@@ -47,4 +48,40 @@
         assertThat(book.takeChanges()).containsExactly("a", InFlight.NONE);
         assertThat(book.ownWork()).isEmpty();
     }
+
+    @Test
+    void aMembersWorkCountsForItsGroupAndIsNotToldBackToIt() {
+        book.started("a", 100);
+        book.peerTold("member", WorkScope.MEMBER, Map.of("a", new InFlight(2, 30)), 0);
+        book.peerTold("other", WorkScope.GROUP, Map.of("a", new InFlight(4, 40)), 0);
+
+        assertThat(book.groupWork()).containsExactly("a", new InFlight(3, 130));
+        assertThat(book.workWithout("member")).containsExactly("a", new InFlight(5, 140));
+        assertThat(book.at("a")).isEqualTo(new InFlight(7, 170));
+    }
+
+    @Test
+    void theWordOnAllOthersIsNotAddedToThatOfSingleGroups() {
+        book.peerTold("early", WorkScope.GROUP, Map.of("a", new InFlight(1, 1)), 0);
+        book.peerTold("gatherer", WorkScope.OTHERS, Map.of("a", new InFlight(3, 3)), 10);
+        book.peerTold("late", WorkScope.GROUP, Map.of("a", new InFlight(1, 1)), 20);
+
+        assertThat(book.at("a").requests()).isEqualTo(3);
+    }
+
+    @Test
+    void aNewGatherersWordReplacesThatOfTheOneBefore() {
+        book.peerTold("before", WorkScope.OTHERS, Map.of("a", new InFlight(3, 3)), 0);
+        book.peerTold("after", WorkScope.OTHERS, Map.of("a", new InFlight(4, 4)), 10);
+
+        assertThat(book.at("a").requests()).isEqualTo(4);
+    }
+
+    @Test
+    void groupsCountAgainOnceNobodySpeaksForAll() {
+        book.peerTold("gatherer", WorkScope.OTHERS, Map.of("a", new InFlight(3, 3)), 0);
+        book.peerTold("group", WorkScope.GROUP, Map.of("a", new InFlight(2, 2)), InFlightBook.COVERED_MILLIS);
+
+        assertThat(book.at("a").requests()).isEqualTo(2);
+    }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -11,6 +11,7 @@
 import org.radishpass.routing.control.ControlSource;
 import org.radishpass.routing.control.DirectoryReading;
 import org.radishpass.routing.control.RegistryReading;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import reactor.core.publisher.Mono;
 
@@ -18,7 +19,7 @@
 public final class FakeStore {
     private static final Duration PAUSE = Duration.ofMillis(20);
 
-    private final Set<Address> routers = ConcurrentHashMap.newKeySet();
+    private final Set<FleetRouter> routers = ConcurrentHashMap.newKeySet();
     private volatile List<ServiceEndpoint> endpoints = List.of();
     private volatile String document = "";
     private final AtomicLong revision = new AtomicLong(1);
@@ -72,7 +73,7 @@
         }
 
         @Override
-        public Mono<RegistryReading> register(Address self) {
+        public Mono<RegistryReading> register(FleetRouter self) {
             return Mono.fromSupplier(() -> {
                 if (cut) {
                     return new RegistryReading.Unavailable("cut");
@@ -84,7 +85,8 @@
 
         @Override
         public Mono<Boolean> deregister(Address self, long ofRevision) {
-            return Mono.fromSupplier(() -> routers.remove(self));
+            return Mono.fromSupplier(
+                    () -> routers.removeIf(router -> router.address().equals(self)));
         }
 
         private ConfigurationReading reading() {
