Three routers wait for the configuration, one reads the endpoints, the rest hear from them

Change: ReadingDuty: the first router that gathers reads the endpoint list, it and the next two wait for configurations; all others are told, and read for themselves only when nobody reads. Pauses after failures grow to 2 s. The revision of each reading of the list shows whether a configuration may have come that a hanging wait did not bring; it is then asked for.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -58,10 +58,11 @@
      * @param node sends to peers
      * @param peer the peer
      * @param state what it told
+     * @param storeTells whether the store tells this router of newer configurations
      */
-    void compare(PeerNode node, Peer peer, RoutingMessage.RoutingState state) {
+    void compare(PeerNode node, Peer peer, RoutingMessage.RoutingState state, boolean storeTells) {
         if (state.configuration() > configuration.version()) {
-            Duration wait = configuration.version() < 0 ? Duration.ZERO : STORE_FIRST;
+            Duration wait = storeTells && configuration.version() >= 0 ? STORE_FIRST : Duration.ZERO;
             fetch(node, peer, CONFIGURATION, wait, () -> state.configuration() > configuration.version());
         }
         if (state.directory() < directory.revision()) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.peer.message.PeerMessage;
@@ -148,21 +149,22 @@
     }
 
     /**
-     * Tells whether another router reads the list of endpoints for all. Its gatherer does for a member; of those that gather,
-     * the first by name that has read it lately. While that is in doubt, several may.
+     * Returns what this router has to read from the store. Its gatherer reads for a member; of those that gather, the first by
+     * name that have read it lately. While that is in doubt, several do.
      */
-    boolean anotherReads() {
+    ReadingDuty duty() {
         long nowMillis = clock.millis();
         if (nowMillis - directory.readAtMillis() > STALE_LIST_MILLIS) {
-            return false;
+            return ReadingDuty.ALL;
         }
-        for (Peer peer : peers.all()) {
-            boolean reading = peer.leads(nowMillis) && nowMillis - peer.readAtMillis() < STALE_LIST_MILLIS;
-            if (reading && (!gathering || peer.id().compareTo(self.id()) < 0)) {
-                return true;
-            }
+        Stream<Peer> reading = peers.all().stream()
+                .filter(peer -> !peer.suspected() && peer.leads(nowMillis))
+                .filter(peer -> nowMillis - peer.readAtMillis() < STALE_LIST_MILLIS);
+        if (!gathering) {
+            return reading.findAny().isPresent() ? ReadingDuty.NONE : ReadingDuty.ALL;
         }
-        return false;
+        return ReadingDuty.behind(
+                reading.filter(peer -> peer.id().compareTo(self.id()) < 0).count());
     }
 
     private PeerNode node() {
@@ -206,7 +208,7 @@
         Peer peer = found.get();
         long nowMillis = clock.millis();
         heard(peer, peer.told(state.scope(), nowMillis - state.directoryAgeMillis(), nowMillis));
-        documents.compare(node(), peer, state);
+        documents.compare(node(), peer, state, duty().readsConfiguration());
     }
 
     private static void heard(Peer peer, boolean news) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -212,8 +212,8 @@
         }
 
         @Override
-        public boolean anotherReadsDirectory() {
-            return peers.anotherReads();
+        public ReadingDuty duty() {
+            return peers.duty();
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -3,7 +3,6 @@
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
 import java.time.Duration;
-import java.util.concurrent.ThreadLocalRandom;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
@@ -13,11 +12,12 @@
 import reactor.core.Disposables;
 
 /**
- * Keeps the configuration and the endpoint list in step with the store. Runs on the control thread.
+ * Keeps the configuration and the endpoint list in step with the store, as far as this router's {@link ReadingDuty} goes. Runs
+ * on the control thread.
  *
- * <p>The configuration is waited for: the store answers when there is a newer one. The list of endpoints changes with
- * every heartbeat, so it is read at a fixed pace; a read that fails also ends the wait for the configuration, which may
- * hang on a connection that nobody serves any more.
+ * <p>The configuration is waited for: the store answers when there is a newer one. The list of endpoints is read at a fixed
+ * pace. Each reading also tells the store's newest revision; if the wait for the configuration has not come as far, it is
+ * checked apart, because that wait may hang on a connection that nobody serves any more.
  */
 final class StoreFollower {
     private static final Logger LOG = LoggerFactory.getLogger(StoreFollower.class);
@@ -25,11 +25,8 @@
     /** Milliseconds between readings of the list; an endpoint that leaves must get nothing new after two seconds. */
     private static final long LIST_MILLIS = 900;
 
-    /** Milliseconds between looks at whether another router still reads the list for all. */
-    private static final long LOOK_AGAIN_MILLIS = 300;
-
-    /** Milliseconds between tries while the store does not answer. */
-    private static final long RETRY_MILLIS = 350;
+    /** Milliseconds between looks at this router's duty: a fraction of the time after which a list is stale. */
+    private static final long LOOK_MILLIS = 150;
 
     /** How long the store may hold a question for a newer configuration; most end earlier. */
     private static final Duration WAIT = Duration.ofSeconds(20);
@@ -40,8 +37,12 @@
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
     private final Listener listener;
+    private final RetryPause configurationPause = new RetryPause();
+    private final RetryPause directoryPause = new RetryPause();
     private final Disposable.Swap waiting = Disposables.swap();
+    private boolean waitingNow;
     private boolean reading;
+    private long configurationRevision = -1;
 
     StoreFollower(
             ControlThread thread,
@@ -61,36 +62,60 @@
     void start() {
         thread.run(this::readConfiguration);
         thread.run(this::readDirectory);
+        thread.every(Duration.ofMillis(LOOK_MILLIS), this::followIfDue);
     }
 
-    /** Reads the configuration as a whole, and then waits for the next one. */
-    private void readConfiguration() {
-        if (reading) {
+    /** Waits for configurations if that is this router's duty now and it does not yet. */
+    private void followIfDue() {
+        if (reading || waitingNow || !listener.duty().readsConfiguration()) {
             return;
         }
+        if (configurationRevision < 0) {
+            readConfiguration();
+        } else {
+            awaitConfiguration();
+        }
+    }
+
+    /** Reads the configuration as a whole. */
+    private void readConfiguration() {
         reading = true;
         waiting.update(source.configuration().publishOn(thread.scheduler()).subscribe(this::configurationRead));
     }
 
-    private void awaitConfiguration(long revision) {
-        waiting.update(source.configurationAfter(revision, WAIT)
+    private void awaitConfiguration() {
+        waitingNow = true;
+        waiting.update(source.configurationAfter(configurationRevision, WAIT)
                 .publishOn(thread.scheduler())
                 .subscribe(this::configurationRead));
     }
 
     private void configurationRead(ConfigurationReading result) {
         reading = false;
+        waitingNow = false;
+        if (result instanceof ConfigurationReading.Unavailable unavailable) {
+            LOG.debug("the configuration cannot be read: {}", unavailable.reason());
+            reading = true;
+            thread.after(configurationPause.next(), () -> {
+                reading = false;
+                followIfDue();
+            });
+            return;
+        }
+        configurationPause.reset();
+        take(result);
+        followIfDue();
+    }
+
+    private void take(ConfigurationReading result) {
         if (result instanceof ConfigurationReading.Published published) {
+            configurationRevision = Math.max(configurationRevision, published.revision());
             offer(published.content(), "store");
-            awaitConfiguration(published.revision());
         } else if (result instanceof ConfigurationReading.Unchanged unchanged) {
-            awaitConfiguration(unchanged.revision());
+            configurationRevision = Math.max(configurationRevision, unchanged.revision());
         } else if (result instanceof ConfigurationReading.HistoryLost) {
             LOG.info("the store has lost its history; the configuration is read anew", LogEvent.STORE_HISTORY.field());
-            readConfiguration();
-        } else if (result instanceof ConfigurationReading.Unavailable unavailable) {
-            LOG.debug("the configuration cannot be read: {}", unavailable.reason());
-            thread.after(jittered(RETRY_MILLIS), this::readConfiguration);
+            configurationRevision = -1;
         }
     }
 
@@ -114,8 +139,8 @@
     }
 
     private void readDirectory() {
-        if (listener.anotherReadsDirectory()) {
-            thread.after(jittered(LOOK_AGAIN_MILLIS), this::readDirectory);
+        if (directory.known() && !listener.duty().readsDirectory()) {
+            thread.after(Duration.ofMillis(LOOK_MILLIS), this::readDirectory);
             return;
         }
         source.directory().publishOn(thread.scheduler()).subscribe(this::directoryRead);
@@ -123,14 +148,16 @@
 
     private void directoryRead(DirectoryReading result) {
         if (result instanceof DirectoryReading.Listed listed) {
+            directoryPause.reset();
             listed(listed);
+            checkConfiguration(listed.revision());
             thread.after(Duration.ofMillis(LIST_MILLIS), this::readDirectory);
         } else if (result instanceof DirectoryReading.Unavailable unavailable) {
             if (directory.failed()) {
                 LOG.warn("the store does not answer: {}", unavailable.reason(), LogEvent.STORE_LOST.field());
             }
             restartWait();
-            thread.after(jittered(RETRY_MILLIS), this::readDirectory);
+            thread.after(directoryPause.next(), this::readDirectory);
         }
     }
 
@@ -148,15 +175,22 @@
         listener.directoryRead();
     }
 
-    private void restartWait() {
-        if (!reading) {
-            readConfiguration();
+    /** Asks for a newer configuration without waiting, if the store's revision has risen beyond what is known of it. */
+    private void checkConfiguration(long revision) {
+        if (!waitingNow || revision <= configurationRevision) {
+            return;
         }
+        source.configurationAfter(configurationRevision, Duration.ZERO)
+                .publishOn(thread.scheduler())
+                .subscribe(this::take);
     }
 
-    /** Spreads the calls of routers that started together. */
-    private static Duration jittered(long millis) {
-        return Duration.ofMillis(millis + ThreadLocalRandom.current().nextLong(millis / 8 + 1));
+    /** The wait for a configuration may hang as well: it is begun anew. */
+    private void restartWait() {
+        if (waitingNow) {
+            waitingNow = false;
+            awaitConfiguration();
+        }
     }
 
     /** Hears of what was read; called on the control thread. */
@@ -167,7 +201,7 @@
         /** The endpoints have been read. */
         void directoryRead();
 
-        /** Tells whether another router reads the endpoints for all. */
-        boolean anotherReadsDirectory();
+        /** Tells what this router has to read now. */
+        ReadingDuty duty();
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
@@ -110,6 +110,18 @@
         }
     }
 
+    @Test
+    void aConfigurationIsFoundAlthoughTheWaitForItHangs() throws Exception {
+        try (FakeEndpoint endpoint = answering("first")) {
+            store.publish("1:/a/");
+            store.list(endpoint.endpoint(SERVICE));
+            int router = start(store.link().silentWaits(true), List.of()).port();
+            awaitStatus(router, "/a/", 200);
+            store.publish("2:/b/");
+            awaitStatus(router, "/b/", 200);
+        }
+    }
+
     private static FakeEndpoint answering(String id) throws IOException {
         return new FakeEndpoint(id, (request, out) -> write(out, whole(request, 200, "ok")));
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.control.ConfigurationReading;
@@ -43,7 +44,9 @@
 
     /** One router's way to the store. */
     public final class Link implements ControlSource {
+        private final AtomicInteger waits = new AtomicInteger();
         private volatile boolean cut;
+        private volatile boolean silentWaits;
 
         private Link() {}
 
@@ -53,6 +56,17 @@
             return this;
         }
 
+        /** Lets waits for a configuration hang without an answer, as on a connection that nobody serves any more. */
+        public Link silentWaits(boolean newSilent) {
+            silentWaits = newSilent;
+            return this;
+        }
+
+        /** Returns how many waits for a configuration were begun. */
+        public int waits() {
+            return waits.get();
+        }
+
         @Override
         public Mono<ConfigurationReading> configuration() {
             return Mono.fromSupplier(this::reading);
@@ -60,7 +74,13 @@
 
         @Override
         public Mono<ConfigurationReading> configurationAfter(long after, Duration wait) {
-            return Mono.delay(PAUSE)
+            if (!wait.isZero()) {
+                waits.incrementAndGet();
+                if (silentWaits) {
+                    return Mono.never();
+                }
+            }
+            return Mono.delay(wait.isZero() ? Duration.ZERO : PAUSE)
                     .map(tick ->
                             revision.get() > after ? reading() : new ConfigurationReading.Unchanged(revision.get()));
         }
