What cannot be repeated goes out only on a connection that was just used

An order went out on an idle connection if the endpoint had been heard of within 300 ms on any connection. Change: the connection itself must have been used within 300 ms; otherwise a new one is made.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -38,6 +38,7 @@
     private boolean closing;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long usableUntilMillis;
+    private long usedAtMillis;
 
     EndpointConnection(EndpointPool pool, Channel channel) {
         this.pool = pool;
@@ -57,6 +58,11 @@
         return channel.isActive() && nowMillis < usableUntilMillis;
     }
 
+    /** Returns when it was last seen to work, on the monotonic clock in milliseconds. */
+    long usedAtMillis() {
+        return usedAtMillis;
+    }
+
     /** Tells whether it has carried a whole request and answer: its other end may have closed it since. */
     boolean usedBefore() {
         return usedBefore;
@@ -83,7 +89,7 @@
 
     /** Gives back a connection on which nothing was sent. */
     void release() {
-        usableUntilMillis = pool.nowMillis() + keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
+        becomesIdle();
         pool.idle(this);
     }
 
@@ -180,7 +186,7 @@
         AnswerListener done = listener;
         listener = null;
         usedBefore = true;
-        usableUntilMillis = pool.nowMillis() + Math.max(0, keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS);
+        becomesIdle();
         channel.config().setAutoRead(true);
         if (closing) {
             var unused = channel.close();
@@ -192,6 +198,11 @@
         }
     }
 
+    private void becomesIdle() {
+        usedAtMillis = pool.nowMillis();
+        usableUntilMillis = usedAtMillis + Math.max(0, keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS);
+    }
+
     private void fail(String cause) {
         AnswerListener failed = listener;
         listener = null;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -17,12 +17,13 @@
     private static final int MOST_IDLE = 24;
 
     /**
-     * Milliseconds since the endpoint was heard of up to which an idle connection may carry what cannot be sent again. A
-     * new connection proves first that the endpoint can be reached; it takes 1 ms, and less than a lost request.
+     * Milliseconds since a connection was last used up to which it may carry what cannot be sent again: endpoints may drop
+     * idle connections without a word. A new one proves first that the endpoint can be reached; it takes 1 ms, and costs less
+     * than a lost request.
      */
     private static final long SURE_MILLIS = 300;
 
-    /** The same for what can be sent again. */
+    /** Milliseconds since the endpoint was heard of up to which an idle connection may carry what can be sent again. */
     private static final long LIKELY_MILLIS = 1_000;
 
     private final EndpointConnections connections;
@@ -60,8 +61,7 @@
      */
     void acquire(boolean repeatable, ConnectionTaker taker) {
         long nowMillis = nowMillis();
-        long silentMillis = nowMillis - health.heardAtMillis();
-        if (silentMillis > (repeatable ? LIKELY_MILLIS : SURE_MILLIS)) {
+        if (!mayReuse(repeatable, nowMillis)) {
             connections.connect(this, taker);
             return;
         }
@@ -75,6 +75,14 @@
         connections.connect(this, taker);
     }
 
+    private boolean mayReuse(boolean repeatable, long nowMillis) {
+        if (repeatable) {
+            return nowMillis - health.heardAtMillis() <= LIKELY_MILLIS;
+        }
+        EndpointConnection newest = idle.peekFirst();
+        return newest != null && nowMillis - newest.usedAtMillis() <= SURE_MILLIS;
+    }
+
     /** Opens a connection: it shows that the endpoint can be reached. */
     void open(ConnectionTaker taker) {
         connections.connect(this, taker);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.config.CallerLimits;
 import org.radishpass.routing.config.RequestKind;
@@ -29,6 +30,7 @@
     public static final String SERVICE = "service";
 
     private final LoopResources loops = LoopResources.create("bed", 1, 1, true, false);
+    private final AtomicLong skippedMillis = new AtomicLong();
     private final TrafficServer server;
     private final Channel listening;
     private volatile RoutingView view = RoutingView.UNKNOWN;
@@ -37,7 +39,7 @@
     public TrafficBed() throws Exception {
         server = new TrafficServer(
                 loops.onServer(false).next(),
-                MonotonicClock.SYSTEM,
+                () -> MonotonicClock.SYSTEM.millis() + skippedMillis.get(),
                 () -> view,
                 new PlainDialect(),
                 new DataCentre("here"),
@@ -63,6 +65,11 @@
         return this;
     }
 
+    /** Lets time pass at once for what the router reads from its clock; its timers do not notice. */
+    public void skip(long millis) {
+        skippedMillis.addAndGet(millis);
+    }
+
     /** Returns the traffic side. */
     public TrafficServer server() {
         return server;
