--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -1,10 +1,8 @@
 package org.radishpass.routing.control;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -12,13 +10,10 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
-import org.radishpass.peer.message.WorkScope;
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerNode;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
-import org.radishpass.routing.load.InFlight;
-import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.TrafficServer;
 import org.radishpass.runtime.thread.ControlThread;
@@ -27,8 +22,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * What routers tell each other: work in flight several times a second by the {@link GatheringPlan}, who they are, and by
- * {@link DocumentExchange} what is newer than what others have. State belongs to the control thread.
+ * What this router hears from others: who they are, their work in flight, and by {@link DocumentExchange} what is newer than
+ * what it has. {@link WorkTeller} tells in turn. State belongs to the control thread.
  */
 final class PeerExchange implements PeerHandler {
     private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
@@ -36,12 +31,6 @@
     /** Milliseconds between messages while work in flight changes; at 100, a seventh of a router's processor time. */
     private static final long TELL_MILLIS = 200;
 
-    /** Ticks without a change until a message is sent all the same: 0.6 s. */
-    private static final int QUIET_TICKS = 3;
-
-    /** Ticks between lists of the routers that are alive: 5 s, far below the time after which one is forgotten. */
-    private static final int LIST_TICKS = 25;
-
     /**
      * Milliseconds after which a reading of the endpoints is too old to rely on: an endpoint that leaves must get nothing
      * new after two seconds.
@@ -58,9 +47,7 @@
     private final PeerBook peers;
     private final DocumentExchange documents;
     private @Nullable PeerNode node;
-    private boolean gathering = true;
-    private int quietTicks;
-    private int listTicks;
+    private @Nullable WorkTeller teller;
 
     PeerExchange(
             ControlThread thread,
@@ -84,6 +71,7 @@
     /** Starts to tell. */
     void start(PeerNode peerNode) {
         this.node = peerNode;
+        this.teller = new WorkTeller(thread, clock, self, traffic, configuration, directory, peers, peerNode);
         thread.every(Duration.ofMillis(TELL_MILLIS), this::tick);
     }
 
@@ -99,7 +87,7 @@
             return;
         }
         listener.routersChanged();
-        listTicks = LIST_TICKS;
+        teller().ifPresent(WorkTeller::routersChanged);
         news.stream().filter(peer -> !peer.router().located()).forEach(this::meet);
     }
 
@@ -115,8 +103,7 @@
 
     /** Tells at once that there is something newer. */
     void tellNow() {
-        quietTicks = QUIET_TICKS;
-        tell();
+        teller().ifPresent(WorkTeller::tellNow);
     }
 
     @Override
@@ -160,7 +147,7 @@
         Stream<Peer> reading = peers.all().stream()
                 .filter(peer -> !peer.suspected() && peer.leads(nowMillis))
                 .filter(peer -> nowMillis - peer.readAtMillis() < STALE_LIST_MILLIS);
-        if (!gathering) {
+        if (!teller().map(WorkTeller::gathering).orElse(true)) {
             return reading.findAny().isPresent() ? ReadingDuty.NONE : ReadingDuty.ALL;
         }
         return ReadingDuty.behind(
@@ -171,6 +158,11 @@
         return Objects.requireNonNull(node, "not started");
     }
 
+    /** Returns what tells others; none before the start, when the store may have answered already. */
+    private Optional<WorkTeller> teller() {
+        return Optional.ofNullable(teller);
+    }
+
     private Mono<PeerMessage> later(Runnable task) {
         thread.run(task);
         return Mono.empty();
@@ -234,88 +226,7 @@
         if (peers.forget(nowMillis)) {
             listener.routersChanged();
         }
-        if (++listTicks >= LIST_TICKS) {
-            listTicks = 0;
-            tellRouters(nowMillis);
-        }
-        tell();
-    }
-
-    /** Tells other groups of this one's routers, and the members of this one of all. */
-    private void tellRouters(long nowMillis) {
-        GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
-        if (!plan.gathers()) {
-            return;
-        }
-        PeerMessage group = new RoutingMessage.RouterList(PeerStates.entries(peers.present(nowMillis)));
-        plan.otherGatherers().forEach(peer -> send(peer, group, nowMillis));
-        PeerMessage all = new RoutingMessage.RouterList(PeerStates.entries(peers.known()));
-        members(nowMillis).forEach(peer -> send(peer, all, nowMillis));
-    }
-
-    private void tell() {
-        boolean always = ++quietTicks >= QUIET_TICKS;
-        List<String> members = members(clock.millis()).stream().map(Peer::id).toList();
-        traffic.workReport(members, always, report -> thread.run(() -> tellAll(report)));
-    }
-
-    private void tellAll(WorkReport report) {
-        quietTicks = 0;
-        long nowMillis = clock.millis();
-        GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
-        noteRole(plan);
-        PeerMessage own = plan.gathers()
-                ? state(report.group(), report.failing(), WorkScope.GROUP)
-                : state(report.own(), report.failing(), WorkScope.MEMBER);
-        plan.otherGatherer().ifPresent(peer -> send(peer, own, nowMillis));
-        plan.otherGatherers().forEach(peer -> send(peer, own, nowMillis));
-        report.withoutMember()
-                .forEach((id, others) -> peers.find(id)
-                        .ifPresent(
-                                peer -> send(peer, state(others, report.allFailing(), WorkScope.OTHERS), nowMillis)));
-        probe(plan, own, nowMillis);
-    }
-
-    /** Tries those that are suspected, if this router would tell them something. */
-    private void probe(GatheringPlan plan, PeerMessage own, long nowMillis) {
-        for (Peer peer : new ArrayList<>(peers.all())) {
-            boolean near = peer.router().dataCentre().equals(self.dataCentre());
-            if ((near || plan.gathers()) && peer.probeDue(nowMillis)) {
-                peer.suspect(nowMillis);
-                node().drop(peer.id());
-                node().send(peer.vm(), own);
-            }
-        }
-    }
-
-    private void noteRole(GatheringPlan plan) {
-        if (plan.gathers() != gathering) {
-            gathering = plan.gathers();
-            LOG.info(
-                    "work in flight is gathered by {}",
-                    plan.otherGatherer().map(Peer::id).orElse("this router"),
-                    LogEvent.GATHERER.field());
-        }
-    }
-
-    private List<Peer> members(long nowMillis) {
-        return peers.all().stream().filter(peer -> peer.member(nowMillis)).toList();
-    }
-
-    private void send(Peer peer, PeerMessage message, long nowMillis) {
-        peer.asked(nowMillis);
-        node().send(peer.vm(), message);
-    }
-
-    private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
-        return new RoutingMessage.RoutingState(
-                configuration.version(),
-                directory.revision(),
-                PeerStates.entries(work),
-                directory.hash(),
-                clock.millis() - directory.readAtMillis(),
-                failing,
-                scope);
+        teller().ifPresent(WorkTeller::tick);
     }
 
     /** Hears of what peers brought; called on the control thread. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -11,15 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
-import org.radishpass.core.placement.Rendezvous;
-import org.radishpass.routing.config.Route;
-import org.radishpass.routing.config.RoutingConfiguration;
-import org.radishpass.routing.config.Workspace;
-import org.radishpass.routing.dialect.MalformedHeadException;
-import org.radishpass.routing.dialect.RequestHead;
-import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
-import org.radishpass.routing.placement.PlacementQuery;
 
 /**
  * The life of one request: from when it is whole until its answer is whole, refused or broken off.
@@ -28,12 +20,6 @@
  * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
  */
 final class Exchange implements Attempt.Owner {
-    /**
-     * Milliseconds within which an endpoint must have been heard of to be given a request that has failed elsewhere: what
-     * broke the first may have cut off others too. Engines at work send events at least that often.
-     */
-    private static final long SURELY_ALIVE_MILLIS = 150;
-
     private final TrafficTools tools;
     private final CallerConnection caller;
     private final HttpRequest request;
@@ -61,64 +47,30 @@
 
     /** Finds out what is to become of the request, and starts its first attempt. */
     void begin() {
-        RoutingView view = tools.view();
-        Optional<RoutingConfiguration> configuration = view.configuration();
-        if (configuration.isEmpty() || !view.complete()) {
-            refuse(RefusalCode.NOT_READY, "no configuration or endpoint list is known yet", RetryDelay.NOT_READY);
-            return;
-        }
-        RequestHead head;
-        try {
-            head = tools.dialect().decode(request);
-        } catch (MalformedHeadException e) {
-            refuse(RefusalCode.BAD_REQUEST, String.valueOf(e.getMessage()), RetryDelay.NONE);
-            return;
-        }
-        record.request(head.id(), configuration.get().version());
-        Optional<Route> route = configuration.get().route(head.host(), head.path());
-        if (route.isEmpty()) {
-            refuse(RefusalCode.NOT_FOUND, "no route matches the host and path", RetryDelay.NONE);
-            return;
-        }
-        Optional<Workspace> workspace = head.key().flatMap(configuration.get()::workspace);
-        if (workspace.isEmpty()
-                && configuration.get().keysRequired()
-                && !route.get().anonymous()) {
-            refuse(RefusalCode.UNAUTHORIZED, "the key is missing or unknown", RetryDelay.NONE);
-            return;
+        Resolution resolution = tools.resolver().resolve(request, tools.view(), record);
+        if (resolution instanceof Resolution.Refused refused) {
+            refuse(refused.code(), refused.detail(), refused.delay());
+        } else if (resolution instanceof Resolution.Resolved resolved) {
+            start(resolved.terms());
         }
-        start(head, route.get(), workspace, configuration.get());
     }
 
-    private void start(
-            RequestHead head, Route route, Optional<Workspace> workspace, RoutingConfiguration configuration) {
-        long hash = Rendezvous.hash(head.id());
-        String service = route.split().service(Rendezvous.mix(hash, Rendezvous.hash(route.name())));
-        terms = Terms.of(head, route, workspace, configuration.service(service), service, record.receivedAtMillis());
-        relay = new AnswerRelay(caller, route.kind());
+    private void start(Terms resolved) {
+        terms = resolved;
+        relay = new AnswerRelay(caller, terms.kind());
         record.terms(terms);
-        if (tools.refusing() && route.kind().streams()) {
+        if (tools.refusing() && terms.kind().streams()) {
             refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
             return;
         }
-        tools.budget().requested(service, tools.nowMillis());
+        tools.budget().requested(terms.service(), tools.nowMillis());
         long left = terms.leftMillis(tools.nowMillis());
         timer = tools.loop().schedule(this::expired, Math.max(0, left), TimeUnit.MILLISECONDS);
         attempt();
     }
 
     private void attempt() {
-        List<ServiceEndpoint> open = tools.view().directory().open(terms.service());
-        List<ServiceEndpoint> candidates = new ArrayList<>(tools.health().usable(open, tools.nowMillis()));
-        candidates.removeIf(endpoint -> triedEndpoints.contains(endpoint.id()));
-        if (sends > 0) {
-            candidates = tools.health().heardLately(candidates, SURELY_ALIVE_MILLIS, tools.nowMillis());
-        }
-        List<ServiceEndpoint> sources =
-                tools.health().reachable(tools.view().directory().all(terms.service()), tools.nowMillis());
-        Optional<PlacementChoice> choice = tools.chooser()
-                .choose(new PlacementQuery(
-                        candidates, sources, terms.prompt(), Rendezvous.hash(terms.requestId()), tools.nowMillis()));
+        Optional<PlacementChoice> choice = tools.placer().place(terms, triedEndpoints, sends > 0);
         if (choice.isEmpty()) {
             giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
             return;
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -0,0 +1,46 @@
+package org.radishpass.routing.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.radishpass.core.placement.Rendezvous;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.placement.PlacementChoice;
+import org.radishpass.routing.placement.PlacementQuery;
+
+/** Finds the endpoints that may be given a request now, and has one chosen among them. */
+final class RequestPlacer {
+    /**
+     * Milliseconds within which an endpoint must have been heard of to be given a request that has failed elsewhere: what
+     * broke the first may have cut off others too. Engines at work send events at least that often.
+     */
+    private static final long SURELY_ALIVE_MILLIS = 150;
+
+    private final TrafficTools tools;
+
+    RequestPlacer(TrafficTools tools) {
+        this.tools = tools;
+    }
+
+    /**
+     * Places a request.
+     *
+     * @param terms its terms
+     * @param tried the endpoints that it was given to before
+     * @param sentBefore whether it was sent before
+     */
+    Optional<PlacementChoice> place(Terms terms, List<String> tried, boolean sentBefore) {
+        long nowMillis = tools.nowMillis();
+        List<ServiceEndpoint> open = tools.view().directory().open(terms.service());
+        List<ServiceEndpoint> candidates = new ArrayList<>(tools.health().usable(open, nowMillis));
+        candidates.removeIf(endpoint -> tried.contains(endpoint.id()));
+        if (sentBefore) {
+            candidates = tools.health().heardLately(candidates, SURELY_ALIVE_MILLIS, nowMillis);
+        }
+        List<ServiceEndpoint> sources =
+                tools.health().reachable(tools.view().directory().all(terms.service()), nowMillis);
+        return tools.chooser()
+                .choose(new PlacementQuery(
+                        candidates, sources, terms.prompt(), Rendezvous.hash(terms.requestId()), nowMillis));
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -27,6 +27,8 @@
     private final Consumer<ServiceEndpoint> goneReports;
     private final Set<CallerConnection> callers = new LinkedHashSet<>();
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private final RequestResolver resolver;
+    private final RequestPlacer placer = new RequestPlacer(this);
     private final EndpointWatch watch = new EndpointWatch(this);
     private boolean stopping;
     private boolean refusing;
@@ -47,6 +49,7 @@
         this.clock = clock;
         this.views = views;
         this.dialect = dialect;
+        this.resolver = new RequestResolver(dialect);
         this.connections = connections;
         this.chooser = chooser;
         this.book = book;
@@ -72,6 +75,14 @@
         return dialect;
     }
 
+    RequestResolver resolver() {
+        return resolver;
+    }
+
+    RequestPlacer placer() {
+        return placer;
+    }
+
     EndpointConnections connections() {
         return connections;
     }
