Registrations of routers that are gone are removed

Change: RegistryCleaner: the router that reads the endpoint list removes the registrations of routers of which nobody has spoken for a minute, on condition that they were not written anew.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -34,7 +34,14 @@
     Mono<RegistryReading> register(FleetRouter self);
 
     /**
-     * Removes this router's registration, unless another process has registered at its address since.
+     * Reads all routers that are registered.
+     *
+     * @since 0.3.0
+     */
+    Mono<RegistryReading> registered();
+
+    /**
+     * Removes a router's registration, unless another process has registered at its address since.
      *
      * @param self where it listened for peers
      * @param revision the store's revision of the registration
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
@@ -61,9 +61,14 @@
         return news;
     }
 
-    /** Forgets those that nobody has spoken of for long; returns whether there were any. */
-    boolean forget(long nowMillis) {
-        return peers.values().removeIf(peer -> nowMillis - peer.mentionedAtMillis() > FORGET_MILLIS);
+    /** Forgets those that nobody has spoken of for long, and returns them. */
+    List<FleetRouter> forget(long nowMillis) {
+        List<FleetRouter> forgotten = peers.values().stream()
+                .filter(peer -> nowMillis - peer.mentionedAtMillis() > FORGET_MILLIS)
+                .map(Peer::router)
+                .toList();
+        forgotten.forEach(router -> peers.remove(router.id()));
+        return forgotten;
     }
 
     /** Returns this router and those that it has heard itself lately. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -223,8 +223,9 @@
                 .map(Peer::id)
                 .toList()
                 .forEach(this::suspect);
-        if (peers.forget(nowMillis)) {
-            listener.routersChanged();
+        List<FleetRouter> forgotten = peers.forget(nowMillis);
+        if (!forgotten.isEmpty()) {
+            listener.routersForgotten(forgotten);
         }
         teller().ifPresent(WorkTeller::tick);
     }
@@ -237,7 +238,10 @@
         /** A peer's list of endpoints has been taken over. */
         void endpointsChanged();
 
-        /** There are more or fewer routers. */
+        /** There are more routers. */
         void routersChanged();
+
+        /** Nobody has heard of these routers for long. */
+        void routersForgotten(List<FleetRouter> routers);
     }
 }
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryCleaner.java
@@ -0,0 +1,58 @@
+package org.radishpass.routing.control;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import java.util.Collection;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Removes registrations of routers that are gone for good: a VM that is lost does not take its own back, and its replacement has
+ * another address. A router that lives after all is known to its peers by its messages.
+ */
+final class RegistryCleaner {
+    private static final Logger LOG = LoggerFactory.getLogger(RegistryCleaner.class);
+
+    private final ControlSource source;
+
+    RegistryCleaner(ControlSource source) {
+        this.source = source;
+    }
+
+    /**
+     * Removes registrations. One that was written anew since it was read stays.
+     *
+     * @param gone the routers that nobody has heard of for long
+     */
+    Mono<Void> clean(Collection<FleetRouter> gone) {
+        Set<String> ids = gone.stream().map(FleetRouter::id).collect(Collectors.toSet());
+        return source.registered().flatMap(reading -> {
+            if (reading instanceof RegistryReading.Registered registered) {
+                return Flux.fromIterable(registered.registrations())
+                        .filter(registration ->
+                                ids.contains(registration.router().id()))
+                        .concatMap(this::remove)
+                        .then();
+            }
+            LOG.info(
+                    "registrations of routers that are gone cannot be read; they stay until the next one is forgotten");
+            return Mono.empty();
+        });
+    }
+
+    private Mono<Boolean> remove(RegistryReading.Registration registration) {
+        return source.deregister(registration.router().address(), registration.revision())
+                .doOnNext(removed -> LOG.info(
+                        "the registration of router {}, of which nobody has heard, was {}",
+                        registration.router().id(),
+                        removed ? "removed" : "kept",
+                        LogEvent.PEER_REMOVED.field(),
+                        kv("revision", registration.revision())));
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReading.java
@@ -12,11 +12,25 @@
     /**
      * The routers that are registered, this one included.
      *
-     * @param routers the routers
-     * @param revision the store's revision of this router's own registration
+     * @param registrations the routers' registrations
+     * @param revision the store's revision of this router's own registration; -1 if it has none
      * @since 0.2.0
      */
-    record Registered(List<FleetRouter> routers, long revision) implements RegistryReading {}
+    record Registered(List<Registration> registrations, long revision) implements RegistryReading {
+        /** Returns the routers. */
+        public List<FleetRouter> routers() {
+            return registrations.stream().map(Registration::router).toList();
+        }
+    }
+
+    /**
+     * One router's registration.
+     *
+     * @param router the router
+     * @param revision the store's revision of it
+     * @since 0.3.0
+     */
+    record Registration(FleetRouter router, long revision) {}
 
     /**
      * The store did not answer, or refused.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -54,6 +54,7 @@
     private final TrafficServer traffic;
     private final StoreFollower follower;
     private final PeerExchange peers;
+    private final RegistryCleaner cleaner;
     private final MeterRegistry metrics;
     private @Nullable CallerSocket waiting;
     private long registration = -1;
@@ -75,6 +76,7 @@
                 gone -> thread.run(() -> gone(gone.id())),
                 metrics);
         this.follower = new StoreFollower(thread, clock, source, configuration, directory, new StoreNews());
+        this.cleaner = new RegistryCleaner(source);
         this.peers = new PeerExchange(thread, clock, self, traffic, configuration, directory, new PeerNews());
     }
 
@@ -233,6 +235,14 @@
         public void routersChanged() {
             publish();
         }
+
+        @Override
+        public void routersForgotten(List<FleetRouter> routers) {
+            publish();
+            if (peers.duty().readsDirectory()) {
+                cleaner.clean(routers).subscribe();
+            }
+        }
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -44,6 +44,8 @@
     /** See {@link #meaning}. */
     PEER_LOST("peer-lost", "another router does not answer; it is tried again after a pause"),
     /** See {@link #meaning}. */
+    PEER_REMOVED("peer-removed", "the registration of a router that is gone was removed, or kept because it is newer"),
+    /** See {@link #meaning}. */
     PEER_BACK("peer-back", "another router that was lost answers again"),
     /** See {@link #meaning}. */
     GATHERER("gatherer", "who gathers this router's work in flight has changed"),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -99,10 +99,23 @@
                     return new RegistryReading.Unavailable("cut");
                 }
                 routers.add(self);
-                return new RegistryReading.Registered(List.copyOf(routers), revision.get());
+                return registry();
             });
         }
 
+        @Override
+        public Mono<RegistryReading> registered() {
+            return Mono.fromSupplier(() -> cut ? new RegistryReading.Unavailable("cut") : registry());
+        }
+
+        private RegistryReading registry() {
+            return new RegistryReading.Registered(
+                    routers.stream()
+                            .map(router -> new RegistryReading.Registration(router, revision.get()))
+                            .toList(),
+                    revision.get());
+        }
+
         @Override
         public Mono<Boolean> deregister(Address self, long ofRevision) {
             return Mono.fromSupplier(
