--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -18,6 +19,11 @@
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Introduction(RouterEntry router) implements RoutingMessage {
+        /** Refuses a message that lacks a component. */
+        public Introduction {
+            Objects.requireNonNull(router, "router");
+        }
+
         @Override
         public Optional<String> speaker() {
             return Optional.of(router.address());
@@ -33,7 +39,13 @@
      * @since 0.3.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record RouterEntry(String address, String dataCentre, double cores) {}
+    record RouterEntry(String address, String dataCentre, double cores) {
+        /** Refuses a message that lacks a component. */
+        public RouterEntry {
+            Objects.requireNonNull(address, "address");
+            Objects.requireNonNull(dataCentre, "dataCentre");
+        }
+    }
 
     /**
      * Routers that the sender knows to be alive.
@@ -42,7 +54,12 @@
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record RouterList(List<RouterEntry> routers) implements RoutingMessage {}
+    record RouterList(List<RouterEntry> routers) implements RoutingMessage {
+        /** Refuses a message that lacks a component. */
+        public RouterList {
+            routers = List.copyOf(routers);
+        }
+    }
 
     /**
      * What a router tells several times a second: work in flight, and how new its knowledge is.
@@ -65,7 +82,14 @@
             long directoryAgeMillis,
             List<String> failing,
             @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope)
-            implements RoutingMessage {}
+            implements RoutingMessage {
+        /** Refuses a message that lacks a component. */
+        public RoutingState {
+            work = List.copyOf(work);
+            failing = List.copyOf(failing);
+            Objects.requireNonNull(scope, "scope");
+        }
+    }
 
     /**
      * Work in flight at one endpoint.
@@ -76,7 +100,12 @@
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record EndpointWork(String endpointId, int requests, long tokens) {}
+    record EndpointWork(String endpointId, int requests, long tokens) {
+        /** Refuses a message that lacks a component. */
+        public EndpointWork {
+            Objects.requireNonNull(endpointId, "endpointId");
+        }
+    }
 
     /**
      * Asks for a document that the receiver holds; it is answered with a {@link Document}.
@@ -85,7 +114,12 @@
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record DocumentWanted(String name) implements RoutingMessage {}
+    record DocumentWanted(String name) implements RoutingMessage {
+        /** Refuses a message that lacks a component. */
+        public DocumentWanted {
+            Objects.requireNonNull(name, "name");
+        }
+    }
 
     /**
      * A document as the sender holds it.
@@ -96,5 +130,11 @@
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Document(String name, long version, byte[] content) implements RoutingMessage {}
+    record Document(String name, long version, byte[] content) implements RoutingMessage {
+        /** Refuses a message that lacks a component. */
+        public Document {
+            Objects.requireNonNull(name, "name");
+            Objects.requireNonNull(content, "content");
+        }
+    }
 }
--- /dev/null
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -0,0 +1,75 @@
+package org.radishpass.peer.message;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/** Checks the messages of routed requests: they come back as sent, and damaged ones are refused or whole. */
+final class RoutingMessageTest {
+    private static final RoutingMessage.RouterEntry ROUTER =
+            new RoutingMessage.RouterEntry("10.0.0.1:7340", "here", 0.75);
+    private static final RoutingMessage STATE = new RoutingMessage.RoutingState(
+            7, 9, List.of(new RoutingMessage.EndpointWork("e", 2, 300)), 11, 13, List.of("f"), WorkScope.GROUP);
+
+    static Stream<RoutingMessage> messages() {
+        return Stream.of(
+                new RoutingMessage.Introduction(ROUTER),
+                new RoutingMessage.RouterList(List.of(ROUTER)),
+                STATE,
+                new RoutingMessage.DocumentWanted("configuration"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void everyMessageComesBackAsItWasSent(RoutingMessage message) throws IOException {
+        Envelope envelope = new Envelope(1, message);
+        assertThat(PeerCodec.decode(PeerCodec.encode(envelope))).isEqualTo(envelope);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "[0,[\"rs\",[1,2,null,3,4,[],1]]]",
+                "[0,[\"rs\",[1,2,[],3,4,null,1]]]",
+                "[0,[\"rs\",[1,2,[],3,4,[],9]]]",
+                "[0,[\"rs\",[1,2,[],3,4,[]]]]",
+                "[0,[\"rs\",[1,2,[[null,1,1]],3,4,[],1]]]",
+                "[0,[\"rl\",[[null]]]]",
+                "[0,[\"in\",[null]]]",
+                "[0,[\"dw\",[null]]]",
+                "[0,[\"do\",[\"configuration\",1,null]]]"
+            })
+    void aMessageThatLacksAComponentIsRefused(String json) throws IOException {
+        Object tree = new com.fasterxml.jackson.databind.ObjectMapper().readValue(json, Object.class);
+        byte[] bytes = new MessagePackMapper().writeValueAsBytes(tree);
+        assertThrows(IOException.class, () -> PeerCodec.decode(bytes));
+    }
+
+    @Property(tries = 3_000, seed = "53")
+    void damagedFramesAreRefusedOrWhole(@ForAll long seed) throws IOException {
+        Random random = new Random(seed);
+        byte[] bytes = PeerCodec.encode(new Envelope(0, STATE));
+        for (int change = random.nextInt(4); change >= 0; change--) {
+            bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+        }
+        try {
+            if (PeerCodec.decode(bytes).message() instanceof RoutingMessage.RoutingState state) {
+                state.work().forEach(entry -> assertThat(entry.endpointId()).isNotNull());
+                assertThat(state.scope()).isNotNull();
+                assertThat(state.failing()).isNotNull();
+            }
+        } catch (IOException expected) {
+            assertThat(expected).isNotNull();
+        }
+    }
+}
