A router that is refused by the store does not count as its reader; fresher news; plain requests drawn in large fleets

A refused router told the age of the list that it had from others, so that the router that really read took it for the reader and stopped, until all lists were stale. In calm, members' lists were up to 1.6 s old, over the 1.4 s after which they ask the store themselves: 1,146 calls. Requests were late more often than with everyone telling everyone (window from 26 s: 378 of 1,793, before 112): news took two hops of 200 ms, and all routers sent plain requests to the endpoint that was the least loaded by the same old news (head after 203 ms at the median, slots 6, five endpoints). Change: routers tell when they themselves read the store; a gatherer passes a later reading on at once; ticks of 100 ms in fleets of more than 16 routers; there a plain request goes to the less loaded of two that are drawn.

--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -71,6 +71,7 @@
      * @param directoryAgeMillis how long ago the store was read for that list, in milliseconds
      * @param failing the endpoints that were seen to fail too many requests
      * @param scope whose work this is
+     * @param ownReadAgeMillis how long ago the sender itself read the store, in milliseconds
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -81,7 +82,8 @@
             long directoryHash,
             long directoryAgeMillis,
             List<String> failing,
-            @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope)
+            @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope,
+            long ownReadAgeMillis)
             implements RoutingMessage {
         /** Refuses a message that lacks a component. */
         public RoutingState {
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -19,7 +19,7 @@
     private static final RoutingMessage.RouterEntry ROUTER =
             new RoutingMessage.RouterEntry("10.0.0.1:7340", "here", 0.75);
     private static final RoutingMessage STATE = new RoutingMessage.RoutingState(
-            7, 9, List.of(new RoutingMessage.EndpointWork("e", 2, 300)), 11, 13, List.of("f"), WorkScope.GROUP);
+            7, 9, List.of(new RoutingMessage.EndpointWork("e", 2, 300)), 11, 13, List.of("f"), WorkScope.GROUP, 17);
 
     static Stream<RoutingMessage> messages() {
         return Stream.of(
@@ -39,11 +39,11 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                "[0,[\"rs\",[1,2,null,3,4,[],1]]]",
-                "[0,[\"rs\",[1,2,[],3,4,null,1]]]",
-                "[0,[\"rs\",[1,2,[],3,4,[],9]]]",
+                "[0,[\"rs\",[1,2,null,3,4,[],1,5]]]",
+                "[0,[\"rs\",[1,2,[],3,4,null,1,5]]]",
+                "[0,[\"rs\",[1,2,[],3,4,[],9,5]]]",
                 "[0,[\"rs\",[1,2,[],3,4,[]]]]",
-                "[0,[\"rs\",[1,2,[[null,1,1]],3,4,[],1]]]",
+                "[0,[\"rs\",[1,2,[[null,1,1]],3,4,[],1,5]]]",
                 "[0,[\"rl\",[[null]]]]",
                 "[0,[\"in\",[null]]]",
                 "[0,[\"dw\",[null]]]",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -34,6 +34,7 @@
     private final Set<String> left = new HashSet<>();
     private long revision = -1;
     private long readAtMillis = Long.MIN_VALUE / 2;
+    private long ownReadAtMillis = Long.MIN_VALUE / 2;
     private long hash;
     private boolean trouble;
     private long backSinceMillis = Long.MIN_VALUE / 2;
@@ -53,6 +54,11 @@
         return readAtMillis;
     }
 
+    /** Returns when this router itself read the store last, on the monotonic clock in milliseconds. */
+    public long ownReadAtMillis() {
+        return ownReadAtMillis;
+    }
+
     /** Returns the endpoints as believed. */
     public EndpointDirectory directory() {
         return new EndpointDirectory(known.values());
@@ -96,6 +102,7 @@
             backSinceMillis = nowMillis;
         }
         readAtMillis = nowMillis;
+        ownReadAtMillis = nowMillis;
         boolean absenceCounts = nowMillis - backSinceMillis >= GRACE_MILLIS;
         return replace(newRevision, endpoints, absenceCounts);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -32,6 +32,9 @@
      */
     private static final Duration STORE_FIRST = Duration.ofMillis(350);
 
+    /** Milliseconds by which a reading must be later to count as another one: a third of the pace of readings. */
+    private static final long LATER_MILLIS = 300;
+
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final ConfigurationTracker configuration;
@@ -59,22 +62,26 @@
      * @param peer the peer
      * @param state what it told
      * @param storeTells whether the store tells this router of newer configurations
+     * @return whether this router's list is confirmed as of a later reading
      */
-    void compare(PeerNode node, Peer peer, RoutingMessage.RoutingState state, boolean storeTells) {
+    boolean compare(PeerNode node, Peer peer, RoutingMessage.RoutingState state, boolean storeTells) {
         if (state.configuration() > configuration.version()) {
             Duration wait = storeTells && configuration.version() >= 0 ? STORE_FIRST : Duration.ZERO;
             fetch(node, peer, CONFIGURATION, wait, () -> state.configuration() > configuration.version());
         }
         if (state.directory() < directory.revision()) {
-            return;
+            return false;
         }
         long readAtMillis = clock.millis() - state.directoryAgeMillis();
         if (directory.known() && state.directoryHash() == directory.hash()) {
+            boolean later = readAtMillis - directory.readAtMillis() > LATER_MILLIS;
             directory.confirmed(state.directory(), readAtMillis);
-        } else if (state.directory() > directory.revision()
-                && state.directoryAgeMillis() < PeerExchange.STALE_LIST_MILLIS) {
+            return later;
+        }
+        if (state.directory() > directory.revision() && state.directoryAgeMillis() < PeerExchange.STALE_LIST_MILLIS) {
             fetch(node, peer, ENDPOINTS, Duration.ZERO, () -> state.directory() > directory.revision());
         }
+        return false;
     }
 
     /** Gives a document to a peer. */
@@ -117,7 +124,7 @@
         }
         try {
             if (directory.peerListed(
-                    document.version(), EndpointListCodec.decode(document.content()), peer.readAtMillis())) {
+                    document.version(), EndpointListCodec.decode(document.content()), peer.listReadAtMillis())) {
                 LOG.info(
                         "the endpoints are taken from router {}, as of revision {}",
                         peer.id(),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Peer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Peer.java
@@ -1,7 +1,7 @@
 package org.radishpass.routing.control;
 
 import org.radishpass.core.fleet.Vm;
-import org.radishpass.peer.message.WorkScope;
+import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.routing.fleet.FleetRouter;
 
 /**
@@ -29,7 +29,8 @@
     private long ledAtMillis = NEVER;
     private long memberAtMillis = NEVER;
     private long askedAtMillis = NEVER;
-    private long readAtMillis = NEVER;
+    private long listReadAtMillis = NEVER;
+    private long ownReadAtMillis = NEVER;
     private long probeAtMillis = NEVER;
     private long probePauseMillis = FIRST_PROBE_MILLIS;
     private boolean suspected;
@@ -60,9 +61,10 @@
     }
 
     /** Notes a message of its work; returns whether it was suspected until now. */
-    boolean told(WorkScope scope, long listReadAtMillis, long nowMillis) {
-        readAtMillis = listReadAtMillis;
-        if (scope.leads()) {
+    boolean told(RoutingMessage.RoutingState state, long nowMillis) {
+        listReadAtMillis = nowMillis - state.directoryAgeMillis();
+        ownReadAtMillis = nowMillis - state.ownReadAgeMillis();
+        if (state.scope().leads()) {
             ledAtMillis = nowMillis;
         } else {
             memberAtMillis = nowMillis;
@@ -133,7 +135,12 @@
     }
 
     /** Returns when the store was read for the endpoint list that it relies on. */
-    long readAtMillis() {
-        return readAtMillis;
+    long listReadAtMillis() {
+        return listReadAtMillis;
+    }
+
+    /** Returns when it read the store itself. */
+    long ownReadAtMillis() {
+        return ownReadAtMillis;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.peer.message.PeerMessage;
@@ -28,8 +27,8 @@
 final class PeerExchange implements PeerHandler {
     private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
 
-    /** Milliseconds between messages while work in flight changes; at 100, a seventh of a router's processor time. */
-    private static final long TELL_MILLIS = 200;
+    /** Milliseconds between ticks. */
+    private static final long TICK_MILLIS = 100;
 
     /**
      * Milliseconds after which a reading of the endpoints is too old to rely on: an endpoint that leaves must get nothing
@@ -72,7 +71,7 @@
     void start(PeerNode peerNode) {
         this.node = peerNode;
         this.teller = new WorkTeller(thread, clock, self, traffic, configuration, directory, peers, peerNode);
-        thread.every(Duration.ofMillis(TELL_MILLIS), this::tick);
+        thread.every(Duration.ofMillis(TICK_MILLIS), this::tick);
     }
 
     /** Returns the first message on each connection. */
@@ -136,22 +135,36 @@
     }
 
     /**
-     * Returns what this router has to read from the store. Its gatherer reads for a member; of those that gather, the first by
-     * name that have read it lately. While that is in doubt, several do.
+     * Returns what this router has to read from the store. A member relies on its gatherer while that has a fresh list. Of the
+     * routers that gather, the first by name that can read the store does; a peer that is refused and has its list from others
+     * does not count. While it is in doubt, several read.
      */
     ReadingDuty duty() {
         long nowMillis = clock.millis();
         if (nowMillis - directory.readAtMillis() > STALE_LIST_MILLIS) {
             return ReadingDuty.ALL;
         }
-        Stream<Peer> reading = peers.all().stream()
+        List<Peer> leaders = peers.all().stream()
                 .filter(peer -> !peer.suspected() && peer.leads(nowMillis))
-                .filter(peer -> nowMillis - peer.readAtMillis() < STALE_LIST_MILLIS);
+                .toList();
         if (!teller().map(WorkTeller::gathering).orElse(true)) {
-            return reading.findAny().isPresent() ? ReadingDuty.NONE : ReadingDuty.ALL;
+            return leaders.stream().anyMatch(peer -> fresh(peer.listReadAtMillis(), nowMillis))
+                    ? ReadingDuty.NONE
+                    : ReadingDuty.ALL;
         }
-        return ReadingDuty.behind(
-                reading.filter(peer -> peer.id().compareTo(self.id()) < 0).count());
+        List<Peer> before = leaders.stream()
+                .filter(peer -> peer.id().compareTo(self.id()) < 0)
+                .toList();
+        return ReadingDuty.of(
+                before.stream().anyMatch(peer -> fresh(peer.ownReadAtMillis(), nowMillis)), before.size());
+    }
+
+    private static boolean fresh(long readAtMillis, long nowMillis) {
+        return nowMillis - readAtMillis < STALE_LIST_MILLIS;
+    }
+
+    private boolean gathersForOthers(long nowMillis) {
+        return peers.all().stream().anyMatch(peer -> peer.member(nowMillis));
     }
 
     private PeerNode node() {
@@ -199,8 +212,10 @@
         }
         Peer peer = found.get();
         long nowMillis = clock.millis();
-        heard(peer, peer.told(state.scope(), nowMillis - state.directoryAgeMillis(), nowMillis));
-        documents.compare(node(), peer, state, duty().readsConfiguration());
+        heard(peer, peer.told(state, nowMillis));
+        if (documents.compare(node(), peer, state, duty().readsConfiguration()) && gathersForOthers(nowMillis)) {
+            tellNow();
+        }
     }
 
     private static void heard(Peer peer, boolean news) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ReadingDuty.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ReadingDuty.java
@@ -15,10 +15,11 @@
     /**
      * Returns the duty of a router that gathers.
      *
-     * @param before the routers before it in order that have read the store lately
+     * @param readBefore whether one before it in order has read the store lately
+     * @param before how many are before it in order
      */
-    static ReadingDuty behind(long before) {
-        if (before == 0) {
+    static ReadingDuty of(boolean readBefore, int before) {
+        if (!readBefore) {
             return ALL;
         }
         return before < CONFIGURATION_READERS ? CONFIGURATION : NONE;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -24,11 +24,14 @@
 final class WorkTeller {
     private static final Logger LOG = LoggerFactory.getLogger(WorkTeller.class);
 
+    /** Ticks between messages where everyone tells everyone: at each, a seventh of a router's processor time. */
+    private static final int FLAT_TICKS = 2;
+
     /** Ticks without a change until a message is sent all the same: 0.6 s. */
-    private static final int QUIET_TICKS = 3;
+    private static final int QUIET_TICKS = 6;
 
     /** Ticks between lists of the routers that are alive: 5 s, far below the time after which one is forgotten. */
-    private static final int LIST_TICKS = 25;
+    private static final int LIST_TICKS = 50;
 
     private final ControlThread thread;
     private final MonotonicClock clock;
@@ -40,6 +43,7 @@
     private final PeerNode node;
     private boolean gathering = true;
     private int quietTicks;
+    private int flatTicks;
     private int listTicks = LIST_TICKS;
 
     WorkTeller(
@@ -72,7 +76,10 @@
             listTicks = 0;
             tellRouters(clock.millis());
         }
-        tell();
+        quietTicks++;
+        if (peers.routers() > GatheringPlan.FLAT_FLEET || ++flatTicks % FLAT_TICKS == 0) {
+            tell();
+        }
     }
 
     /** Tells at once, changed or not. */
@@ -99,7 +106,7 @@
     }
 
     private void tell() {
-        boolean always = ++quietTicks >= QUIET_TICKS;
+        boolean always = quietTicks >= QUIET_TICKS;
         List<String> members = members(clock.millis()).stream().map(Peer::id).toList();
         traffic.workReport(members, always, report -> thread.run(() -> tellAll(report)));
     }
@@ -160,6 +167,7 @@
                 directory.hash(),
                 clock.millis() - directory.readAtMillis(),
                 failing,
-                scope);
+                scope,
+                clock.millis() - directory.ownReadAtMillis());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/placement/EndpointChooser.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/placement/EndpointChooser.java
@@ -26,6 +26,9 @@
     /** What chance weighs, in requests: it decides only among equals. */
     private static final double CHANCE_COST = 0.25;
 
+    /** Routers up to which everyone tells everyone, so that the least loaded endpoint of all is known well enough. */
+    private static final int SURE_ROUTERS = 16;
+
     private static final double UNIT = 0x1.0p-53;
     private static final int UNUSED_BITS = 11;
 
@@ -124,9 +127,11 @@
     }
 
     private PlacementChoice byLoad(PlacementQuery query) {
-        ServiceEndpoint best = query.candidates().get(0);
+        List<ServiceEndpoint> compared =
+                query.routers() > SURE_ROUTERS ? drawn(query.candidates(), query.requestHash()) : query.candidates();
+        ServiceEndpoint best = compared.get(0);
         double bestCost = Double.MAX_VALUE;
-        for (ServiceEndpoint endpoint : query.candidates()) {
+        for (ServiceEndpoint endpoint : compared) {
             double cost = cost(endpoint, query.requestHash());
             if (cost < bestCost) {
                 best = endpoint;
@@ -137,6 +142,17 @@
                 best, 0, requests(best), best.slots(), query.candidates().size(), null);
     }
 
+    /** Draws two by chance: in a large fleet all would send to the least loaded before they hear that the others did. */
+    private static List<ServiceEndpoint> drawn(List<ServiceEndpoint> candidates, long requestHash) {
+        int size = candidates.size();
+        if (size <= 2) {
+            return candidates;
+        }
+        int first = Math.floorMod(requestHash, size);
+        int step = 1 + Math.floorMod(Rendezvous.mix(requestHash, size), size - 1);
+        return List.of(candidates.get(first), candidates.get((first + step) % size));
+    }
+
     /** Fullness first; among equally full ones the own data centre, then chance. */
     private double cost(ServiceEndpoint endpoint, long requestHash) {
         double chance = (Rendezvous.mix(requestHash, endpoint.hash()) >>> UNUSED_BITS) * UNIT;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/placement/PlacementQuery.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/placement/PlacementQuery.java
@@ -12,6 +12,7 @@
  * @param cacheSources the endpoints whose caches can be fetched from, those that leave included
  * @param prompt what the request says of its prompt, if anything
  * @param requestHash a well mixed hash of the request, which breaks ties
+ * @param routers the routers of the fleet, this one included
  * @param nowMillis the time on the monotonic clock, in milliseconds
  * @since 0.2.0
  */
@@ -20,4 +21,5 @@
         List<ServiceEndpoint> cacheSources,
         Optional<PromptShape> prompt,
         long requestHash,
+        int routers,
         long nowMillis) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -41,6 +41,11 @@
                 tools.health().reachable(tools.view().directory().all(terms.service()), nowMillis);
         return tools.chooser()
                 .choose(new PlacementQuery(
-                        candidates, sources, terms.prompt(), Rendezvous.hash(terms.requestId()), nowMillis));
+                        candidates,
+                        sources,
+                        terms.prompt(),
+                        Rendezvous.hash(terms.requestId()),
+                        tools.view().routers(),
+                        nowMillis));
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/GatheringPlanTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/GatheringPlanTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.fleet.FleetRouter;
 
@@ -49,7 +50,7 @@
     @Test
     void whoeverSpeaksForAGroupIsTold() {
         List<Peer> peers = peers(0, 27, 28, LARGE_FLEET);
-        find(peers, 4).told(WorkScope.GROUP, NOW, NOW);
+        find(peers, 4).told(state(WorkScope.GROUP), NOW);
         GatheringPlan plan = GatheringPlan.of(router(27), peers, NOW);
         assertThat(ids(plan.otherGatherers()))
                 .containsExactly(router(4).id(), router(29).id());
@@ -72,7 +73,7 @@
         peer.asked(1_000);
         assertThat(peer.silent(Peer.SILENT_MILLIS)).isFalse();
         assertThat(peer.silent(Peer.SILENT_MILLIS + 1)).isTrue();
-        peer.told(WorkScope.GROUP, 0, Peer.SILENT_MILLIS + 1);
+        peer.told(state(WorkScope.GROUP), Peer.SILENT_MILLIS + 1);
         assertThat(peer.silent(Peer.SILENT_MILLIS + 1)).isFalse();
     }
 
@@ -89,6 +90,10 @@
         assertThat(peer.suspected()).isFalse();
     }
 
+    private static RoutingMessage.RoutingState state(WorkScope scope) {
+        return new RoutingMessage.RoutingState(1, 1, List.of(), 0, 0, List.of(), scope, 0);
+    }
+
     private static FleetRouter router(int number) {
         return new FleetRouter(
                 new Address("10.0.0." + (number + 1), 7_340),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ReadingDutyTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ReadingDutyTest.java
@@ -2,16 +2,37 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.peer.message.RoutingMessage;
+import org.radishpass.peer.message.WorkScope;
+import org.radishpass.routing.fleet.FleetRouter;
 
 /** Checks who reads the store, and how long a failing one is left alone. */
 final class ReadingDutyTest {
     @ParameterizedTest
-    @CsvSource({"0, ALL", "1, CONFIGURATION", "2, CONFIGURATION", "3, NONE", "50, NONE"})
-    void theFirstReadsAllAndTwoMoreTheConfiguration(long before, ReadingDuty duty) {
-        assertThat(ReadingDuty.behind(before)).isEqualTo(duty);
+    @CsvSource({
+        "false, 0, ALL",
+        "true, 1, CONFIGURATION",
+        "true, 2, CONFIGURATION",
+        "true, 3, NONE",
+        "true, 50, NONE",
+        "false, 4, ALL"
+    })
+    void theFirstThatCanReadsAllAndTwoMoreTheConfiguration(boolean readBefore, int before, ReadingDuty duty) {
+        assertThat(ReadingDuty.of(readBefore, before)).isEqualTo(duty);
+    }
+
+    @Test
+    void aPeerThatHasItsListFromOthersIsNotOneThatReads() {
+        Peer refused = new Peer(FleetRouter.unlocated(new Address("10.0.0.1", 7_340)), 0);
+        refused.told(
+                new RoutingMessage.RoutingState(1, 1, List.of(), 0, 100, List.of(), WorkScope.GROUP, 9_000), 10_000);
+        assertThat(refused.listReadAtMillis()).isEqualTo(9_900);
+        assertThat(refused.ownReadAtMillis()).isEqualTo(1_000);
     }
 
     @Test
--- a/radishpass-routing/src/test/java/org/radishpass/routing/placement/EndpointChooserTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/placement/EndpointChooserTest.java
@@ -3,13 +3,16 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.routing.dialect.PromptPart;
 import org.radishpass.routing.dialect.PromptShape;
 import org.radishpass.routing.fleet.ServiceEndpoint;
@@ -102,17 +105,39 @@
 
     @Test
     void withoutCandidatesThereIsNoChoice() {
-        assertThat(chooser.choose(new PlacementQuery(List.of(), List.of(), Optional.empty(), 1, 0)))
+        assertThat(chooser.choose(new PlacementQuery(List.of(), List.of(), Optional.empty(), 1, 1, 0)))
                 .isEqualTo(Optional.empty());
     }
 
+    @Test
+    void inALargeFleetRoutersThatKnowTheSameDoNotAllSendToTheLeastLoaded() {
+        for (int number = 1; number < endpoints.size(); number++) {
+            book.started(endpoints.get(number).id(), 0);
+        }
+        Map<String, Integer> sent = new HashMap<>();
+        for (int request = 0; request < 800; request++) {
+            String id = chooser.choose(plainInLargeFleet(Rendezvous.hash("request-" + request)))
+                    .orElseThrow()
+                    .endpoint()
+                    .id();
+            sent.merge(id, 1, Integer::sum);
+        }
+        assertThat(sent).hasSize(8);
+        assertThat(sent.get(endpoints.get(0).id())).isLessThan(300);
+        assertThat(sent.get(endpoints.get(0).id())).isGreaterThan(100);
+    }
+
     private PlacementChoice choose(List<ServiceEndpoint> candidates, PromptShape prompt) {
-        return chooser.choose(new PlacementQuery(candidates, endpoints, Optional.of(prompt), 1, 0))
+        return chooser.choose(new PlacementQuery(candidates, endpoints, Optional.of(prompt), 1, 1, 0))
                 .orElseThrow();
     }
 
     private PlacementQuery plain(long hash) {
-        return new PlacementQuery(endpoints, endpoints, Optional.empty(), hash, 0);
+        return new PlacementQuery(endpoints, endpoints, Optional.empty(), hash, 1, 0);
+    }
+
+    private PlacementQuery plainInLargeFleet(long hash) {
+        return new PlacementQuery(endpoints, endpoints, Optional.empty(), hash, 60, 0);
     }
 
     private static PromptShape prompt(String subject, int request) {
