--- a/radishpass-dist/src/test/java/org/radishpass/dist/FailureIT.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/FailureIT.java
@@ -20,7 +20,6 @@
 import org.radishpass.standin.engine.EngineFaults;
 import org.radishpass.standin.engine.EngineStandIn;
 import org.radishpass.standin.platform.TableFaults;
-import org.radishpass.standin.service.ServiceFaults;
 import reactor.core.Disposable;
 
 /** Brings failures about and checks what must always hold. */
@@ -105,129 +104,6 @@
         assertThat(cancelled).isEqualTo(1);
     }
 
-    @Test
-    void anOrderThatIsAskedForAgainThroughAnotherRouterRunsOnceAndIsAnsweredAlike() {
-        Reply first = get(caller.order(fleet.address(0), "twice", "key-twice"));
-        Reply second = get(caller.order(fleet.address(1), "twice", "key-twice"));
-
-        assertThat(first.status()).isEqualTo(201);
-        assertThat(second).isEqualTo(first);
-        assertThat(runs("twice")).isEqualTo(1);
-    }
-
-    @Test
-    void ordersAskedForAtOnceThroughBothRoutersRunOnce() {
-        List<CompletableFuture<Reply>> replies = new java.util.ArrayList<>();
-        for (int i = 0; i < 10; i++) {
-            replies.add(caller.order(fleet.address(i % 2), "race", "key-race").toFuture());
-        }
-        replies.forEach(reply -> assertThat(reply.join().status()).isAnyOf(201, 409));
-
-        assertThat(runs("race")).isEqualTo(1);
-    }
-
-    @Test
-    void aKeyUsedForAnotherOrderIsRefused() {
-        get(caller.order(fleet.address(0), "one", "key-shared"));
-
-        Reply reply = get(caller.order(fleet.address(1), "other", "key-shared"));
-
-        assertThat(reply.code()).isEqualTo("KEY_REUSED");
-        assertThat(runs("other")).isEqualTo(0);
-    }
-
-    @Test
-    void anOrderWhoseAnswerIsLostMayHaveRunAndIsNeverRunAgain() {
-        services(new ServiceFaults(1, 0, 0, false, false));
-
-        Reply first = get(caller.order(fleet.address(0), "lost", "key-lost"));
-        Reply again = get(caller.order(fleet.address(1), "lost", "key-lost"));
-
-        assertThat(first.verdict()).isEqualTo("MAY_HAVE_RUN");
-        assertThat(again.code()).isEqualTo("IN_PROGRESS");
-        assertThat(again.verdict()).isEqualTo("MAY_HAVE_RUN");
-        assertThat(runs("lost")).isEqualTo(1);
-    }
-
-    @Test
-    void anOrderThatEveryServiceDeclinesDidNotRunAndMayBeAskedForAgain() {
-        services(new ServiceFaults(0, 0, 0, false, true));
-        Reply declined = get(caller.order(fleet.address(0), "declined", "key-declined"));
-        assertThat(declined.verdict()).isEqualTo("NOT_RUN");
-        assertThat(runs("declined")).isEqualTo(0);
-
-        services(ServiceFaults.NONE);
-
-        assertThat(get(caller.order(fleet.address(1), "declined", "key-declined"))
-                        .status())
-                .isEqualTo(201);
-        assertThat(runs("declined")).isEqualTo(1);
-    }
-
-    @Test
-    void answersOfTheStoreThatAreLostDoubleNothing() {
-        fleet.deployment().table().faults(new TableFaults(false, 0, 0.7));
-        for (int i = 0; i < 6; i++) {
-            String number = "store-" + i;
-            get(caller.order(fleet.address(0), number, "key-" + number));
-            get(caller.order(fleet.address(1), number, "key-" + number));
-
-            assertThat(runs(number)).isAtMost(1);
-        }
-    }
-
-    @Test
-    void withoutTheStoreChatsGoOnAndOrdersAreTruthfullyRefused() {
-        fleet.deployment().table().faults(new TableFaults(true, 0, 0));
-
-        Reply chat = get(caller.chat(fleet.address(0), TestCaller.chatBody("outage", 3, true)));
-        Reply order = get(caller.order(fleet.address(0), "outage", "key-outage"));
-
-        assertThat(TestCaller.text(chat.body())).isEqualTo(TestCaller.expected("outage", 3));
-        assertThat(order.code()).isEqualTo("STORE_UNAVAILABLE");
-        assertThat(order.verdict()).isEqualTo("NOT_RUN");
-        assertThat(runs("outage")).isEqualTo(0);
-    }
-
-    @Test
-    void withATicketOrdersAreServedWithoutTheStoreAndOnceThroughAnyRouter() {
-        fleet.deployment().table().faults(new TableFaults(true, 0, 0));
-        String ticket = ticket(0);
-
-        Reply first = get(caller.order(fleet.address(1), "ticket", ticket));
-        Reply second = get(caller.order(fleet.address(0), "ticket", ticket));
-
-        assertThat(first.status()).isEqualTo(201);
-        assertThat(second).isEqualTo(first);
-        assertThat(runs("ticket")).isEqualTo(1);
-    }
-
-    @Test
-    void aTicketOfARouterThatIsGoneMayHaveRunAndIsNeverRunAgain() throws InterruptedException {
-        String ticket = ticket(0);
-        fleet.router(0).stop();
-
-        Reply reply = get(caller.order(fleet.address(1), "gone", ticket));
-
-        assertThat(reply.code()).isEqualTo("TICKET_LOST");
-        assertThat(reply.verdict()).isEqualTo("MAY_HAVE_RUN");
-        assertThat(runs("gone")).isEqualTo(0);
-    }
-
-    @Test
-    void aForgedTicketGainsNothing() {
-        String ticket = ticket(0);
-        String forged = ticket.substring(0, ticket.lastIndexOf('.')) + ".999";
-
-        Reply unknown = get(caller.order(fleet.address(0), "forged", forged));
-        Reply other = get(caller.post(
-                fleet.address(0) + "/services/booking/orders", "universities", "{\"number\":\"forged\"}", ticket));
-
-        assertThat(unknown.verdict()).isEqualTo("NOT_RUN");
-        assertThat(other.verdict()).isEqualTo("NOT_RUN");
-        assertThat(runs("forged")).isEqualTo(0);
-    }
-
     @Test
     void aLeavingEngineGetsNothingNewAndFinishesWhatItHas() {
         CompletableFuture<Reply> reply = caller.chat(fleet.address(0), TestCaller.chatBody("leaving", 100, true))
@@ -303,14 +179,6 @@
         assertThat(reply.code()).isEqualTo("UNAUTHORIZED");
     }
 
-    private String ticket(int router) {
-        Reply reply = get(caller.post(fleet.address(router) + "/v1/tickets", "foreign-operators", "", null));
-        return org.radishpass.runtime.http.HttpJson.parse(
-                        reply.body().getBytes(java.nio.charset.StandardCharsets.UTF_8))
-                .path("ticket")
-                .asText();
-    }
-
     private java.util.Optional<EngineStandIn> running() {
         return fleet.deployment().engines().stream()
                 .filter(engine -> engine.running() > 0)
@@ -327,16 +195,6 @@
         return state;
     }
 
-    private int runs(String number) {
-        return fleet.deployment().services().stream()
-                .mapToInt(service -> service.runs().getOrDefault(number, 0))
-                .sum();
-    }
-
-    private void services(ServiceFaults faults) {
-        fleet.deployment().services().forEach(service -> service.faults(faults));
-    }
-
     private static Reply get(reactor.core.publisher.Mono<Reply> reply) {
         return reply.blockOptional().orElseThrow();
     }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
@@ -4,14 +4,11 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import org.radishpass.core.fleet.FleetView;
 import org.radishpass.core.fleet.Vm;
@@ -49,8 +46,7 @@
     private final FleetTracker fleet;
     private final SlotOwner slots;
     private final VmListClient vmList;
-    private final Map<String, EndpointReport> told = new HashMap<>();
-    private final ConcurrentHashMap<String, Integer> reportedLoads = new ConcurrentHashMap<>();
+    private final EndpointReporting reporting;
     private final Set<String> greeted = new HashSet<>();
     private final List<Runnable> fleetListeners = new ArrayList<>();
     private volatile Function<PeerMessage.TicketRun, Mono<PeerMessage>> ticketHandler =
@@ -92,6 +88,7 @@
         this.slots = new SlotOwner(settings.id(), control, peers, clock);
         this.fleet = new FleetTracker(
                 control, new EndpointProbe(runtime.client(), meter), clock, this::probed, this::fleetChanged);
+        this.reporting = new EndpointReporting(settings.id(), peers, slots, fleet);
     }
 
     /** Starts the periodic work. */
@@ -102,7 +99,8 @@
         control.every(Duration.ofMillis(settings.headPollMillis()), configuration::poll);
         control.every(Duration.ofMillis(settings.probeMillis()), this::probe);
         control.every(EXCHANGE_PERIOD, () -> slots.exchange(snapshot.fleet()));
-        control.every(REFRESH_PERIOD, this::refreshOnePeer);
+        control.every(
+                REFRESH_PERIOD, () -> reporting.refreshOne(snapshot.fleet().vms()));
     }
 
     /** Returns the newest snapshot. */
@@ -116,7 +114,7 @@
      * @param endpointId the endpoint
      */
     public int reportedLoad(String endpointId) {
-        return reportedLoads.getOrDefault(endpointId, 0);
+        return reporting.load(endpointId);
     }
 
     /** Returns the links to peers. */
@@ -252,12 +250,7 @@
 
     private void greeted(PeerMessage.Hello hello, Optional<Vm> sender) {
         configuration.heardFromPeer(sender, hello.revision());
-        sender.ifPresent(peer -> {
-            List<EndpointReport> reports = fleet.lastReports(slots.book().ownedIds());
-            if (!reports.isEmpty()) {
-                peers.send(peer, ReportMessages.of(reports));
-            }
-        });
+        sender.ifPresent(reporting::tell);
     }
 
     private PeerMessage hello() {
@@ -277,27 +270,7 @@
     }
 
     private void probed(EndpointReport report) {
-        reportedLoads.put(report.endpointId(), report.running());
-        slots.reported(report);
-        if (!slots.book().ownedIds().contains(report.endpointId())) {
-            return;
-        }
-        EndpointReport before = told.get(report.endpointId());
-        if (before == null || !report.sameStanding(before)) {
-            told.put(report.endpointId(), report);
-            broadcast(ReportMessages.of(List.of(report)));
-        }
-    }
-
-    /** Repairs what a peer may have missed: each second one peer, by chance, is told of all that this router owns. */
-    private void refreshOnePeer() {
-        List<Vm> others = snapshot.fleet().vms().stream()
-                .filter(vm -> !vm.id().equals(settings.id()))
-                .toList();
-        List<EndpointReport> reports = fleet.lastReports(slots.book().ownedIds());
-        if (!others.isEmpty() && !reports.isEmpty()) {
-            peers.send(others.get(ThreadLocalRandom.current().nextInt(others.size())), ReportMessages.of(reports));
-        }
+        reporting.probed(report, snapshot.fleet().vms());
     }
 
     private void configurationChanged(boolean fromStore) {
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
@@ -0,0 +1,136 @@
+package org.radishpass.routing.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.Answers.chunk;
+import static org.radishpass.routing.testing.Answers.end;
+import static org.radishpass.routing.testing.Answers.event;
+import static org.radishpass.routing.testing.Answers.streamHead;
+import static org.radishpass.routing.testing.Answers.whole;
+import static org.radishpass.routing.testing.Answers.write;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.radishpass.routing.testing.FakeEndpoint;
+import org.radishpass.routing.testing.PlainDialect;
+import org.radishpass.routing.testing.TestCaller;
+import org.radishpass.routing.testing.TrafficBed;
+
+/** Checks streams, and connections of callers: what breaks, leaves, is sent ahead or stopped. */
+final class StreamAndCallerTest {
+    private static final long LONG = 20_000;
+
+    private final TrafficBed bed;
+
+    StreamAndCallerTest() throws Exception {
+        bed = new TrafficBed();
+    }
+
+    @AfterEach
+    void close() {
+        bed.close();
+    }
+
+    @Test
+    void aStreamThatBreaksGoesOnElsewhereWithoutLossOrRepeat() throws Exception {
+        try (FakeEndpoint breaking = new FakeEndpoint("a", (request, out) -> {
+                    write(out, streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
+                    request.reset();
+                });
+                FakeEndpoint going = new FakeEndpoint("b", (request, out) -> {
+                    int after = Integer.parseInt("0" + request.header(PlainDialect.AFTER));
+                    StringBuilder events = new StringBuilder();
+                    for (int id = after + 1; id <= 5; id++) {
+                        events.append(chunk(event(id)));
+                    }
+                    write(out, streamHead(request) + events + end());
+                });
+                TestCaller caller = bed.knows(LONG, breaking, going).caller()) {
+            for (int request = 0; request < 6; request++) {
+                String answer =
+                        caller.request("POST", "/resume/", "r" + request, "x").readUntil("0\r\n\r\n");
+                for (int id = 1; id <= 5; id++) {
+                    assertThat(answer.split("id: " + id + "\n", -1)).hasLength(2);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aStreamThatCannotGoOnElsewhereIsCut() throws Exception {
+        try (FakeEndpoint breaking = new FakeEndpoint("a", (request, out) -> {
+                    write(out, streamHead(request) + chunk(event(1)));
+                    request.reset();
+                });
+                FakeEndpoint other = new FakeEndpoint("b", (request, out) -> request.reset());
+                TestCaller caller = bed.knows(LONG, breaking).caller()) {
+            String answer = caller.request("POST", "/stream/", "7", "x").readAll();
+            assertThat(answer).contains("event 1");
+            assertThat(answer).doesNotContain("0\r\n\r\n");
+            assertThat(other.unseen()).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void aCallerThatLeavesEndsItsRun() throws Exception {
+        try (FakeEndpoint endpoint = new FakeEndpoint("a", (request, out) -> write(out, streamHead(request)));
+                TestCaller caller = bed.knows(LONG, endpoint).caller()) {
+            caller.request("POST", "/stream/", "7", "x");
+            FakeEndpoint.Seen seen = endpoint.next();
+            caller.close();
+            assertThat(seen.gone.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    @Test
+    void aStoppingRouterFinishesWhatItHasAndEndsConnections() throws Exception {
+        java.util.concurrent.CountDownLatch go = new java.util.concurrent.CountDownLatch(1);
+        try (FakeEndpoint endpoint = new FakeEndpoint("a", (request, out) -> {
+                    awaitQuietly(go);
+                    write(out, whole(request, 200, "ok"));
+                });
+                TestCaller caller = bed.knows(LONG, endpoint).caller()) {
+            caller.request("POST", "/once/", "7", "x");
+            endpoint.next();
+            bed.server().stopping();
+            bed.server().refuseNew();
+            CompletableFuture<Integer> active = new CompletableFuture<>();
+            bed.server().active(active::complete);
+            assertThat(active.get(20, TimeUnit.SECONDS)).isEqualTo(1);
+            go.countDown();
+            String answer = caller.readAll();
+            assertThat(answer).startsWith("HTTP/1.1 200");
+            assertThat(answer.toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
+        }
+    }
+
+    @Test
+    void requestsSentAheadAreAnsweredInOrder() throws Exception {
+        try (FakeEndpoint endpoint =
+                        new FakeEndpoint("a", (request, out) -> write(out, whole(request, 200, request.body())));
+                TestCaller caller = bed.knows(LONG, endpoint).caller()) {
+            caller.request("POST", "/once/", "1", "first").request("POST", "/once/", "2", "second");
+            assertThat(caller.readUntil("first")).contains("X-Id: 1");
+            assertThat(caller.readUntil("second")).contains("X-Id: 2");
+        }
+    }
+
+    @Test
+    void aBodyOverTheLimitIsRefusedAndRunsNothing() throws Exception {
+        try (FakeEndpoint endpoint = new FakeEndpoint("a", (request, out) -> write(out, whole(request, 200, "ok")));
+                TestCaller caller = bed.knows(LONG, endpoint).caller()) {
+            assertThat(caller.request("POST", "/once/", "7", "x".repeat(10_001)).readUntil("\r\n\r\n"))
+                    .startsWith("HTTP/1.1 413");
+            assertThat(endpoint.unseen()).isEqualTo(0);
+        }
+    }
+
+    private static void awaitQuietly(java.util.concurrent.CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
