--- a/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/control/RouterControl.java
@@ -4,11 +4,9 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
 import org.radishpass.core.fleet.FleetView;
 import org.radishpass.core.fleet.Vm;
@@ -47,7 +45,7 @@
     private final SlotOwner slots;
     private final VmListClient vmList;
     private final EndpointReporting reporting;
-    private final Set<String> greeted = new HashSet<>();
+    private final PeerGreetings greetings;
     private final List<Runnable> fleetListeners = new ArrayList<>();
     private volatile Function<PeerMessage.TicketRun, Mono<PeerMessage>> ticketHandler =
             run -> Mono.just(new PeerMessage.Done());
@@ -85,6 +83,7 @@
                 meter,
                 this::hello);
         this.configuration = new ConfigurationTracker(control, store, peers, metrics, this::configurationChanged);
+        this.greetings = new PeerGreetings(settings.id(), peers, configuration);
         this.slots = new SlotOwner(settings.id(), control, peers, clock);
         this.fleet = new FleetTracker(
                 control, new EndpointProbe(runtime.client(), meter), clock, this::probed, this::fleetChanged);
@@ -286,19 +285,10 @@
         slots.fleetChanged(view, owners);
         publish(view, owners);
         peers.retain(id -> view.vm(id).isPresent());
-        greetNewPeers(view);
+        greetings.greetNew(view);
         fleetListeners.forEach(Runnable::run);
     }
 
-    private void greetNewPeers(FleetView view) {
-        greeted.retainAll(view.vms().stream().map(Vm::id).toList());
-        for (Vm vm : view.vms()) {
-            if (!vm.id().equals(settings.id()) && greeted.add(vm.id())) {
-                peers.send(vm, new PeerMessage.Head(configuration.current().revision()));
-            }
-        }
-    }
-
     private void publish() {
         publish(snapshot.fleet(), snapshot.owners());
     }
