A placement says which list it was made from, who read it and how old that reading is; a refusal, how long its configuration has been in force

Change: DirectoryOrigin (revision, time, reader) goes with the list to the traffic side, also when a peer only confirms it; 'configurationAge' at each request; the directory is built on change, not at each publication. Figures: none measured; one more publication of the view about once a second. Conclusion: sight before repair; DirectoryTrackerTest, ReadingDutyTest, RoutedRouterTest and OperationsTablesTest pass.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.radishpass.core.placement.Rendezvous;
+import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
@@ -36,6 +37,8 @@
     private long readAtMillis = Long.MIN_VALUE / 2;
     private long ownReadAtMillis = Long.MIN_VALUE / 2;
     private long hash;
+    private String source = DirectoryOrigin.UNKNOWN.source();
+    private EndpointDirectory directory = EndpointDirectory.EMPTY;
     private boolean trouble;
     private long backSinceMillis = Long.MIN_VALUE / 2;
 
@@ -61,7 +64,12 @@
 
     /** Returns the endpoints as believed. */
     public EndpointDirectory directory() {
-        return new EndpointDirectory(known.values());
+        return directory;
+    }
+
+    /** Returns where the list comes from. */
+    public DirectoryOrigin origin() {
+        return new DirectoryOrigin(revision, readAtMillis, source);
     }
 
     /** Returns the endpoints as believed, for peers. */
@@ -103,6 +111,7 @@
         }
         readAtMillis = nowMillis;
         ownReadAtMillis = nowMillis;
+        source = DirectoryOrigin.STORE;
         boolean absenceCounts = nowMillis - backSinceMillis >= GRACE_MILLIS;
         return replace(newRevision, endpoints, absenceCounts);
     }
@@ -113,13 +122,16 @@
      * @param newRevision the store's revision at which the peer read it
      * @param endpoints all that the peer believes in
      * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
+     * @param peer the peer's id
      * @return whether what is believed has changed
      */
-    public boolean peerListed(long newRevision, Collection<ServiceEndpoint> endpoints, long peerReadAtMillis) {
+    public boolean peerListed(
+            long newRevision, Collection<ServiceEndpoint> endpoints, long peerReadAtMillis, String peer) {
         if (newRevision <= revision) {
             return false;
         }
         readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
+        source = peer;
         return replace(newRevision, endpoints, true);
     }
 
@@ -128,11 +140,15 @@
      *
      * @param newRevision the store's revision at which the peer read it
      * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
+     * @param peer the peer's id
      */
-    public void confirmed(long newRevision, long peerReadAtMillis) {
+    public void confirmed(long newRevision, long peerReadAtMillis, String peer) {
         if (newRevision >= revision) {
             revision = newRevision;
-            readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
+            if (peerReadAtMillis > readAtMillis) {
+                readAtMillis = peerReadAtMillis;
+                source = peer;
+            }
         }
     }
 
@@ -154,7 +170,7 @@
         }
         left.add(id);
         known.put(id, endpoint.asLeaving());
-        hash = hashOf(known.values());
+        changed();
         return true;
     }
 
@@ -172,10 +188,15 @@
             known.put(endpoint.id(), left.contains(endpoint.id()) ? endpoint.asLeaving() : endpoint);
         }
         left.retainAll(known.keySet());
-        hash = hashOf(known.values());
+        changed();
         return first || !before.equals(known);
     }
 
+    private void changed() {
+        hash = hashOf(known.values());
+        directory = new EndpointDirectory(known.values());
+    }
+
     /** The order of the endpoints does not matter. */
     private static long hashOf(Collection<ServiceEndpoint> endpoints) {
         long sum = endpoints.size();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -75,7 +75,7 @@
         long readAtMillis = clock.millis() - state.directoryAgeMillis();
         if (directory.known() && state.directoryHash() == directory.hash()) {
             boolean later = readAtMillis - directory.readAtMillis() > LATER_MILLIS;
-            directory.confirmed(state.directory(), readAtMillis);
+            directory.confirmed(state.directory(), readAtMillis, peer.id());
             return later;
         }
         if (state.directory() > directory.revision() && state.directoryAgeMillis() < PeerExchange.STALE_LIST_MILLIS) {
@@ -124,7 +124,10 @@
         }
         try {
             if (directory.peerListed(
-                    document.version(), EndpointListCodec.decode(document.content()), peer.listReadAtMillis())) {
+                    document.version(),
+                    EndpointListCodec.decode(document.content()),
+                    peer.listReadAtMillis(),
+                    peer.id())) {
                 LOG.info(
                         "the endpoints are taken from router {}, as of revision {}",
                         peer.id(),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -224,7 +224,15 @@
         Peer peer = found.get();
         long nowMillis = clock.millis();
         heard(peer, peer.told(state, nowMillis));
-        if (documents.compare(node(), peer, state, duty().readsConfiguration()) && gathersForOthers(nowMillis)) {
+        if (documents.compare(node(), peer, state, duty().readsConfiguration())) {
+            confirmed(nowMillis);
+        }
+    }
+
+    /** A later reading of the same list: placements count its age from then on, and members are told. */
+    private void confirmed(long nowMillis) {
+        listener.endpointsChanged();
+        if (gathersForOthers(nowMillis)) {
             tellNow();
         }
     }
@@ -265,7 +273,7 @@
         /** A peer offers a configuration. */
         void configurationOffered(byte[] content, String origin);
 
-        /** A peer's list of endpoints has been taken over. */
+        /** A peer's list of endpoints has been taken over, or has confirmed this router's. */
         void endpointsChanged();
 
         /** There are more routers. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -55,6 +55,7 @@
     private final MeterRegistry metrics;
     private final StartSequence start;
     private long registration = -1;
+    private long configurationSinceMillis;
     private volatile boolean stopping;
 
     private RoutedRouter(Builder builder) {
@@ -185,9 +186,10 @@
     private void publish() {
         view = new RoutingView(
                 configuration.current().orElse(null),
+                configurationSinceMillis,
                 directory.directory(),
                 directory.known(),
-                directory.readAtMillis(),
+                directory.origin(),
                 peers.started() ? peers.routers() : RoutingView.ROUTERS_UNKNOWN);
         if (view.complete()) {
             start.serve();
@@ -198,6 +200,7 @@
     private final class StoreNews implements StoreFollower.Listener {
         @Override
         public void configurationChanged() {
+            configurationSinceMillis = clock.millis();
             publish();
             peers.tellNow();
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.placement.PlacementChoice;
 
 /** The account of one request, for the log: what was decided, on what inputs of which age, and what came of it. */
@@ -14,6 +15,7 @@
     private final List<Step> steps = new ArrayList<>(1);
     private String requestId = "";
     private long configurationVersion;
+    private long configurationAgeMillis;
     private Terms terms = Terms.UNKNOWN;
     private Verdict verdict = Verdict.NOT_RUN;
     private int status;
@@ -36,6 +38,11 @@
         return configurationVersion;
     }
 
+    /** Returns how long that configuration had been in force here, in milliseconds. */
+    long configurationAgeMillis() {
+        return configurationAgeMillis;
+    }
+
     Terms terms() {
         return terms;
     }
@@ -61,9 +68,10 @@
         return steps;
     }
 
-    void request(String id, long version) {
+    void request(String id, long version, long inForceSinceMillis) {
         this.requestId = id;
         this.configurationVersion = version;
+        this.configurationAgeMillis = receivedAtMillis - inForceSinceMillis;
     }
 
     void terms(Terms newTerms) {
@@ -71,7 +79,7 @@
     }
 
     void chosen(PlacementChoice choice, RoutingView view, long nowMillis) {
-        steps.add(new Step(choice, nowMillis - receivedAtMillis, nowMillis - view.directoryReadAtMillis()));
+        steps.add(new Step(choice, view.origin(), receivedAtMillis, nowMillis));
     }
 
     void sent(long nowMillis) {
@@ -106,22 +114,26 @@
     static final class Step {
         private final PlacementChoice choice;
         private final long chosenAfterMillis;
+        private final DirectoryOrigin origin;
         private final long directoryAgeMillis;
         private long sentAfterMillis = -1;
         private long headAfterMillis = -1;
         private int status;
         private @Nullable String end;
 
-        private Step(PlacementChoice choice, long chosenAfterMillis, long directoryAgeMillis) {
+        private Step(PlacementChoice choice, DirectoryOrigin origin, long receivedAtMillis, long nowMillis) {
             this.choice = choice;
-            this.chosenAfterMillis = chosenAfterMillis;
-            this.directoryAgeMillis = directoryAgeMillis;
+            this.origin = origin;
+            this.chosenAfterMillis = nowMillis - receivedAtMillis;
+            this.directoryAgeMillis = nowMillis - origin.readAtMillis();
         }
 
         @Override
         public String toString() {
             return choice.endpoint().id() + " rank " + choice.rank() + " load " + choice.load() + "/"
-                    + Math.round(choice.limit()) + " of " + choice.candidates() + " listAge " + directoryAgeMillis
+                    + Math.round(choice.limit()) + " of " + choice.candidates() + " list " + origin.revision()
+                    + " from "
+                    + origin.source() + " listAge " + directoryAgeMillis
                     + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
                     + (status == 0 ? "" : " status " + status) + (end == null ? "" : ": " + end);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -56,6 +56,7 @@
                 LogEvent.REQUEST.field(),
                 kv("request", record.requestId()),
                 kv("configuration", record.configurationVersion()),
+                kv("configurationAge", record.configurationAgeMillis()),
                 kv("route", record.terms().route().name()),
                 kv("kind", record.terms().kind()),
                 kv(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
@@ -38,7 +38,7 @@
         } catch (MalformedHeadException e) {
             return refused(RefusalCode.BAD_REQUEST, String.valueOf(e.getMessage()));
         }
-        record.request(head.id(), known.get().version());
+        record.request(head.id(), known.get().version(), view.inForceSinceMillis());
         return resolve(head, known.get(), record.receivedAtMillis());
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
@@ -4,29 +4,33 @@
 import org.jspecify.annotations.Nullable;
 import org.radishpass.routing.config.CallerLimits;
 import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
 
 /**
  * What the control side believes at one moment; immutable, published to the traffic thread as a whole.
  *
  * @param published the configuration in force, or null before the first is known
+ * @param inForceSinceMillis since when it is in force here, on the monotonic clock in milliseconds
  * @param directory the endpoints
  * @param directoryKnown whether a list of endpoints has been read at all
- * @param directoryReadAtMillis when the endpoints were read, on the monotonic clock in milliseconds
+ * @param origin where the list of endpoints comes from
  * @param routers the routers that are registered, this one included; {@link #ROUTERS_UNKNOWN} before peers were joined
  * @since 0.2.0
  */
 public record RoutingView(
         @Nullable RoutingConfiguration published,
+        long inForceSinceMillis,
         EndpointDirectory directory,
         boolean directoryKnown,
-        long directoryReadAtMillis,
+        DirectoryOrigin origin,
         int routers) {
     /** The number of routers while nothing is known of others. */
     public static final int ROUTERS_UNKNOWN = 0;
 
     /** What is believed before anything is known. */
-    public static final RoutingView UNKNOWN = new RoutingView(null, EndpointDirectory.EMPTY, false, 0, ROUTERS_UNKNOWN);
+    public static final RoutingView UNKNOWN =
+            new RoutingView(null, 0, EndpointDirectory.EMPTY, false, DirectoryOrigin.UNKNOWN, ROUTERS_UNKNOWN);
 
     /** Returns the configuration in force. */
     public Optional<RoutingConfiguration> configuration() {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -48,8 +48,8 @@
     @Test
     void aPeersListCountsOnlyIfItIsNewer() {
         tracker.listed(5, List.of(endpoint("a")), 10_000);
-        assertThat(tracker.peerListed(5, List.of(), 10_500)).isFalse();
-        assertThat(tracker.peerListed(6, List.of(endpoint("a").asLeaving()), 10_500))
+        assertThat(tracker.peerListed(5, List.of(), 10_500, "peer")).isFalse();
+        assertThat(tracker.peerListed(6, List.of(endpoint("a").asLeaving()), 10_500, "peer"))
                 .isTrue();
         assertThat(tracker.directory().open("orders")).isEmpty();
     }
@@ -61,11 +61,11 @@
         other.listed(6, List.of(endpoint("b"), endpoint("a")), 10_700);
         assertThat(other.hash()).isEqualTo(tracker.hash());
 
-        tracker.confirmed(other.revision(), 10_700);
+        tracker.confirmed(other.revision(), 10_700, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(10_700);
-        tracker.confirmed(6, 11_000);
+        tracker.confirmed(6, 11_000, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(11_000);
-        tracker.confirmed(5, 20_000);
+        tracker.confirmed(5, 20_000, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(11_000);
         other.gone("a");
         assertThat(other.hash()).isNotEqualTo(tracker.hash());
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -15,6 +15,7 @@
 import org.radishpass.routing.config.RoutingConfiguration;
 import org.radishpass.routing.config.ServiceSpec;
 import org.radishpass.routing.config.TrafficSplit;
+import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.retry.RetryAllowance;
@@ -61,7 +62,8 @@
         route(configuration, "/again/", RequestKind.IDEMPOTENT, timeoutMillis);
         route(configuration, "/stream/", RequestKind.STREAM, timeoutMillis);
         route(configuration, "/resume/", RequestKind.RESUMABLE_STREAM, timeoutMillis);
-        view = new RoutingView(configuration.build(), new EndpointDirectory(known), true, 0, 1);
+        view = new RoutingView(
+                configuration.build(), 0, new EndpointDirectory(known), true, DirectoryOrigin.UNKNOWN, 1);
         return this;
     }
 
