Lists of endpoints are ordered and aged by the store's clock, and one that keeps what is missing replaces none that does not

Cause: trust in a peer that lasted longer than its grounds, twice. (1) A message told the age of a list, and the receiver counted it back from the message's arrival: what had lain for seconds in a buffer or a frozen process made the list seconds younger, and its sender a fresh reader. (2) A router back from a cut of its own kept missing endpoints for 2.3 s, counted as a reader and, its list having the newer revision, spread them to routers that had read the store all the while. Change: a reading carries the moment on the store's steady clock, which each router relates to its own (StoreClock); lists carry that moment and whether they are settled (ListReading), and are ordered by both, in messages and in the document itself; doubt begins with a gap between readings, not with one failed call, and ends with a settled list of a peer; ReaderChoice trusts no unsettled reader. Suspected peers are tried at once when the store or another peer answers again.

--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -68,10 +68,11 @@
      * @param directory the revision of the endpoint list that it read last; -1 before it has read one
      * @param work the work in flight that the message speaks of, by endpoint
      * @param directoryHash the hash of the endpoint list
-     * @param directoryAgeMillis how long ago the store was read for that list, in milliseconds
+     * @param directoryReadMillis when the store was read for that list, on the store's clock in milliseconds
+     * @param directorySettled whether endpoints that the reading lacked are left out of that list
      * @param failing the endpoints that were seen to fail too many requests
      * @param scope whose work this is
-     * @param ownReadAgeMillis how long ago the sender itself read the store, in milliseconds
+     * @param ownReadMillis when the sender itself read the store last, on the store's clock in milliseconds
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -80,10 +81,11 @@
             long directory,
             List<EndpointWork> work,
             long directoryHash,
-            long directoryAgeMillis,
+            long directoryReadMillis,
+            boolean directorySettled,
             List<String> failing,
             @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope,
-            long ownReadAgeMillis)
+            long ownReadMillis)
             implements RoutingMessage {
         /** Refuses a message that lacks a component. */
         public RoutingState {
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -19,7 +19,15 @@
     private static final RoutingMessage.RouterEntry ROUTER =
             new RoutingMessage.RouterEntry("10.0.0.1:7340", "here", 0.75);
     private static final RoutingMessage STATE = new RoutingMessage.RoutingState(
-            7, 9, List.of(new RoutingMessage.EndpointWork("e", 2, 300)), 11, 13, List.of("f"), WorkScope.GROUP, 17);
+            7,
+            9,
+            List.of(new RoutingMessage.EndpointWork("e", 2, 300)),
+            11,
+            13,
+            true,
+            List.of("f"),
+            WorkScope.GROUP,
+            17);
 
     static Stream<RoutingMessage> messages() {
         return Stream.of(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
@@ -13,10 +13,11 @@
      * All endpoints that are registered.
      *
      * @param revision the store's revision at which they were read
+     * @param storeMillis what the store's steady clock showed, in milliseconds
      * @param endpoints the endpoints
      * @since 0.2.0
      */
-    record Listed(long revision, List<ServiceEndpoint> endpoints) implements DirectoryReading {}
+    record Listed(long revision, long storeMillis, List<ServiceEndpoint> endpoints) implements DirectoryReading {}
 
     /**
      * The store did not answer, or refused.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -17,8 +17,8 @@
  *
  * <ul>
  *   <li>An endpoint that has said that it leaves never comes back under the same id.
- *   <li>Absence from a reading means that an endpoint is gone, but not while the store is in trouble nor shortly after:
- *       registrations lapse meanwhile, and are renewed once the store is back.
+ *   <li>Absence from a reading means that an endpoint is gone, but not after a time in which nobody read the store: registrations
+ *       lapse while it is away, and are renewed once it is back. A peer that read all the while knows better.
  *   <li>A reading older than the last one is ignored.
  * </ul>
  *
@@ -31,35 +31,42 @@
      */
     public static final long GRACE_MILLIS = 2_300;
 
+    /**
+     * Milliseconds between two readings up to which nothing can have lapsed in between: two readings may be missed, and a
+     * registration outlives the last renewal by three periods of about 1.2 s.
+     */
+    static final long CONTINUITY_MILLIS = 1_900;
+
     private final Map<String, ServiceEndpoint> known = new LinkedHashMap<>();
     private final Set<String> left = new HashSet<>();
-    private long revision = -1;
-    private long readAtMillis = Long.MIN_VALUE / 2;
-    private long ownReadAtMillis = Long.MIN_VALUE / 2;
-    private long hash;
+    private ListReading reading = ListReading.NONE;
+    private long readAtMillis = StoreClock.NEVER;
+    private long ownReadStoreMillis = StoreClock.NEVER;
+    private long continuousSinceMillis = StoreClock.NEVER;
+    private boolean keepsMissing;
+    private boolean trouble;
     private String source = DirectoryOrigin.UNKNOWN.source();
+    private long hash;
     private EndpointDirectory directory = EndpointDirectory.EMPTY;
-    private boolean trouble;
-    private long backSinceMillis = Long.MIN_VALUE / 2;
 
-    /** Returns the store's revision of the last reading; -1 before the first. */
-    public long revision() {
-        return revision;
+    /** Returns the reading that the list rests on. */
+    ListReading reading() {
+        return reading;
     }
 
     /** Tells whether a list of endpoints is known. */
     public boolean known() {
-        return revision >= 0;
+        return reading.revision() >= 0;
     }
 
-    /** Returns when the store was read last, on the monotonic clock in milliseconds. */
+    /** Returns when the store was read last at the earliest, on the monotonic clock in milliseconds. */
     public long readAtMillis() {
         return readAtMillis;
     }
 
-    /** Returns when this router itself read the store last, on the monotonic clock in milliseconds. */
-    public long ownReadAtMillis() {
-        return ownReadAtMillis;
+    /** Returns when this router itself read the store last, on the store's clock in milliseconds. */
+    long ownReadStoreMillis() {
+        return ownReadStoreMillis;
     }
 
     /** Returns the endpoints as believed. */
@@ -69,12 +76,17 @@
 
     /** Returns where the list comes from. */
     public DirectoryOrigin origin() {
-        return new DirectoryOrigin(revision, readAtMillis, source);
+        return new DirectoryOrigin(reading.revision(), readAtMillis, source, reading.settled());
+    }
+
+    /** Returns the list as believed, for peers. */
+    EndpointSnapshot snapshot() {
+        return new EndpointSnapshot(reading, List.copyOf(known.values()));
     }
 
-    /** Returns the endpoints as believed, for peers. */
-    public List<ServiceEndpoint> endpoints() {
-        return List.copyOf(known.values());
+    /** Returns a hash of what is believed of the endpoints; equal for routers that believe the same. */
+    public long hash() {
+        return hash;
     }
 
     /**
@@ -94,67 +106,90 @@
     }
 
     /**
-     * Takes a reading of the store.
+     * Takes a reading of the store by this router.
      *
-     * @param newRevision the store's revision
-     * @param endpoints all that are registered
-     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @param listed what the store answered
+     * @param askedAtMillis when it was asked, on the monotonic clock in milliseconds
      * @return whether what is believed has changed
      */
-    public boolean listed(long newRevision, Collection<ServiceEndpoint> endpoints, long nowMillis) {
-        if (newRevision < revision) {
-            return false;
-        }
-        if (trouble) {
+    public boolean listed(DirectoryReading.Listed listed, long askedAtMillis) {
+        boolean first = !known();
+        if (listed.revision() < reading.revision()) {
             trouble = false;
-            backSinceMillis = nowMillis;
+            return false;
         }
-        readAtMillis = nowMillis;
-        ownReadAtMillis = nowMillis;
+        boolean settled = settledBy(askedAtMillis);
+        trouble = false;
+        reading = new ListReading(listed.revision(), listed.storeMillis(), settled);
+        readAtMillis = Math.max(readAtMillis, askedAtMillis);
+        ownReadStoreMillis = listed.storeMillis();
         source = DirectoryOrigin.STORE;
-        boolean absenceCounts = nowMillis - backSinceMillis >= GRACE_MILLIS;
-        return replace(newRevision, endpoints, absenceCounts);
+        return replace(listed.endpoints(), keepsMissing) || first;
+    }
+
+    /** Tells whether a reading now follows on others for so long that what it lacks is gone. */
+    private boolean settledBy(long askedAtMillis) {
+        if (!known()) {
+            continuousSinceMillis = askedAtMillis;
+        } else if (interrupted(askedAtMillis - readAtMillis)) {
+            continuousSinceMillis = askedAtMillis;
+            keepsMissing = true;
+        }
+        boolean settled = askedAtMillis - continuousSinceMillis >= GRACE_MILLIS;
+        if (settled) {
+            keepsMissing = false;
+        }
+        return settled;
+    }
+
+    private boolean interrupted(long gapMillis) {
+        boolean storeMayHaveBeenAway = trouble || reading.settled();
+        return gapMillis > GRACE_MILLIS || (storeMayHaveBeenAway && gapMillis > CONTINUITY_MILLIS);
     }
 
     /**
-     * Takes a peer's list, which counts only if it is newer than the last reading.
+     * Takes a peer's list, if it may replace this router's.
      *
-     * @param newRevision the store's revision at which the peer read it
-     * @param endpoints all that the peer believes in
-     * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
+     * @param list the peer's list
+     * @param peerReadAtMillis when the store was read for it at the earliest, on this router's monotonic clock in milliseconds
      * @param peer the peer's id
      * @return whether what is believed has changed
      */
-    public boolean peerListed(
-            long newRevision, Collection<ServiceEndpoint> endpoints, long peerReadAtMillis, String peer) {
-        if (newRevision <= revision) {
+    boolean peerListed(EndpointSnapshot list, long peerReadAtMillis, String peer) {
+        if (known() && !list.reading().supersedes(reading)) {
             return false;
         }
-        readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
-        source = peer;
-        return replace(newRevision, endpoints, true);
+        boolean first = !known();
+        boolean keep = !first && !list.reading().settled();
+        confirm(list.reading(), peerReadAtMillis, peer);
+        return replace(list.endpoints(), keep) || first;
     }
 
     /**
-     * Takes a peer's word that the list is still the same.
+     * Takes a peer's word that it believes the same.
      *
-     * @param newRevision the store's revision at which the peer read it
-     * @param peerReadAtMillis when the peer read it, on this router's monotonic clock in milliseconds
+     * @param peerReading the reading that its list rests on
+     * @param peerReadAtMillis when that was at the earliest, on this router's monotonic clock in milliseconds
      * @param peer the peer's id
      */
-    public void confirmed(long newRevision, long peerReadAtMillis, String peer) {
-        if (newRevision >= revision) {
-            revision = newRevision;
-            if (peerReadAtMillis > readAtMillis) {
-                readAtMillis = peerReadAtMillis;
-                source = peer;
-            }
+    void confirmed(ListReading peerReading, long peerReadAtMillis, String peer) {
+        if (peerReading.supersedes(reading)) {
+            confirm(peerReading, peerReadAtMillis, peer);
         }
     }
 
-    /** Returns a hash of what is believed of the endpoints; equal for routers that believe the same. */
-    public long hash() {
-        return hash;
+    private void confirm(ListReading newReading, long peerReadAtMillis, String peer) {
+        if (!known()) {
+            continuousSinceMillis = peerReadAtMillis;
+            keepsMissing = true;
+        }
+        reading = newReading;
+        readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
+        source = peer;
+        if (newReading.settled()) {
+            keepsMissing = false;
+            continuousSinceMillis = StoreClock.NEVER;
+        }
     }
 
     /**
@@ -174,11 +209,9 @@
         return true;
     }
 
-    private boolean replace(long newRevision, Collection<ServiceEndpoint> endpoints, boolean absenceCounts) {
-        boolean first = revision < 0;
-        revision = newRevision;
+    private boolean replace(Collection<ServiceEndpoint> endpoints, boolean keepMissing) {
         Map<String, ServiceEndpoint> before = new LinkedHashMap<>(known);
-        if (absenceCounts) {
+        if (!keepMissing) {
             known.clear();
         }
         for (ServiceEndpoint endpoint : endpoints) {
@@ -189,7 +222,7 @@
         }
         left.retainAll(known.keySet());
         changed();
-        return first || !before.equals(known);
+        return !before.equals(known);
     }
 
     private void changed() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
@@ -39,19 +37,22 @@
     private final MonotonicClock clock;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
+    private final StoreClock storeClock;
     private final PeerExchange.Listener listener;
-    private final Set<String> fetching = new HashSet<>();
+    private final FetchBook fetches = new FetchBook();
 
     DocumentExchange(
             ControlThread thread,
             MonotonicClock clock,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
+            StoreClock storeClock,
             PeerExchange.Listener listener) {
         this.thread = thread;
         this.clock = clock;
         this.configuration = configuration;
         this.directory = directory;
+        this.storeClock = storeClock;
         this.listener = listener;
     }
 
@@ -69,17 +70,19 @@
             Duration wait = storeTells && configuration.version() >= 0 ? STORE_FIRST : Duration.ZERO;
             fetch(node, peer, CONFIGURATION, wait, () -> state.configuration() > configuration.version());
         }
-        if (state.directory() < directory.revision()) {
+        ListReading reading = PeerStates.reading(state);
+        if (directory.known() && !reading.supersedes(directory.reading())) {
             return false;
         }
-        long readAtMillis = clock.millis() - state.directoryAgeMillis();
+        long nowMillis = clock.millis();
         if (directory.known() && state.directoryHash() == directory.hash()) {
+            long readAtMillis = storeClock.earliest(reading.storeMillis(), nowMillis);
             boolean later = readAtMillis - directory.readAtMillis() > LATER_MILLIS;
-            directory.confirmed(state.directory(), readAtMillis, peer.id());
+            directory.confirmed(reading, readAtMillis, peer.id());
             return later;
         }
-        if (state.directory() > directory.revision() && state.directoryAgeMillis() < PeerExchange.STALE_LIST_MILLIS) {
-            fetch(node, peer, ENDPOINTS, Duration.ZERO, () -> state.directory() > directory.revision());
+        if (reading.revision() >= 0) {
+            fetch(node, peer, ENDPOINTS, Duration.ZERO, () -> reading.supersedes(directory.reading()));
         }
         return false;
     }
@@ -89,18 +92,19 @@
         if (name.equals(CONFIGURATION)) {
             return new RoutingMessage.Document(name, configuration.version(), configuration.content());
         }
-        return new RoutingMessage.Document(name, directory.revision(), EndpointListCodec.encode(directory.endpoints()));
+        return new RoutingMessage.Document(
+                name, directory.reading().revision(), EndpointListCodec.encode(directory.snapshot()));
     }
 
     private void fetch(PeerNode node, Peer peer, String name, Duration wait, BooleanSupplier wanted) {
-        if (!fetching.add(name)) {
+        if (!fetches.begin(name, peer.id(), clock.millis() + wait.toMillis())) {
             return;
         }
         thread.after(wait, () -> {
             if (wanted.getAsBoolean()) {
                 request(node, peer, name);
             } else {
-                fetching.remove(name);
+                fetches.end(name, peer.id());
             }
         });
     }
@@ -108,7 +112,7 @@
     private void request(PeerNode node, Peer peer, String name) {
         node.request(peer.vm(), new RoutingMessage.DocumentWanted(name), PATIENCE)
                 .publishOn(thread.scheduler())
-                .doFinally(signal -> thread.run(() -> fetching.remove(name)))
+                .doFinally(signal -> thread.run(() -> fetches.end(name, peer.id())))
                 .subscribe(
                         answer -> received(peer, answer),
                         error -> LOG.info("router {} did not give its {}: {}", peer.id(), name, error.toString()));
@@ -123,20 +127,21 @@
             return;
         }
         try {
-            if (directory.peerListed(
-                    document.version(),
-                    EndpointListCodec.decode(document.content()),
-                    peer.listReadAtMillis(),
-                    peer.id())) {
-                LOG.info(
-                        "the endpoints are taken from router {}, as of revision {}",
-                        peer.id(),
-                        document.version(),
-                        LogEvent.ENDPOINTS.field());
-                listener.endpointsChanged();
-            }
+            take(peer, EndpointListCodec.decode(document.content()));
         } catch (IOException e) {
             LOG.error("router {} gave an endpoint list that cannot be read", peer.id(), e);
         }
     }
+
+    private void take(Peer peer, EndpointSnapshot list) {
+        long readAtMillis = storeClock.earliest(list.reading().storeMillis(), clock.millis());
+        if (directory.peerListed(list, readAtMillis, peer.id())) {
+            LOG.info(
+                    "the endpoints are taken from router {}, as of revision {}",
+                    peer.id(),
+                    list.reading().revision(),
+                    LogEvent.ENDPOINTS.field());
+            listener.endpointsChanged();
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -1,7 +1,6 @@
 package org.radishpass.routing.control;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.List;
@@ -13,14 +12,18 @@
 /** Writes the endpoints that a router believes in for its peers, and reads them. */
 final class EndpointListCodec {
     private static final ObjectMapper MAPPER = new MessagePackMapper();
-    private static final TypeReference<List<Entry>> ENTRIES = new TypeReference<>() {};
 
     private EndpointListCodec() {
         // static methods only
     }
 
-    static byte[] encode(List<ServiceEndpoint> endpoints) throws IOException {
-        return MAPPER.writeValueAsBytes(endpoints.stream().map(Entry::of).toList());
+    static byte[] encode(EndpointSnapshot list) throws IOException {
+        ListReading reading = list.reading();
+        return MAPPER.writeValueAsBytes(new Document(
+                reading.revision(),
+                reading.storeMillis(),
+                reading.settled(),
+                list.endpoints().stream().map(Entry::of).toList()));
     }
 
     /**
@@ -29,16 +32,21 @@
      * @param bytes the MessagePack
      * @throws IOException if it is malformed
      */
-    static List<ServiceEndpoint> decode(byte[] bytes) throws IOException {
+    static EndpointSnapshot decode(byte[] bytes) throws IOException {
         try {
-            return MAPPER.readValue(bytes, ENTRIES).stream()
-                    .map(Entry::endpoint)
-                    .toList();
+            Document document = MAPPER.readValue(bytes, Document.class);
+            return new EndpointSnapshot(
+                    new ListReading(document.revision(), document.storeMillis(), document.settled()),
+                    document.endpoints().stream().map(Entry::endpoint).toList());
         } catch (RuntimeException e) {
             throw new IOException("malformed endpoint list: " + e.getMessage(), e);
         }
     }
 
+    /** The list on the wire, with the reading that it rests on. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Document(long revision, long storeMillis, boolean settled, List<Entry> endpoints) {}
+
     /** One endpoint on the wire. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Entry(String id, String service, String host, int port, String dataCentre, int slots, boolean leaving) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Peer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Peer.java
@@ -29,8 +29,9 @@
     private long ledAtMillis = NEVER;
     private long memberAtMillis = NEVER;
     private long askedAtMillis = NEVER;
-    private long listReadAtMillis = NEVER;
-    private long ownReadAtMillis = NEVER;
+    private ListReading listReading = ListReading.NONE;
+    private long ownReadStoreMillis = StoreClock.NEVER;
+    private long suspectedAtMillis = NEVER;
     private long probeAtMillis = NEVER;
     private long probePauseMillis = FIRST_PROBE_MILLIS;
     private boolean suspected;
@@ -62,8 +63,8 @@
 
     /** Notes a message of its work; returns whether it was suspected until now. */
     boolean told(RoutingMessage.RoutingState state, long nowMillis) {
-        listReadAtMillis = nowMillis - state.directoryAgeMillis();
-        ownReadAtMillis = nowMillis - state.ownReadAgeMillis();
+        listReading = PeerStates.reading(state);
+        ownReadStoreMillis = state.ownReadMillis();
         if (state.scope().leads()) {
             ledAtMillis = nowMillis;
         } else {
@@ -95,6 +96,7 @@
         boolean news = !suspected;
         suspected = true;
         askedAtMillis = NEVER;
+        suspectedAtMillis = nowMillis;
         probeAtMillis = nowMillis + probePauseMillis;
         probePauseMillis = Math.min(LONGEST_PROBE_MILLIS, 2 * probePauseMillis);
         return news;
@@ -109,6 +111,14 @@
         return askedAtMillis != NEVER && nowMillis - askedAtMillis > SILENT_MILLIS;
     }
 
+    /**
+     * Tries it soon if it is suspected, since there are signs that a cut has ended; at most once in {@link #FIRST_PROBE_MILLIS}. By the
+     * pauses alone two sides of a cut heard nothing of each other for up to 8 s after it.
+     */
+    void probeSoon(long nowMillis) {
+        probeAtMillis = Math.min(probeAtMillis, Math.max(nowMillis, suspectedAtMillis + FIRST_PROBE_MILLIS));
+    }
+
     /** Tells whether it is to be tried now, although it is suspected. */
     boolean probeDue(long nowMillis) {
         return suspected && nowMillis >= probeAtMillis;
@@ -134,13 +144,13 @@
         return heardAtMillis;
     }
 
-    /** Returns when the store was read for the endpoint list that it relies on. */
-    long listReadAtMillis() {
-        return listReadAtMillis;
+    /** Returns the reading that its list of endpoints rests on. */
+    ListReading listReading() {
+        return listReading;
     }
 
-    /** Returns when it read the store itself. */
-    long ownReadAtMillis() {
-        return ownReadAtMillis;
+    /** Returns when it read the store itself, on the store's clock in milliseconds. */
+    long ownReadStoreMillis() {
+        return ownReadStoreMillis;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
@@ -61,6 +61,11 @@
         return news;
     }
 
+    /** Tries those that are suspected soon: there are signs that a cut has ended. */
+    void probeSoon(long nowMillis) {
+        peers.values().forEach(peer -> peer.probeSoon(nowMillis));
+    }
+
     /** Forgets those that nobody has spoken of for long, and returns them. */
     List<FleetRouter> forget(long nowMillis) {
         List<FleetRouter> forgotten = peers.values().stream()
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -30,12 +30,6 @@
     /** Milliseconds between ticks. */
     private static final long TICK_MILLIS = 100;
 
-    /**
-     * Milliseconds after which a reading of the endpoints is too old to rely on: an endpoint that leaves must get nothing
-     * new after two seconds.
-     */
-    static final long STALE_LIST_MILLIS = 1_400;
-
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final FleetRouter self;
@@ -44,6 +38,7 @@
     private final DirectoryTracker directory;
     private final Listener listener;
     private final PeerBook peers;
+    private final ReaderChoice readers;
     private final DocumentExchange documents;
     private @Nullable PeerNode node;
     private @Nullable WorkTeller teller;
@@ -55,6 +50,7 @@
             TrafficServer traffic,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
+            StoreClock storeClock,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
@@ -64,7 +60,8 @@
         this.directory = directory;
         this.listener = listener;
         this.peers = new PeerBook(self);
-        this.documents = new DocumentExchange(thread, clock, configuration, directory, listener);
+        this.readers = new ReaderChoice(clock, self, peers, directory, storeClock);
+        this.documents = new DocumentExchange(thread, clock, configuration, directory, storeClock, listener);
     }
 
     /** Starts to tell. */
@@ -145,33 +142,14 @@
         thread.run(() -> suspect(peer));
     }
 
-    /**
-     * Returns what this router has to read from the store. A member relies on its gatherer while that has a fresh list. Of the
-     * routers that gather, the first by name that can read the store does; a peer that is refused and has its list from others
-     * does not count. While it is in doubt, several read.
-     */
+    /** Returns what this router has to read from the store. */
     ReadingDuty duty() {
-        long nowMillis = clock.millis();
-        if (nowMillis - directory.readAtMillis() > STALE_LIST_MILLIS) {
-            return ReadingDuty.ALL;
-        }
-        List<Peer> leaders = peers.all().stream()
-                .filter(peer -> !peer.suspected() && peer.leads(nowMillis))
-                .toList();
-        if (!teller().map(WorkTeller::gathering).orElse(true)) {
-            return leaders.stream().anyMatch(peer -> fresh(peer.listReadAtMillis(), nowMillis))
-                    ? ReadingDuty.NONE
-                    : ReadingDuty.ALL;
-        }
-        List<Peer> before = leaders.stream()
-                .filter(peer -> peer.id().compareTo(self.id()) < 0)
-                .toList();
-        return ReadingDuty.of(
-                before.stream().anyMatch(peer -> fresh(peer.ownReadAtMillis(), nowMillis)), before.size());
+        return readers.duty(teller().map(WorkTeller::gathering).orElse(true));
     }
 
-    private static boolean fresh(long readAtMillis, long nowMillis) {
-        return nowMillis - readAtMillis < STALE_LIST_MILLIS;
+    /** Tries suspected routers soon: this router's own cut, if it was one, has ended. */
+    void probeSoon() {
+        peers.probeSoon(clock.millis());
     }
 
     private boolean gathersForOthers(long nowMillis) {
@@ -237,9 +215,10 @@
         }
     }
 
-    private static void heard(Peer peer, boolean news) {
+    private void heard(Peer peer, boolean news) {
         if (news) {
             LOG.info("router {} answers again", peer.id(), LogEvent.PEER_BACK.field());
+            probeSoon();
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
@@ -64,6 +64,11 @@
         return work;
     }
 
+    /** Returns the reading that a peer's list rests on. */
+    static ListReading reading(RoutingMessage.RoutingState state) {
+        return new ListReading(state.directory(), state.directoryReadMillis(), state.directorySettled());
+    }
+
     /** Returns the addresses that can be read; the others are logged and left out. */
     static List<Address> addresses(List<String> texts) {
         List<Address> addresses = new ArrayList<>();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -48,6 +48,7 @@
     private final ControlSource source;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory = new DirectoryTracker();
+    private final StoreClock storeClock = new StoreClock();
     private final TrafficServer traffic;
     private final StoreFollower follower;
     private final PeerExchange peers;
@@ -73,10 +74,11 @@
                 builder.home,
                 gone -> thread.run(() -> gone(gone.id())),
                 metrics);
-        this.follower = new StoreFollower(thread, clock, source, configuration, directory, new StoreNews());
+        this.follower = new StoreFollower(thread, clock, source, configuration, directory, storeClock, new StoreNews());
         this.start = new StartSequence(thread, traffic);
         this.cleaner = new RegistryCleaner(source);
-        this.peers = new PeerExchange(thread, clock, self, traffic, configuration, directory, new PeerNews());
+        this.peers =
+                new PeerExchange(thread, clock, self, traffic, configuration, directory, storeClock, new PeerNews());
     }
 
     /**
@@ -211,6 +213,11 @@
             peers.tellNow();
         }
 
+        @Override
+        public void storeBack() {
+            peers.probeSoon();
+        }
+
         @Override
         public ReadingDuty duty() {
             return peers.duty();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -22,9 +22,6 @@
 final class StoreFollower {
     private static final Logger LOG = LoggerFactory.getLogger(StoreFollower.class);
 
-    /** Milliseconds between readings of the list; an endpoint that leaves must get nothing new after two seconds. */
-    private static final long LIST_MILLIS = 900;
-
     /** Milliseconds between looks at this router's duty: a fraction of the time after which a list is stale. */
     private static final long LOOK_MILLIS = 150;
 
@@ -36,9 +33,10 @@
     private final ControlSource source;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
+    private final StoreClock storeClock;
     private final Listener listener;
     private final RetryPause configurationPause = new RetryPause();
-    private final RetryPause directoryPause = new RetryPause();
+    private final ListFollower list;
     private final Disposable.Swap waiting = Disposables.swap();
     private boolean waitingNow;
     private boolean reading;
@@ -50,18 +48,21 @@
             ControlSource source,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
+            StoreClock storeClock,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
         this.source = source;
         this.configuration = configuration;
         this.directory = directory;
+        this.storeClock = storeClock;
         this.listener = listener;
+        this.list = new ListFollower(thread, clock, source, new ListNews());
     }
 
     void start() {
         thread.run(this::readConfiguration);
-        thread.run(this::readDirectory);
+        list.start();
         thread.every(Duration.ofMillis(LOOK_MILLIS), this::followIfDue);
     }
 
@@ -138,39 +139,19 @@
         }
     }
 
-    private void readDirectory() {
-        if (directory.known() && !listener.duty().readsDirectory()) {
-            thread.after(Duration.ofMillis(LOOK_MILLIS), this::readDirectory);
-            return;
-        }
-        source.directory().publishOn(thread.scheduler()).subscribe(this::directoryRead);
-    }
-
-    private void directoryRead(DirectoryReading result) {
-        if (result instanceof DirectoryReading.Listed listed) {
-            directoryPause.reset();
-            listed(listed);
-            checkConfiguration(listed.revision());
-            thread.after(Duration.ofMillis(LIST_MILLIS), this::readDirectory);
-        } else if (result instanceof DirectoryReading.Unavailable unavailable) {
-            if (directory.failed()) {
-                LOG.warn("the store does not answer: {}", unavailable.reason(), LogEvent.STORE_LOST.field());
-            }
-            restartWait();
-            thread.after(directoryPause.next(), this::readDirectory);
-        }
-    }
-
-    private void listed(DirectoryReading.Listed listed) {
+    private void take(DirectoryReading.Listed listed, long askedAtMillis) {
+        storeClock.observed(askedAtMillis, clock.millis(), listed.storeMillis());
         if (directory.trouble()) {
             LOG.info("the store answers again", LogEvent.STORE_BACK.field());
+            listener.storeBack();
         }
-        if (directory.listed(listed.revision(), listed.endpoints(), clock.millis())) {
+        if (directory.listed(listed, askedAtMillis)) {
             LOG.info(
                     "{} endpoints are listed",
                     listed.endpoints().size(),
                     LogEvent.ENDPOINTS.field(),
-                    kv("revision", listed.revision()));
+                    kv("revision", listed.revision()),
+                    kv("settled", directory.reading().settled()));
         }
         listener.directoryRead();
     }
@@ -193,6 +174,28 @@
         }
     }
 
+    /** Hears what came of readings of the list. */
+    private final class ListNews implements ListFollower.Listener {
+        @Override
+        public boolean readsList() {
+            return !directory.known() || listener.duty().readsDirectory();
+        }
+
+        @Override
+        public void listed(DirectoryReading.Listed listed, long askedAtMillis) {
+            take(listed, askedAtMillis);
+            checkConfiguration(listed.revision());
+        }
+
+        @Override
+        public void listUnavailable(String reason) {
+            if (directory.failed()) {
+                LOG.warn("the store does not answer: {}", reason, LogEvent.STORE_LOST.field());
+            }
+            restartWait();
+        }
+    }
+
     /** Hears of what was read; called on the control thread. */
     interface Listener {
         /** There is a newer configuration. */
@@ -201,6 +204,9 @@
         /** The endpoints have been read. */
         void directoryRead();
 
+        /** The store answers again. */
+        void storeBack();
+
         /** Tells what this router has to read now. */
         ReadingDuty duty();
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -162,12 +162,13 @@
     private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
         return new RoutingMessage.RoutingState(
                 configuration.version(),
-                directory.revision(),
+                directory.reading().revision(),
                 PeerStates.entries(work),
                 directory.hash(),
-                clock.millis() - directory.readAtMillis(),
+                directory.reading().storeMillis(),
+                directory.reading().settled(),
                 failing,
                 scope,
-                clock.millis() - directory.ownReadAtMillis());
+                directory.ownReadStoreMillis());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -133,7 +133,7 @@
             return choice.endpoint().id() + " rank " + choice.rank() + " load " + choice.load() + "/"
                     + Math.round(choice.limit()) + " of " + choice.candidates() + " list " + origin.revision()
                     + " from "
-                    + origin.source() + " listAge " + directoryAgeMillis
+                    + origin.source() + (origin.settled() ? "" : " unsettled") + " listAge " + directoryAgeMillis
                     + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
                     + (status == 0 ? "" : " status " + status) + (end == null ? "" : ": " + end);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -1,6 +1,5 @@
 package org.radishpass.routing.control;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +7,7 @@
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.message.WorkScope;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
@@ -16,6 +16,7 @@
  */
 final class DirectoryFleet {
     private static final String SERVICE = "orders";
+    private static final long STORE_CLOCK_OFFSET_MILLIS = 7_000_000;
 
     private final Map<String, ServiceEndpoint> registered = new LinkedHashMap<>();
     private long nowMillis = 100_000;
@@ -41,25 +42,32 @@
 
     /** Adds a router; they are asked to read the store in the order of their numbers. */
     Member router(int number) {
-        return new Member("10.0.1." + number + ":7340");
+        return new Member(new Address("10.0.1." + number, 7_340));
     }
 
     /** A message, as it was written. */
     record News(Member from, RoutingMessage.RoutingState state) {}
 
-    /** One router. */
+    /** One router. The store's clock shows something else than the routers'. */
     final class Member {
-        private final String id;
+        private final FleetRouter router;
         private final DirectoryTracker tracker = new DirectoryTracker();
-        private final Map<String, Peer> peers = new HashMap<>();
-
-        private Member(String id) {
-            this.id = id;
+        private final StoreClock storeClock = new StoreClock();
+        private final PeerBook peers;
+        private final ReaderChoice readers;
+
+        private Member(Address address) {
+            this.router = FleetRouter.unlocated(address);
+            this.peers = new PeerBook(router);
+            this.readers = new ReaderChoice(() -> nowMillis, router, peers, tracker, storeClock);
         }
 
         /** Reads the store. */
         void reads() {
-            tracker.listed(revision, List.copyOf(registered.values()), nowMillis);
+            long storeMillis = nowMillis - STORE_CLOCK_OFFSET_MILLIS;
+            storeClock.observed(nowMillis, nowMillis, storeMillis);
+            tracker.listed(
+                    new DirectoryReading.Listed(revision, storeMillis, List.copyOf(registered.values())), nowMillis);
         }
 
         /** Tries to read the store, in vain. */
@@ -69,44 +77,39 @@
 
         /** Writes a message to its peers. */
         News tells() {
+            ListReading reading = tracker.reading();
             return new News(
                     this,
                     new RoutingMessage.RoutingState(
                             1,
-                            tracker.revision(),
+                            reading.revision(),
                             List.of(),
                             tracker.hash(),
-                            nowMillis - tracker.readAtMillis(),
+                            reading.storeMillis(),
+                            reading.settled(),
                             List.of(),
                             WorkScope.GROUP,
-                            nowMillis - tracker.ownReadAtMillis()));
+                            tracker.ownReadStoreMillis()));
         }
 
         /** Takes a message, and the sender's list where it has a newer one. */
         void hears(News news) {
-            Peer peer = peers.computeIfAbsent(news.from().id, name -> {
-                int colon = name.indexOf(':');
-                Address address = new Address(name.substring(0, colon), Integer.parseInt(name.substring(colon + 1)));
-                return new Peer(org.radishpass.routing.fleet.FleetRouter.unlocated(address), nowMillis);
-            });
+            peers.learn(List.of(news.from().router), nowMillis);
+            Peer peer = peers.find(news.from().router.id()).orElseThrow();
             peer.told(news.state(), nowMillis);
+            ListReading told = peer.listReading();
             if (news.state().directoryHash() == tracker.hash()) {
-                tracker.confirmed(news.state().directory(), peer.listReadAtMillis(), peer.id());
+                tracker.confirmed(told, storeClock.earliest(told.storeMillis(), nowMillis), peer.id());
             } else {
-                DirectoryTracker there = news.from().tracker;
-                tracker.peerListed(there.revision(), there.endpoints(), peer.listReadAtMillis(), peer.id());
+                EndpointSnapshot list = news.from().tracker.snapshot();
+                long readAtMillis = storeClock.earliest(list.reading().storeMillis(), nowMillis);
+                tracker.peerListed(list, readAtMillis, peer.id());
             }
         }
 
         /** Tells whether it has to read the store now, as far as it believes. */
         boolean mustRead() {
-            if (nowMillis - tracker.readAtMillis() > PeerExchange.STALE_LIST_MILLIS) {
-                return true;
-            }
-            boolean readBefore = peers.values().stream()
-                    .filter(peer -> peer.id().compareTo(id) < 0)
-                    .anyMatch(peer -> nowMillis - peer.ownReadAtMillis() < PeerExchange.STALE_LIST_MILLIS);
-            return ReadingDuty.of(readBefore, peers.size()).readsDirectory();
+            return readers.duty(true).readsDirectory();
         }
 
         /** Tells whether a request may be placed at an endpoint. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -14,72 +14,114 @@
 
     @Test
     void anEndpointThatIsMissingIsGone() {
-        tracker.listed(1, List.of(endpoint("a"), endpoint("b")), 10_000);
-        assertThat(tracker.listed(2, List.of(endpoint("a")), 11_000)).isTrue();
+        listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
+        assertThat(listed(tracker, 2, List.of(endpoint("a")), 11_000)).isTrue();
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
     @Test
     void absenceMeansNothingWhileTheStoreIsInTroubleNorShortlyAfter() {
-        tracker.listed(1, List.of(endpoint("a"), endpoint("b")), 10_000);
+        listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
         assertThat(tracker.failed()).isTrue();
         assertThat(tracker.failed()).isFalse();
-        tracker.listed(5, List.of(endpoint("a")), 20_000);
-        tracker.listed(6, List.of(endpoint("a")), 20_000 + DirectoryTracker.GRACE_MILLIS - 1);
+        listed(tracker, 5, List.of(endpoint("a")), 20_000);
+        listed(tracker, 6, List.of(endpoint("a")), 20_000 + DirectoryTracker.GRACE_MILLIS - 1);
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
-        tracker.listed(7, List.of(endpoint("a")), 20_000 + DirectoryTracker.GRACE_MILLIS);
+        listed(tracker, 7, List.of(endpoint("a")), 20_000 + DirectoryTracker.GRACE_MILLIS);
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
     @Test
     void anEndpointThatLeavesDoesNotComeBack() {
-        tracker.listed(1, List.of(endpoint("a").asLeaving()), 10_000);
-        tracker.listed(2, List.of(endpoint("a")), 11_000);
+        listed(tracker, 1, List.of(endpoint("a").asLeaving()), 10_000);
+        listed(tracker, 2, List.of(endpoint("a")), 11_000);
         assertThat(tracker.directory().open("orders")).isEmpty();
     }
 
     @Test
     void anOlderReadingIsIgnored() {
-        tracker.listed(5, List.of(endpoint("a")), 10_000);
-        assertThat(tracker.listed(4, List.of(), 11_000)).isFalse();
+        listed(tracker, 5, List.of(endpoint("a")), 10_000);
+        assertThat(listed(tracker, 4, List.of(), 11_000)).isFalse();
         assertThat(tracker.directory().size()).isEqualTo(1);
     }
 
     @Test
     void aPeersListCountsOnlyIfItIsNewer() {
-        tracker.listed(5, List.of(endpoint("a")), 10_000);
-        assertThat(tracker.peerListed(5, List.of(), 10_500, "peer")).isFalse();
-        assertThat(tracker.peerListed(6, List.of(endpoint("a").asLeaving()), 10_500, "peer"))
-                .isTrue();
+        listed(tracker, 5, List.of(endpoint("a")), 10_000);
+        assertThat(peerListed(5, List.of(), 10_500)).isFalse();
+        assertThat(peerListed(6, List.of(endpoint("a").asLeaving()), 10_500)).isTrue();
         assertThat(tracker.directory().open("orders")).isEmpty();
     }
 
     @Test
     void aPeersWordThatNothingHasChangedMakesTheListYounger() {
-        tracker.listed(5, List.of(endpoint("a"), endpoint("b")), 10_000);
+        listed(tracker, 5, List.of(endpoint("a"), endpoint("b")), 10_000);
         DirectoryTracker other = new DirectoryTracker();
-        other.listed(6, List.of(endpoint("b"), endpoint("a")), 10_700);
+        listed(other, 6, List.of(endpoint("b"), endpoint("a")), 10_700);
         assertThat(other.hash()).isEqualTo(tracker.hash());
 
-        tracker.confirmed(other.revision(), 10_700, "peer");
+        tracker.confirmed(other.reading(), 10_700, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(10_700);
-        tracker.confirmed(6, 11_000, "peer");
+        tracker.confirmed(new ListReading(6, 11_000, false), 11_000, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(11_000);
-        tracker.confirmed(5, 20_000, "peer");
+        tracker.confirmed(new ListReading(5, 10_900, false), 20_000, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(11_000);
         other.gone("a");
         assertThat(other.hash()).isNotEqualTo(tracker.hash());
     }
 
+    @Test
+    void aShortTroubleLeavesAbsenceItsMeaning() {
+        listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
+        tracker.failed();
+        listed(tracker, 2, List.of(endpoint("a")), 10_000 + DirectoryTracker.CONTINUITY_MILLIS);
+        assertThat(tracker.directory().find("b").isPresent()).isFalse();
+    }
+
+    @Test
+    void aListIsSettledOnceTheStoreWasReadForAWhile() {
+        listed(tracker, 1, List.of(endpoint("a")), 10_000);
+        assertThat(tracker.reading().settled()).isFalse();
+        listed(tracker, 1, List.of(endpoint("a")), 11_500);
+        listed(tracker, 1, List.of(endpoint("a")), 10_000 + DirectoryTracker.GRACE_MILLIS);
+        assertThat(tracker.reading().settled()).isTrue();
+        listed(tracker, 1, List.of(endpoint("a")), 20_000);
+        assertThat(tracker.reading().settled()).isFalse();
+    }
+
+    @Test
+    void aSettledListReplacesOneThatKeepsWhatIsMissingAtTheSameRevision() {
+        listed(tracker, 5, List.of(endpoint("a"), endpoint("b")), 10_000);
+        listed(tracker, 6, List.of(endpoint("a")), 20_000);
+        assertThat(tracker.directory().find("b").isPresent()).isTrue();
+        EndpointSnapshot settled = new EndpointSnapshot(new ListReading(6, 20_100, true), List.of(endpoint("a")));
+        assertThat(tracker.peerListed(settled, 20_100, "peer")).isTrue();
+        assertThat(tracker.directory().find("b").isPresent()).isFalse();
+        EndpointSnapshot unsettled =
+                new EndpointSnapshot(new ListReading(7, 20_200, false), List.of(endpoint("a"), endpoint("b")));
+        assertThat(tracker.peerListed(unsettled, 20_200, "peer")).isFalse();
+    }
+
     @Test
     void anAddressThatAnotherStartHasTakenIsUsedNoMore() {
-        tracker.listed(5, List.of(endpoint("a")), 10_000);
+        listed(tracker, 5, List.of(endpoint("a")), 10_000);
         assertThat(tracker.gone("a")).isTrue();
         assertThat(tracker.gone("a")).isFalse();
-        tracker.listed(6, List.of(endpoint("a")), 11_000);
+        listed(tracker, 6, List.of(endpoint("a")), 11_000);
         assertThat(tracker.directory().open("orders")).isEmpty();
     }
 
+    /** Lets the store's clock show what the router's does. */
+    private static boolean listed(
+            DirectoryTracker tracker, long revision, List<ServiceEndpoint> endpoints, long nowMillis) {
+        return tracker.listed(new DirectoryReading.Listed(revision, nowMillis, endpoints), nowMillis);
+    }
+
+    private boolean peerListed(long revision, List<ServiceEndpoint> endpoints, long readAtMillis) {
+        ListReading reading = new ListReading(revision, revision == 5 ? 10_000 : readAtMillis, false);
+        return tracker.peerListed(new EndpointSnapshot(reading, endpoints), readAtMillis, "peer");
+    }
+
     private static ServiceEndpoint endpoint(String id) {
         return new ServiceEndpoint(id, "orders", new Address("10.0.0.1", 80), new DataCentre("here"), 6, false);
     }
