--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
@@ -15,9 +15,12 @@
      * @param revision the store's revision at which they were read
      * @param storeMillis what the store's steady clock showed, in milliseconds
      * @param endpoints the endpoints
+     * @param unusable entries that name no endpoint to use
      * @since 0.2.0
      */
-    record Listed(long revision, long storeMillis, List<ServiceEndpoint> endpoints) implements DirectoryReading {}
+    record Listed(
+            long revision, long storeMillis, List<ServiceEndpoint> endpoints, List<EndpointEntry.Unusable> unusable)
+            implements DirectoryReading {}
 
     /**
      * The store did not answer, or refused.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -16,9 +16,11 @@
  * without a clock; it belongs to the control thread.
  *
  * <ul>
- *   <li>An endpoint that has said that it leaves never comes back under the same id.
+ *   <li>A start of an endpoint that has said that it leaves never serves again; another start under the same name may. A start that
+ *       another one has replaced never comes back, whoever lists it.
  *   <li>Absence from a reading means that an endpoint is gone, but not after a time in which nobody read the store: registrations
  *       lapse while it is away, and are renewed once it is back. A peer that read all the while knows better.
+ *   <li>An entry that turns unusable names no endpoint from then on.
  *   <li>A reading older than the last one is ignored.
  * </ul>
  *
@@ -39,6 +41,8 @@
 
     private final Map<String, ServiceEndpoint> known = new LinkedHashMap<>();
     private final Set<String> left = new HashSet<>();
+    private final Set<String> kept = new HashSet<>();
+    private final ReplacedStarts starts = new ReplacedStarts();
     private ListReading reading = ListReading.NONE;
     private long readAtMillis = StoreClock.NEVER;
     private long ownReadStoreMillis = StoreClock.NEVER;
@@ -81,7 +85,7 @@
 
     /** Returns the list as believed, for peers. */
     EndpointSnapshot snapshot() {
-        return new EndpointSnapshot(reading, List.copyOf(known.values()));
+        return new EndpointSnapshot(reading, List.copyOf(known.values()), Set.copyOf(kept));
     }
 
     /** Returns a hash of what is believed of the endpoints; equal for routers that believe the same. */
@@ -124,7 +128,8 @@
         readAtMillis = Math.max(readAtMillis, askedAtMillis);
         ownReadStoreMillis = listed.storeMillis();
         source = DirectoryOrigin.STORE;
-        return replace(listed.endpoints(), keepsMissing) || first;
+        listed.unusable().forEach(entry -> forget(entry.name()));
+        return replace(listed.endpoints(), Set.of(), keepsMissing) || first;
     }
 
     /** Tells whether a reading now follows on others for so long that what it lacks is gone. */
@@ -162,7 +167,7 @@
         boolean first = !known();
         boolean keep = !first && !list.reading().settled();
         confirm(list.reading(), peerReadAtMillis, peer);
-        return replace(list.endpoints(), keep) || first;
+        return replace(list.endpoints(), list.kept(), keep) || first;
     }
 
     /**
@@ -209,22 +214,38 @@
         return true;
     }
 
-    private boolean replace(Collection<ServiceEndpoint> endpoints, boolean keepMissing) {
+    private boolean replace(Collection<ServiceEndpoint> endpoints, Set<String> keptThere, boolean keepMissing) {
         Map<String, ServiceEndpoint> before = new LinkedHashMap<>(known);
         if (!keepMissing) {
             known.clear();
         }
+        kept.clear();
+        kept.addAll(known.keySet());
         for (ServiceEndpoint endpoint : endpoints) {
+            boolean keptOnly = keptThere.contains(endpoint.id());
+            if (starts.replaced(endpoint) || (keptOnly && starts.otherKnown(endpoint))) {
+                continue;
+            }
+            if (!keptOnly) {
+                kept.remove(endpoint.id());
+            }
+            starts.replacing(endpoint).ifPresent(known::remove);
             if (endpoint.leaving()) {
                 left.add(endpoint.id());
             }
             known.put(endpoint.id(), left.contains(endpoint.id()) ? endpoint.asLeaving() : endpoint);
         }
         left.retainAll(known.keySet());
+        kept.addAll(keptThere);
+        kept.retainAll(known.keySet());
         changed();
         return !before.equals(known);
     }
 
+    private void forget(String name) {
+        known.values().removeIf(endpoint -> endpoint.name().equals(name));
+    }
+
     private void changed() {
         hash = hashOf(known.values());
         directory = new EndpointDirectory(known.values());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.List;
+import java.util.Set;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.fleet.Incarnation;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /** Writes the endpoints that a router believes in for its peers, and reads them. */
@@ -23,7 +25,8 @@
                 reading.revision(),
                 reading.storeMillis(),
                 reading.settled(),
-                list.endpoints().stream().map(Entry::of).toList()));
+                list.endpoints().stream().map(Entry::of).toList(),
+                List.copyOf(list.kept())));
     }
 
     /**
@@ -37,7 +40,8 @@
             Document document = MAPPER.readValue(bytes, Document.class);
             return new EndpointSnapshot(
                     new ListReading(document.revision(), document.storeMillis(), document.settled()),
-                    document.endpoints().stream().map(Entry::endpoint).toList());
+                    document.endpoints().stream().map(Entry::endpoint).toList(),
+                    Set.copyOf(document.kept()));
         } catch (RuntimeException e) {
             throw new IOException("malformed endpoint list: " + e.getMessage(), e);
         }
@@ -45,14 +49,23 @@
 
     /** The list on the wire, with the reading that it rests on. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Document(long revision, long storeMillis, boolean settled, List<Entry> endpoints) {}
+    record Document(long revision, long storeMillis, boolean settled, List<Entry> endpoints, List<String> kept) {}
 
     /** One endpoint on the wire. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Entry(String id, String service, String host, int port, String dataCentre, int slots, boolean leaving) {
+    record Entry(
+            String name,
+            long startedAtMillis,
+            String service,
+            String host,
+            int port,
+            String dataCentre,
+            int slots,
+            boolean leaving) {
         private static Entry of(ServiceEndpoint endpoint) {
             return new Entry(
-                    endpoint.id(),
+                    endpoint.name(),
+                    endpoint.incarnation().startedAtMillis(),
                     endpoint.service(),
                     endpoint.address().host(),
                     endpoint.address().port(),
@@ -63,7 +76,8 @@
 
         private ServiceEndpoint endpoint() {
             return new ServiceEndpoint(
-                    id, service, new Address(host, port), new DataCentre(dataCentre), slots, leaving);
+                            name, service, new Address(host, port), new DataCentre(dataCentre), slots, leaving)
+                    .startedAs(new Incarnation(startedAtMillis));
         }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointSnapshot.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointSnapshot.java
@@ -1,6 +1,7 @@
 package org.radishpass.routing.control;
 
 import java.util.List;
+import java.util.Set;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
@@ -8,5 +9,6 @@
  *
  * @param reading the reading
  * @param endpoints the endpoints, those that leave included
+ * @param kept the ids of those that the reading lacked and that are kept for a while; none if it is settled
  */
-record EndpointSnapshot(ListReading reading, List<ServiceEndpoint> endpoints) {}
+record EndpointSnapshot(ListReading reading, List<ServiceEndpoint> endpoints, Set<String> kept) {}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ReplacedStarts.java
@@ -0,0 +1,55 @@
+package org.radishpass.routing.control;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/**
+ * The starts of endpoints that later ones have replaced. Which of two is the later is told by the order of readings: a wall clock may
+ * have stepped back between them. Belongs to the control thread.
+ */
+final class ReplacedStarts {
+    /** Names and starts that are remembered: several times the endpoints of the largest deployment, each started again once. */
+    private static final int MOST_REMEMBERED = 8_192;
+
+    private final Map<String, String> latestByName = bounded();
+    private final Map<String, String> replacedBy = bounded();
+
+    /** Tells whether a later start has replaced this one before. */
+    boolean replaced(ServiceEndpoint endpoint) {
+        return replacedBy.containsKey(endpoint.id());
+    }
+
+    /** Tells whether another start of the same name was seen last: one that a peer only keeps may be the earlier of the two. */
+    boolean otherKnown(ServiceEndpoint endpoint) {
+        return !latestByName.getOrDefault(endpoint.name(), endpoint.id()).equals(endpoint.id());
+    }
+
+    /**
+     * Takes a start of a newer list. The start before it is remembered although it may be gone: a peer may keep it still.
+     *
+     * @param endpoint the start
+     * @return the id of the start that it replaces
+     */
+    Optional<String> replacing(ServiceEndpoint endpoint) {
+        String earlier = latestByName.put(endpoint.name(), endpoint.id());
+        if (earlier == null || earlier.equals(endpoint.id())) {
+            return Optional.empty();
+        }
+        replacedBy.put(earlier, endpoint.id());
+        return Optional.of(earlier);
+    }
+
+    private static Map<String, String> bounded() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.@Nullable Entry<String, String> eldest) {
+                return size() > MOST_REMEMBERED;
+            }
+        };
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -74,7 +74,15 @@
                 builder.home,
                 gone -> thread.run(() -> gone(gone.id())),
                 metrics);
-        this.follower = new StoreFollower(thread, clock, source, configuration, directory, storeClock, new StoreNews());
+        this.follower = new StoreFollower(
+                thread,
+                clock,
+                source,
+                configuration,
+                directory,
+                storeClock,
+                new UnusableEntries(metrics),
+                new StoreNews());
         this.start = new StartSequence(thread, traffic);
         this.cleaner = new RegistryCleaner(source);
         this.peers =
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -34,6 +34,7 @@
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
     private final StoreClock storeClock;
+    private final UnusableEntries unusable;
     private final Listener listener;
     private final RetryPause configurationPause = new RetryPause();
     private final ListFollower list;
@@ -49,6 +50,7 @@
             ConfigurationTracker configuration,
             DirectoryTracker directory,
             StoreClock storeClock,
+            UnusableEntries unusable,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
@@ -56,6 +58,7 @@
         this.configuration = configuration;
         this.directory = directory;
         this.storeClock = storeClock;
+        this.unusable = unusable;
         this.listener = listener;
         this.list = new ListFollower(thread, clock, source, new ListNews());
     }
@@ -153,6 +156,7 @@
                     kv("revision", listed.revision()),
                     kv("settled", directory.reading().settled()));
         }
+        unusable.read(listed.unusable());
         listener.directoryRead();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/dialect/ForwardingHead.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/dialect/ForwardingHead.java
@@ -7,7 +7,7 @@
 /**
  * What a router says to an endpoint beside the caller's own request.
  *
- * @param endpointId the start of the endpoint that alone may run the request
+ * @param endpointName the endpoint that alone may run the request
  * @param leftMillis the time left for the answer, in milliseconds
  * @param urgency the rank of the request, 0 being the most urgent
  * @param workspaceName the workspace that the request is run for, or null
@@ -16,7 +16,7 @@
  * @since 0.2.0
  */
 public record ForwardingHead(
-        String endpointId,
+        String endpointName,
         long leftMillis,
         int urgency,
         @Nullable String workspaceName,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -25,6 +25,11 @@
     /** See {@link #meaning}. */
     ENDPOINTS("endpoints", "the list of endpoints has changed; `revision` of the store"),
     /** See {@link #meaning}. */
+    ENTRY_UNUSABLE(
+            "entry-unusable", "an entry of the list names no endpoint to use; `fault` says why; the others hold"),
+    /** See {@link #meaning}. */
+    ENTRY_MENDED("entry-mended", "such an entry is gone, or names an endpoint again"),
+    /** See {@link #meaning}. */
     ENDPOINT_GONE("endpoint-gone", "another process answers at an endpoint's address"),
     /** See {@link #meaning}. */
     ENDPOINT_DOWN("endpoint-down", "connections to an endpoint fail; it gets nothing until one succeeds"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/fleet/ServiceEndpoint.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/fleet/ServiceEndpoint.java
@@ -5,9 +5,12 @@
 import org.radishpass.core.placement.Rendezvous;
 
 /**
- * One start of an endpoint, as it registered itself.
+ * One start of an endpoint, as it registered itself. All that is believed of an endpoint is kept by {@link #id}, so that nothing of it
+ * outlives this start: health, work in flight, cached prompts, connections, and that it leaves.
  *
- * @param id names this start; a restart brings a new one
+ * @param id names this start
+ * @param name the name under which the endpoint registered; another start may have the same
+ * @param incarnation which start of that name it is
  * @param service the service that it answers for
  * @param address where it takes requests; reused by others once it has gone
  * @param dataCentre where it stands
@@ -17,15 +20,36 @@
  * @since 0.2.0
  */
 public record ServiceEndpoint(
-        String id, String service, Address address, DataCentre dataCentre, int slots, boolean leaving, long hash) {
-    /** Creates an endpoint and hashes its id. */
+        String id,
+        String name,
+        Incarnation incarnation,
+        String service,
+        Address address,
+        DataCentre dataCentre,
+        int slots,
+        boolean leaving,
+        long hash) {
+    private static final char SEPARATOR = '@';
+
+    /** Creates an endpoint that does not say when it started, and hashes its id. */
     public ServiceEndpoint(
             String id, String service, Address address, DataCentre dataCentre, int slots, boolean leaving) {
-        this(id, service, address, dataCentre, slots, leaving, Rendezvous.hash(id));
+        this(id, id, Incarnation.UNTOLD, service, address, dataCentre, slots, leaving, Rendezvous.hash(id));
     }
 
     /** Returns this endpoint when it wants nothing new. */
     public ServiceEndpoint asLeaving() {
-        return new ServiceEndpoint(id, service, address, dataCentre, slots, true, hash);
+        return new ServiceEndpoint(id, name, incarnation, service, address, dataCentre, slots, true, hash);
+    }
+
+    /**
+     * Returns this endpoint as a start of its own.
+     *
+     * @param which the start
+     */
+    public ServiceEndpoint startedAs(Incarnation which) {
+        String startId = which.told() ? name + SEPARATOR + which.startedAtMillis() : name;
+        return new ServiceEndpoint(
+                startId, name, which, service, address, dataCentre, slots, leaving, Rendezvous.hash(startId));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
@@ -105,7 +105,7 @@
             Optional<String> resumeAfter,
             @Nullable ServiceEndpoint cacheHolder) {
         return new ForwardingHead(
-                endpoint.id(),
+                endpoint.name(),
                 leftMillis,
                 urgency(),
                 workspaceSpec == null ? null : workspaceSpec.name(),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.control;
 
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +10,7 @@
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.Incarnation;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
@@ -19,6 +22,7 @@
     private static final long STORE_CLOCK_OFFSET_MILLIS = 7_000_000;
 
     private final Map<String, ServiceEndpoint> registered = new LinkedHashMap<>();
+    private final List<EndpointEntry.Unusable> spoilt = new ArrayList<>();
     private long nowMillis = 100_000;
     private long revision = 1;
 
@@ -29,9 +33,40 @@
 
     /** An endpoint registers itself. */
     void register(String id) {
+        register(endpoint(id));
+    }
+
+    /** An endpoint registers itself that says when it started. */
+    void start(String name, long startedAtMillis) {
+        register(endpoint(name).startedAs(new Incarnation(startedAtMillis)));
+    }
+
+    void register(ServiceEndpoint endpoint) {
+        revision++;
+        registered.put(endpoint.name(), endpoint);
+    }
+
+    /** Tells whether an endpoint is registered. */
+    boolean registered(String name) {
+        return registered.containsKey(name);
+    }
+
+    /** An endpoint says that it leaves. */
+    void leave(String name) {
+        revision++;
+        registered.computeIfPresent(name, (key, endpoint) -> endpoint.asLeaving());
+    }
+
+    /** What another writer put in the place of an entry cannot be used. */
+    void spoil(String name) {
         revision++;
-        registered.put(
-                id, new ServiceEndpoint(id, SERVICE, new Address("10.0.0.1", 80), new DataCentre("here"), 6, false));
+        if (registered.remove(name) != null) {
+            spoilt.add(new EndpointEntry.Unusable(name, EntryFault.SYNTAX, "spoilt"));
+        }
+    }
+
+    static ServiceEndpoint endpoint(String name) {
+        return new ServiceEndpoint(name, SERVICE, new Address("10.0.0.1", 80), new DataCentre("here"), 6, false);
     }
 
     /** An endpoint's registration is removed, without a word of leaving before. */
@@ -67,7 +102,9 @@
             long storeMillis = nowMillis - STORE_CLOCK_OFFSET_MILLIS;
             storeClock.observed(nowMillis, nowMillis, storeMillis);
             tracker.listed(
-                    new DirectoryReading.Listed(revision, storeMillis, List.copyOf(registered.values())), nowMillis);
+                    new DirectoryReading.Listed(
+                            revision, storeMillis, List.copyOf(registered.values()), List.copyOf(spoilt)),
+                    nowMillis);
         }
 
         /** Tries to read the store, in vain. */
@@ -112,6 +149,23 @@
             return readers.duty(true).readsDirectory();
         }
 
+        /** Returns the starts that requests may be placed at. */
+        List<String> serving() {
+            return tracker.directory().open(SERVICE).stream()
+                    .map(ServiceEndpoint::id)
+                    .toList();
+        }
+
+        /** Returns the list as it is told to peers, through the bytes between them. */
+        EndpointSnapshot told() throws IOException {
+            return EndpointListCodec.decode(EndpointListCodec.encode(tracker.snapshot()));
+        }
+
+        /** Takes a list that was written at some time before. */
+        void takes(EndpointSnapshot list) {
+            tracker.peerListed(list, storeClock.earliest(list.reading().storeMillis(), nowMillis), "peer");
+        }
+
         /** Tells whether a request may be placed at an endpoint. */
         boolean sendsTo(String endpointId) {
             return tracker.directory().open(SERVICE).stream()
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
@@ -94,11 +95,12 @@
         listed(tracker, 5, List.of(endpoint("a"), endpoint("b")), 10_000);
         listed(tracker, 6, List.of(endpoint("a")), 20_000);
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
-        EndpointSnapshot settled = new EndpointSnapshot(new ListReading(6, 20_100, true), List.of(endpoint("a")));
+        EndpointSnapshot settled =
+                new EndpointSnapshot(new ListReading(6, 20_100, true), List.of(endpoint("a")), Set.of());
         assertThat(tracker.peerListed(settled, 20_100, "peer")).isTrue();
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
-        EndpointSnapshot unsettled =
-                new EndpointSnapshot(new ListReading(7, 20_200, false), List.of(endpoint("a"), endpoint("b")));
+        EndpointSnapshot unsettled = new EndpointSnapshot(
+                new ListReading(7, 20_200, false), List.of(endpoint("a"), endpoint("b")), Set.of());
         assertThat(tracker.peerListed(unsettled, 20_200, "peer")).isFalse();
     }
 
@@ -114,12 +116,12 @@
     /** Lets the store's clock show what the router's does. */
     private static boolean listed(
             DirectoryTracker tracker, long revision, List<ServiceEndpoint> endpoints, long nowMillis) {
-        return tracker.listed(new DirectoryReading.Listed(revision, nowMillis, endpoints), nowMillis);
+        return tracker.listed(new DirectoryReading.Listed(revision, nowMillis, endpoints, List.of()), nowMillis);
     }
 
     private boolean peerListed(long revision, List<ServiceEndpoint> endpoints, long readAtMillis) {
         ListReading reading = new ListReading(revision, revision == 5 ? 10_000 : readAtMillis, false);
-        return tracker.peerListed(new EndpointSnapshot(reading, endpoints), readAtMillis, "peer");
+        return tracker.peerListed(new EndpointSnapshot(reading, endpoints, Set.of()), readAtMillis, "peer");
     }
 
     private static ServiceEndpoint endpoint(String id) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -89,7 +89,7 @@
         public Mono<DirectoryReading> directory() {
             return Mono.fromSupplier(() -> cut
                     ? new DirectoryReading.Unavailable("cut")
-                    : new DirectoryReading.Listed(revision.get(), System.nanoTime() / 1_000_000, endpoints));
+                    : new DirectoryReading.Listed(revision.get(), System.nanoTime() / 1_000_000, endpoints, List.of()));
         }
 
         @Override
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -53,7 +53,7 @@
     public void encode(HttpHeaders headers, ForwardingHead forwarding) {
         headers.remove(HttpHeaderNames.AUTHORIZATION);
         headers.remove(WORKSPACE);
-        headers.set(ENDPOINT, forwarding.endpointId());
+        headers.set(ENDPOINT, forwarding.endpointName());
         headers.set(LEFT, forwarding.leftMillis());
         forwarding.workspace().ifPresent(name -> headers.set(WORKSPACE, name));
         forwarding.lastEventId().ifPresent(id -> headers.set(AFTER, id));
