--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -40,7 +40,7 @@
     static final long CONTINUITY_MILLIS = 1_900;
 
     private final Map<String, ServiceEndpoint> known = new LinkedHashMap<>();
-    private final Set<String> left = new HashSet<>();
+    private final Map<String, Boolean> left = new RecentNames<>();
     private final Set<String> kept = new HashSet<>();
     private final ReplacedStarts starts = new ReplacedStarts();
     private ListReading reading = ListReading.NONE;
@@ -208,7 +208,7 @@
         if (endpoint == null || endpoint.leaving()) {
             return false;
         }
-        left.add(id);
+        left.put(id, true);
         known.put(id, endpoint.asLeaving());
         changed();
         return true;
@@ -231,11 +231,10 @@
             }
             starts.replacing(endpoint).ifPresent(known::remove);
             if (endpoint.leaving()) {
-                left.add(endpoint.id());
+                left.put(endpoint.id(), true);
             }
-            known.put(endpoint.id(), left.contains(endpoint.id()) ? endpoint.asLeaving() : endpoint);
+            known.put(endpoint.id(), left.containsKey(endpoint.id()) ? endpoint.asLeaving() : endpoint);
         }
-        left.retainAll(known.keySet());
         kept.addAll(keptThere);
         kept.retainAll(known.keySet());
         changed();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ReplacedStarts.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ReplacedStarts.java
@@ -1,9 +1,7 @@
 package org.radishpass.routing.control;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.jspecify.annotations.Nullable;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
@@ -11,11 +9,8 @@
  * have stepped back between them. Belongs to the control thread.
  */
 final class ReplacedStarts {
-    /** Names and starts that are remembered: several times the endpoints of the largest deployment, each started again once. */
-    private static final int MOST_REMEMBERED = 8_192;
-
-    private final Map<String, String> latestByName = bounded();
-    private final Map<String, String> replacedBy = bounded();
+    private final Map<String, String> latestByName = new RecentNames<>();
+    private final Map<String, String> replacedBy = new RecentNames<>();
 
     /** Tells whether a later start has replaced this one before. */
     boolean replaced(ServiceEndpoint endpoint) {
@@ -41,15 +36,4 @@
         replacedBy.put(earlier, endpoint.id());
         return Optional.of(earlier);
     }
-
-    private static Map<String, String> bounded() {
-        return new LinkedHashMap<>() {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.@Nullable Entry<String, String> eldest) {
-                return size() > MOST_REMEMBERED;
-            }
-        };
-    }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/EndpointStartsTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/EndpointStartsTest.java
@@ -115,6 +115,22 @@
         assertThat(first.serving()).containsExactly("a@2000");
     }
 
+    @Test
+    void aPeerThatKeepsAnEndpointThatHasLeftDoesNotMakeItServe() throws IOException {
+        second.cannotRead();
+        fleet.leave("a");
+        reads(first);
+        fleet.remove("a");
+        reads(first);
+        first.cannotRead();
+        fleet.pass(9_000);
+        reads(first);
+        reads(second);
+        assertThat(second.serving()).containsExactly("a@1000");
+        first.takes(second.told());
+        assertThat(first.serving()).isEmpty();
+    }
+
     @Test
     void anEntryThatTurnsUnusableNamesNoEndpointEvenWhileMissingOnesAreKept() {
         first.cannotRead();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/event/OperationsTablesTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/event/OperationsTablesTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.control.EntryFault;
 import org.radishpass.routing.testing.PlainDialect;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
@@ -34,6 +35,12 @@
         assertThat(page).contains("| `" + event.text() + "` | " + event.meaning() + " |");
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void thePageHasEachFaultOfAnEntry(EntryFault fault) {
+        assertThat(page).contains("| `" + fault.label() + "` | " + fault.meaning() + " |");
+    }
+
     @Test
     void thePageHasNoEventThatIsNotWritten() {
         List<String> known =
