--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
@@ -0,0 +1,54 @@
+package org.radishpass.routing.control;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.function.Consumer;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.runtime.thread.ControlThread;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** This router's registration in the store, by which others find it. State belongs to the control thread. */
+final class Registration {
+    private static final Logger LOG = LoggerFactory.getLogger(Registration.class);
+
+    /** How long until a registration that could not be made is tried again. */
+    private static final Duration AGAIN = Duration.ofMillis(700);
+
+    private static final long NOT_REGISTERED = -1;
+
+    private final ControlThread thread;
+    private final ControlSource source;
+    private final FleetRouter self;
+    private long revision = NOT_REGISTERED;
+
+    Registration(ControlThread thread, ControlSource source, FleetRouter self) {
+        this.thread = thread;
+        this.source = source;
+        this.self = self;
+    }
+
+    /**
+     * Registers this router, and tries again until that is done.
+     *
+     * @param learn hears which routers are registered; called on the control thread
+     */
+    void register(Consumer<Collection<FleetRouter>> learn) {
+        source.register(self).publishOn(thread.scheduler()).subscribe(reading -> {
+            if (reading instanceof RegistryReading.Registered registered) {
+                revision = registered.revision();
+                learn.accept(registered.routers());
+            } else if (reading instanceof RegistryReading.Unavailable unavailable) {
+                LOG.info("this router cannot be registered yet: {}", unavailable.reason());
+                thread.after(AGAIN, () -> register(learn));
+            }
+        });
+    }
+
+    /** Removes the registration, if there is one. */
+    void remove() {
+        if (revision != NOT_REGISTERED) {
+            source.deregister(self.address(), revision).subscribe();
+        }
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -34,9 +34,6 @@
 public final class RoutedRouter {
     private static final Logger LOG = LoggerFactory.getLogger(RoutedRouter.class);
 
-    /** How long a registration in the store may take to be tried again. */
-    private static final Duration REGISTER_AGAIN = Duration.ofMillis(700);
-
     /** How long until an address that is taken is tried again: a process that ends gives it back within that. */
     private static final Duration BIND_AGAIN = Duration.ofMillis(500);
 
@@ -45,7 +42,6 @@
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private final LoopResources loops;
     private final FleetRouter self;
-    private final ControlSource source;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory = new DirectoryTracker();
     private final StoreClock storeClock = new StoreClock();
@@ -53,16 +49,16 @@
     private final StoreFollower follower;
     private final PeerExchange peers;
     private final RegistryCleaner cleaner;
+    private final Registration registration;
     private final MeterRegistry metrics;
     private final StartSequence start;
-    private long registration = -1;
     private long configurationSinceMillis;
     private volatile boolean stopping;
 
     private RoutedRouter(Builder builder) {
         this.loops = builder.loops;
         this.self = new FleetRouter(builder.peerAddress, builder.home, builder.cores);
-        this.source = builder.source;
+        ControlSource source = builder.source;
         this.metrics = builder.metrics;
         this.configuration = new ConfigurationTracker(builder.decoder);
         EventLoop loop = loops.onServer(false).next();
@@ -85,6 +81,7 @@
                 new StoreNews());
         this.start = new StartSequence(thread, traffic);
         this.cleaner = new RegistryCleaner(source);
+        this.registration = new Registration(thread, source, self);
         this.peers =
                 new PeerExchange(thread, clock, self, traffic, configuration, directory, storeClock, new PeerNews());
     }
@@ -130,7 +127,7 @@
             return;
         }
         peers.learnAddresses(seeds);
-        register();
+        registration.register(peers::learn);
         publish();
     }
 
@@ -158,25 +155,7 @@
         stopping = true;
         LOG.info("the router is stopping", LogEvent.STOP.field());
         traffic.stopping();
-        thread.run(this::deregister);
-    }
-
-    private void deregister() {
-        if (registration >= 0) {
-            source.deregister(self.address(), registration).subscribe();
-        }
-    }
-
-    private void register() {
-        source.register(self).publishOn(thread.scheduler()).subscribe(reading -> {
-            if (reading instanceof RegistryReading.Registered registered) {
-                registration = registered.revision();
-                peers.learn(registered.routers());
-            } else if (reading instanceof RegistryReading.Unavailable unavailable) {
-                LOG.info("this router cannot be registered yet: {}", unavailable.reason());
-                thread.after(REGISTER_AGAIN, this::register);
-            }
-        });
+        thread.run(registration::remove);
     }
 
     private void gone(String endpointId) {
