--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerChannel.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerChannel.java
@@ -1,19 +1,26 @@
 package org.radishpass.peer.transport;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.peer.message.Envelope;
 import org.radishpass.peer.message.PeerCodec;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.runtime.metrics.TrafficMeter;
+import org.radishpass.runtime.transfer.TransferProgress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
@@ -36,15 +43,19 @@
     private final Channel channel;
     private final PeerHandler handler;
     private final TrafficMeter meter;
+    private final Consumer<PeerChannel> whenClosed;
     private final AtomicLong lastId = new AtomicLong();
     private final ConcurrentHashMap<Long, Sinks.One<PeerMessage>> waiting = new ConcurrentHashMap<>();
+    private final Set<TransferProgress> transfers = ConcurrentHashMap.newKeySet();
     private volatile String peerId;
 
-    private PeerChannel(Channel channel, String peerId, PeerHandler handler, TrafficMeter meter) {
+    private PeerChannel(
+            Channel channel, String peerId, PeerHandler handler, TrafficMeter meter, Consumer<PeerChannel> whenClosed) {
         this.channel = channel;
         this.peerId = peerId;
         this.handler = handler;
         this.meter = meter;
+        this.whenClosed = whenClosed;
     }
 
     /**
@@ -54,10 +65,17 @@
      * @param peerId the peer, or null if it has yet to say
      * @param handler takes what it sends
      * @param meter counts the bytes
+     * @param whenClosed called when it has ended
      */
-    static PeerChannel on(Connection connection, @Nullable String peerId, PeerHandler handler, TrafficMeter meter) {
-        PeerChannel peer =
-                new PeerChannel(connection.channel(), peerId == null ? UNKNOWN_PEER : peerId, handler, meter);
+    static PeerChannel on(
+            Connection connection,
+            @Nullable String peerId,
+            PeerHandler handler,
+            TrafficMeter meter,
+            Consumer<PeerChannel> whenClosed) {
+        PeerChannel peer = new PeerChannel(
+                connection.channel(), peerId == null ? UNKNOWN_PEER : peerId, handler, meter, whenClosed);
+        connection.addHandlerLast("progress", peer.new Progress());
         connection.addHandlerLast(
                 "frames-in", new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         connection.addHandlerLast("frames-out", new LengthFieldPrepender(LENGTH_BYTES));
@@ -66,6 +84,11 @@
         return peer;
     }
 
+    /** Returns the peer; empty if it has not said yet. */
+    String peerId() {
+        return peerId;
+    }
+
     boolean open() {
         return channel.isActive();
     }
@@ -85,6 +108,49 @@
         return answer.asMono().timeout(patience).doFinally(signal -> waiting.remove(id));
     }
 
+    /** Waits for an answer as long as bytes come; a connection that has stopped in the middle of a message is closed. */
+    Mono<PeerMessage> fetch(PeerMessage message) {
+        TransferProgress progress = new TransferProgress(nowMillis());
+        transfers.add(progress);
+        long id = lastId.incrementAndGet();
+        Sinks.One<PeerMessage> answer = Sinks.one();
+        waiting.put(id, answer);
+        write(new Envelope(id, message));
+        if (!channel.isActive()) {
+            answer.tryEmitError(new IOException("the connection has ended"));
+        }
+        channel.eventLoop().execute(() -> watch(id, progress));
+        return answer.asMono().doFinally(signal -> {
+            waiting.remove(id);
+            transfers.remove(progress);
+        });
+    }
+
+    private void watch(long id, TransferProgress progress) {
+        Sinks.One<PeerMessage> answer = waiting.get(id);
+        if (answer == null) {
+            return;
+        }
+        long leftMillis = progress.deadlineMillis() - nowMillis();
+        if (leftMillis >= 0) {
+            var unused = channel.eventLoop().schedule(() -> watch(id, progress), leftMillis + 1, TimeUnit.MILLISECONDS);
+            return;
+        }
+        answer.tryEmitError(new IOException("given up after " + progress.bytes() + " bytes"));
+        if (progress.bytes() > 0) {
+            close();
+        }
+    }
+
+    private void noteBytes(int count) {
+        long nowMillis = nowMillis();
+        transfers.forEach(progress -> progress.received(count, nowMillis));
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     void close() {
         var unused = channel.close();
     }
@@ -92,9 +158,7 @@
     private void closed() {
         IOException gone = new IOException("the connection has ended");
         waiting.values().forEach(answer -> answer.tryEmitError(gone));
-        if (!peerId.isEmpty()) {
-            handler.disconnected(peerId);
-        }
+        whenClosed.accept(this);
     }
 
     private void write(Envelope envelope) {
@@ -146,4 +210,15 @@
                                 envelope.message().kind(),
                                 error));
     }
+
+    /** Counts bytes as they come, before they are whole messages. */
+    private final class Progress extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf bytes) {
+                noteBytes(bytes.readableBytes());
+            }
+            context.fireChannelRead(message);
+        }
+    }
 }
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerHandler.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerHandler.java
@@ -18,7 +18,7 @@
     Mono<PeerMessage> handle(String from, PeerMessage message);
 
     /**
-     * Learns that the last connection from a peer has ended.
+     * Learns that a peer has ended: it has closed a connection that this node dialled, or the last one between the two.
      *
      * @param from the peer
      */
--- a/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/transport/PeerNode.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.Vm;
 import org.radishpass.peer.message.PeerMessage;
@@ -22,11 +23,11 @@
  *
  * @since 0.1.0
  */
-public final class PeerNode implements AutoCloseable {
+public final class PeerNode implements PeerLinks, AutoCloseable {
     private static final Duration DIAL_PATIENCE = Duration.ofMillis(500);
     private static final Duration DIAL_AGAIN = Duration.ofMillis(500);
 
-    private final Set<Connection> accepted = ConcurrentHashMap.newKeySet();
+    private final Set<PeerChannel> accepted = ConcurrentHashMap.newKeySet();
     private final LoopResources loops;
     private final PeerHandler handler;
     private final TrafficMeter meter;
@@ -65,18 +66,18 @@
         return server.port();
     }
 
-    /**
-     * Sends a message that needs no answer; it is lost if the peer cannot be reached.
-     *
-     * @param peer the peer
-     * @param message the message
-     */
+    @Override
     public void send(Vm peer, PeerMessage message) {
         link(peer).channel().subscribe(channel -> channel.send(message), error -> {
             // the caller of a message without an answer does not wait to hear of its loss
         });
     }
 
+    @Override
+    public Mono<PeerMessage> fetch(Vm peer, PeerMessage message) {
+        return link(peer).channel().flatMap(channel -> channel.fetch(message));
+    }
+
     /**
      * Sends a message and waits for its answer; it ends in an error when none comes in time.
      *
@@ -91,11 +92,7 @@
                 .timeout(patience);
     }
 
-    /**
-     * Closes the link to a peer that has fallen silent; the next message dials anew.
-     *
-     * @param peerId the peer
-     */
+    @Override
     public void drop(String peerId) {
         Link link = links.remove(peerId);
         if (link != null) {
@@ -121,14 +118,28 @@
     @Override
     public void close() {
         links.values().forEach(Link::close);
-        accepted.forEach(Connection::dispose);
+        accepted.forEach(PeerChannel::close);
         server.disposeNow(Duration.ofSeconds(1));
     }
 
     private void accept(Connection connection) {
-        accepted.add(connection);
-        connection.onDispose(() -> accepted.remove(connection));
-        PeerChannel.on(connection, null, handler, meter);
+        accepted.add(PeerChannel.on(connection, null, handler, meter, this::acceptedEnded));
+    }
+
+    /**
+     * A peer has closed one of its connections to this node. It is still there if another one is open: a peer that dials anew
+     * closes the old connection. Were that taken for its end, the two would close each other's connections in turn.
+     */
+    private void acceptedEnded(PeerChannel ended) {
+        accepted.remove(ended);
+        String peerId = ended.peerId();
+        Link link = links.get(peerId);
+        boolean dialled = link != null && link.open();
+        boolean other = accepted.stream()
+                .anyMatch(channel -> channel.open() && channel.peerId().equals(peerId));
+        if (!peerId.isEmpty() && !dialled && !other) {
+            handler.disconnected(peerId);
+        }
     }
 
     private Link link(Vm peer) {
@@ -152,6 +163,7 @@
         private final String peerId;
         private final Address address;
         private Mono<PeerChannel> current = Mono.empty();
+        private volatile @Nullable PeerChannel opened;
         private boolean dialled;
         private long nextDialNanos;
 
@@ -187,12 +199,25 @@
         }
 
         private PeerChannel connected(Connection connection) {
-            PeerChannel channel = PeerChannel.on(connection, peerId, handler, meter);
-            connection.onDispose(this::lost);
+            PeerChannel channel = PeerChannel.on(connection, peerId, handler, meter, ended -> ended());
+            opened = channel;
             channel.send(hello.get());
             return channel;
         }
 
+        /** Peers leave connections open that others dialled: one that ends and was not dropped here means that its peer has ended. */
+        private void ended() {
+            lost();
+            if (links.get(peerId) == this) {
+                handler.disconnected(peerId);
+            }
+        }
+
+        private boolean open() {
+            PeerChannel channel = opened;
+            return channel != null && channel.open();
+        }
+
         private synchronized void lost() {
             nextDialNanos = System.nanoTime() + DIAL_AGAIN.toNanos();
         }
--- a/radishpass-peer/src/test/java/org/radishpass/peer/transport/PeerNodeTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/transport/PeerNodeTest.java
@@ -7,6 +7,9 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
@@ -22,8 +25,10 @@
     private static final Duration PATIENCE = Duration.ofSeconds(30);
 
     private final LoopResources loops = LoopResources.create("test", 2, true);
-    private final PeerNode one = node("one");
-    private final PeerNode two = node("two");
+    private final BlockingQueue<String> endedForOne = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> endedForTwo = new LinkedBlockingQueue<>();
+    private final PeerNode one = node("one", endedForOne);
+    private final PeerNode two = node("two", endedForTwo);
 
     @AfterEach
     void close() {
@@ -90,7 +95,30 @@
         }
     }
 
-    private PeerNode node(String id) {
+    /**
+     * Seen: two routers closed and dialled each other's connections in turn, each taking the end of one for the end of the other
+     * router, which was still connected by its own.
+     */
+    @Test
+    void aPeerThatDialsAnewHasNotEnded() throws InterruptedException {
+        askOneAnother();
+
+        one.drop("two");
+        one.request(vm("two", two), new PeerMessage.ChangesWanted(3), PATIENCE).block();
+        two.request(vm("one", one), new PeerMessage.ChangesWanted(3), PATIENCE).block();
+        assertThat(endedForOne).isEmpty();
+        assertThat(endedForTwo).isEmpty();
+
+        two.close();
+        assertThat(endedForOne.poll(PATIENCE.toSeconds(), TimeUnit.SECONDS)).isEqualTo("two");
+    }
+
+    private void askOneAnother() {
+        one.request(vm("two", two), new PeerMessage.ChangesWanted(1), PATIENCE).block();
+        two.request(vm("one", one), new PeerMessage.ChangesWanted(1), PATIENCE).block();
+    }
+
+    private PeerNode node(String id, BlockingQueue<String> endedPeers) {
         PeerHandler handler = new PeerHandler() {
             @Override
             public Mono<PeerMessage> handle(String from, PeerMessage message) {
@@ -101,7 +129,7 @@
 
             @Override
             public void disconnected(String from) {
-                // nothing to forget
+                endedPeers.add(from);
             }
         };
         return new PeerNode(
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -0,0 +1,192 @@
+package org.radishpass.routing.control;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.List;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.peer.transport.PeerHandler;
+import org.radishpass.peer.transport.PeerLinks;
+import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.load.WorkSource;
+import org.radishpass.routing.traffic.MonotonicClock;
+import org.radishpass.routing.traffic.RoutingView;
+import org.radishpass.runtime.thread.ControlThread;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a router believes of its fleet, from the store and from its peers, and what it tells them. It has no sockets, thread or clock of
+ * its own, so that whole fleets run in virtual time. State belongs to the control thread.
+ */
+final class ControlPlane {
+    private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
+
+    private final ControlThread thread;
+    private final MonotonicClock clock;
+    private final Runnable whenComplete;
+    private final ConfigurationTracker configuration;
+    private final DirectoryTracker directory = new DirectoryTracker();
+    private final StoreFollower follower;
+    private final PeerExchange peers;
+    private final RegistryCleaner cleaner;
+    private final Registration registration;
+    private volatile RoutingView view = RoutingView.UNKNOWN;
+    private long configurationSinceMillis;
+
+    /**
+     * Creates one that knows nothing.
+     *
+     * @param thread the control thread
+     * @param clock the clock
+     * @param source the store
+     * @param self this router
+     * @param decoder reads configurations
+     * @param work the work in flight
+     * @param metrics where counters are kept
+     * @param whenComplete called on the control thread when requests can be routed, and with each news after that
+     */
+    ControlPlane(
+            ControlThread thread,
+            MonotonicClock clock,
+            ControlSource source,
+            FleetRouter self,
+            ConfigurationDecoder decoder,
+            WorkSource work,
+            MeterRegistry metrics,
+            Runnable whenComplete) {
+        this.thread = thread;
+        this.clock = clock;
+        this.whenComplete = whenComplete;
+        this.configuration = new ConfigurationTracker(decoder);
+        StoreClock storeClock = new StoreClock();
+        this.follower = new StoreFollower(
+                thread,
+                clock,
+                source,
+                configuration,
+                directory,
+                storeClock,
+                new UnusableEntries(metrics),
+                new StoreNews());
+        this.cleaner = new RegistryCleaner(source);
+        this.registration = new Registration(thread, source, self);
+        this.peers = new PeerExchange(thread, clock, self, work, configuration, directory, storeClock, new PeerNews());
+    }
+
+    /** Starts to read the store. */
+    void start() {
+        follower.start();
+    }
+
+    /**
+     * Joins the peers. Called on the control thread.
+     *
+     * @param links the links to them
+     * @param seeds where other routers may listen, known beforehand
+     */
+    void join(PeerLinks links, List<Address> seeds) {
+        peers.start(links);
+        peers.learnAddresses(seeds);
+        registration.register(peers::learn);
+        publish();
+    }
+
+    /** Returns what takes peers' messages. */
+    PeerHandler handler() {
+        return peers;
+    }
+
+    /** Returns the first message on each link. */
+    PeerMessage introduction() {
+        return peers.introduction();
+    }
+
+    /** Returns what is believed now; from any thread. */
+    RoutingView view() {
+        return view;
+    }
+
+    /** Tells peers that look for it in the store no longer of this router. */
+    void leave() {
+        thread.run(registration::remove);
+    }
+
+    /** Learns from an answer that an endpoint's address belongs to another one now. */
+    void gone(String endpointId) {
+        thread.run(() -> {
+            if (directory.gone(endpointId)) {
+                LOG.info(
+                        "the address of endpoint {} belongs to another one now",
+                        endpointId,
+                        LogEvent.ENDPOINT_GONE.field());
+                publish();
+            }
+        });
+    }
+
+    private void publish() {
+        view = new RoutingView(
+                configuration.current().orElse(null),
+                configurationSinceMillis,
+                directory.directory(),
+                directory.known(),
+                directory.origin(),
+                peers.started() ? peers.routers() : RoutingView.ROUTERS_UNKNOWN);
+        if (view.complete()) {
+            whenComplete.run();
+        }
+    }
+
+    /** Hears what the store brought. */
+    private final class StoreNews implements StoreFollower.Listener {
+        @Override
+        public void configurationChanged() {
+            configurationSinceMillis = clock.millis();
+            publish();
+            peers.tellNow();
+        }
+
+        @Override
+        public void directoryRead() {
+            publish();
+            peers.tellNow();
+        }
+
+        @Override
+        public void storeBack() {
+            peers.probeSoon();
+        }
+
+        @Override
+        public ReadingDuty duty() {
+            return peers.duty();
+        }
+    }
+
+    /** Hears what peers brought. */
+    private final class PeerNews implements PeerExchange.Listener {
+        @Override
+        public void configurationOffered(byte[] content, String origin) {
+            follower.offer(content, origin);
+        }
+
+        @Override
+        public void endpointsChanged() {
+            publish();
+        }
+
+        @Override
+        public void routersChanged() {
+            publish();
+        }
+
+        @Override
+        public void routersForgotten(List<FleetRouter> routers) {
+            publish();
+            if (peers.duty().readsDirectory()) {
+                cleaner.clean(routers).subscribe();
+            }
+        }
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -5,7 +5,7 @@
 import java.util.function.BooleanSupplier;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
-import org.radishpass.peer.transport.PeerNode;
+import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
@@ -21,9 +21,6 @@
     private static final String CONFIGURATION = "configuration";
     private static final String ENDPOINTS = "endpoints";
 
-    /** How long a document may take; within a region it takes under 50 ms, a large one on a small link 500 ms. */
-    private static final Duration PATIENCE = Duration.ofMillis(800);
-
     /**
      * How long the store is waited for before a peer is asked for a configuration: the store answers all routers at once, and
      * a peer that has to give it to a whole group is slow to do so. A configuration is to be in force within 2 s.
@@ -59,16 +56,16 @@
     /**
      * Compares what a peer has with what this router has, and fetches what is newer there.
      *
-     * @param node sends to peers
+     * @param links sends to peers
      * @param peer the peer
      * @param state what it told
      * @param storeTells whether the store tells this router of newer configurations
      * @return whether this router's list is confirmed as of a later reading
      */
-    boolean compare(PeerNode node, Peer peer, RoutingMessage.RoutingState state, boolean storeTells) {
+    boolean compare(PeerLinks links, Peer peer, RoutingMessage.RoutingState state, boolean storeTells) {
         if (state.configuration() > configuration.version()) {
             Duration wait = storeTells && configuration.version() >= 0 ? STORE_FIRST : Duration.ZERO;
-            fetch(node, peer, CONFIGURATION, wait, () -> state.configuration() > configuration.version());
+            fetch(links, peer, CONFIGURATION, wait, () -> state.configuration() > configuration.version());
         }
         ListReading reading = PeerStates.reading(state);
         if (directory.known() && !reading.supersedes(directory.reading())) {
@@ -82,7 +79,7 @@
             return later;
         }
         if (reading.revision() >= 0) {
-            fetch(node, peer, ENDPOINTS, Duration.ZERO, () -> reading.supersedes(directory.reading()));
+            fetch(links, peer, ENDPOINTS, Duration.ZERO, () -> reading.supersedes(directory.reading()));
         }
         return false;
     }
@@ -96,21 +93,21 @@
                 name, directory.reading().revision(), EndpointListCodec.encode(directory.snapshot()));
     }
 
-    private void fetch(PeerNode node, Peer peer, String name, Duration wait, BooleanSupplier wanted) {
+    private void fetch(PeerLinks links, Peer peer, String name, Duration wait, BooleanSupplier wanted) {
         if (!fetches.begin(name, peer.id(), clock.millis() + wait.toMillis())) {
             return;
         }
         thread.after(wait, () -> {
             if (wanted.getAsBoolean()) {
-                request(node, peer, name);
+                request(links, peer, name);
             } else {
                 fetches.end(name, peer.id());
             }
         });
     }
 
-    private void request(PeerNode node, Peer peer, String name) {
-        node.request(peer.vm(), new RoutingMessage.DocumentWanted(name), PATIENCE)
+    private void request(PeerLinks links, Peer peer, String name) {
+        links.fetch(peer.vm(), new RoutingMessage.DocumentWanted(name))
                 .publishOn(thread.scheduler())
                 .doFinally(signal -> thread.run(() -> fetches.end(name, peer.id())))
                 .subscribe(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -10,11 +10,11 @@
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.transport.PeerHandler;
-import org.radishpass.peer.transport.PeerNode;
+import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.traffic.MonotonicClock;
-import org.radishpass.routing.traffic.TrafficServer;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,21 +33,21 @@
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final FleetRouter self;
-    private final TrafficServer traffic;
+    private final WorkSource work;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
     private final Listener listener;
     private final PeerBook peers;
     private final ReaderChoice readers;
     private final DocumentExchange documents;
-    private @Nullable PeerNode node;
+    private @Nullable PeerLinks links;
     private @Nullable WorkTeller teller;
 
     PeerExchange(
             ControlThread thread,
             MonotonicClock clock,
             FleetRouter self,
-            TrafficServer traffic,
+            WorkSource work,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
             StoreClock storeClock,
@@ -55,7 +55,7 @@
         this.thread = thread;
         this.clock = clock;
         this.self = self;
-        this.traffic = traffic;
+        this.work = work;
         this.configuration = configuration;
         this.directory = directory;
         this.listener = listener;
@@ -65,15 +65,15 @@
     }
 
     /** Starts to tell. */
-    void start(PeerNode peerNode) {
-        this.node = peerNode;
-        this.teller = new WorkTeller(thread, clock, self, traffic, configuration, directory, peers, peerNode);
+    void start(PeerLinks peerLinks) {
+        this.links = peerLinks;
+        this.teller = new WorkTeller(thread, clock, self, work, configuration, directory, peers, peerLinks);
         thread.every(Duration.ofMillis(TICK_MILLIS), this::tick);
     }
 
     /** Tells whether it has been started: before that, other routers are not known. */
     boolean started() {
-        return node != null;
+        return links != null;
     }
 
     /** Returns the first message on each connection. */
@@ -110,7 +110,7 @@
     @Override
     public Mono<PeerMessage> handle(String from, PeerMessage message) {
         if (message instanceof RoutingMessage.RoutingState state) {
-            traffic.peerTold(from, state.scope(), PeerStates.work(state), state.failing());
+            work.peerTold(from, state.scope(), PeerStates.work(state), state.failing());
             return later(() -> told(from, state));
         }
         if (message instanceof RoutingMessage.Introduction introduction) {
@@ -126,9 +126,9 @@
     }
 
     /**
-     * A connection from or to a peer has ended. The other one to it stays: were it closed too, the peer would notice, close its own,
-     * and two routers that stood still for a while closed and dialled each other's connections up to 300 times a second ever
-     * after, a tenth of a core each.
+     * A peer has ended, as far as its connections tell. What is open to it stays: were it closed too, a peer that lives would notice, close
+     * its own, and two routers that stood still for a while closed and dialled each other's connections up to 300 times a second
+     * ever after, a tenth of a core each.
      */
     @Override
     public void disconnected(String from) {
@@ -156,8 +156,8 @@
         return peers.all().stream().anyMatch(peer -> peer.member(nowMillis));
     }
 
-    private PeerNode node() {
-        return Objects.requireNonNull(node, "not started");
+    private PeerLinks links() {
+        return Objects.requireNonNull(links, "not started");
     }
 
     /** Returns what tells others; none before the start, when the store may have answered already. */
@@ -172,7 +172,7 @@
 
     private void meet(Peer peer) {
         peer.asked(clock.millis());
-        node().send(peer.vm(), new RoutingMessage.RouterList(List.of(PeerStates.entry(self))));
+        links().send(peer.vm(), new RoutingMessage.RouterList(List.of(PeerStates.entry(self))));
     }
 
     private void introduced(RoutingMessage.RouterEntry entry) {
@@ -180,7 +180,7 @@
             learn(List.of(router));
             peers.find(router.id()).ifPresent(peer -> {
                 heard(peer, peer.heard(clock.millis()));
-                node().send(peer.vm(), new RoutingMessage.RouterList(PeerStates.entries(peers.known())));
+                links().send(peer.vm(), new RoutingMessage.RouterList(PeerStates.entries(peers.known())));
             });
             tellNow();
         });
@@ -202,7 +202,7 @@
         Peer peer = found.get();
         long nowMillis = clock.millis();
         heard(peer, peer.told(state, nowMillis));
-        if (documents.compare(node(), peer, state, duty().readsConfiguration())) {
+        if (documents.compare(links(), peer, state, duty().readsConfiguration())) {
             confirmed(nowMillis);
         }
     }
@@ -224,7 +224,7 @@
 
     private void suspect(String id) {
         peers.find(id).filter(peer -> peer.suspect(clock.millis())).ifPresent(peer -> {
-            node().drop(id);
+            links().drop(id);
             logLost(peer);
         });
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -38,52 +38,30 @@
     private static final Duration BIND_AGAIN = Duration.ofMillis(500);
 
     private final ControlThread thread = new ControlThread("control");
-    private final MonotonicClock clock = MonotonicClock.SYSTEM;
-    private volatile RoutingView view = RoutingView.UNKNOWN;
     private final LoopResources loops;
     private final FleetRouter self;
-    private final ConfigurationTracker configuration;
-    private final DirectoryTracker directory = new DirectoryTracker();
-    private final StoreClock storeClock = new StoreClock();
+    private final ControlPlane control;
     private final TrafficServer traffic;
-    private final StoreFollower follower;
-    private final PeerExchange peers;
-    private final RegistryCleaner cleaner;
-    private final Registration registration;
     private final MeterRegistry metrics;
     private final StartSequence start;
-    private long configurationSinceMillis;
     private volatile boolean stopping;
 
     private RoutedRouter(Builder builder) {
         this.loops = builder.loops;
         this.self = new FleetRouter(builder.peerAddress, builder.home, builder.cores);
-        ControlSource source = builder.source;
         this.metrics = builder.metrics;
-        this.configuration = new ConfigurationTracker(builder.decoder);
         EventLoop loop = loops.onServer(false).next();
         this.traffic = new TrafficServer(
                 loop,
-                clock,
+                MonotonicClock.SYSTEM,
                 this::view,
                 builder.dialect,
                 builder.home,
-                gone -> thread.run(() -> gone(gone.id())),
+                gone -> endpointGone(gone.id()),
                 metrics);
-        this.follower = new StoreFollower(
-                thread,
-                clock,
-                source,
-                configuration,
-                directory,
-                storeClock,
-                new UnusableEntries(metrics),
-                new StoreNews());
         this.start = new StartSequence(thread, traffic);
-        this.cleaner = new RegistryCleaner(source);
-        this.registration = new Registration(thread, source, self);
-        this.peers =
-                new PeerExchange(thread, clock, self, traffic, configuration, directory, storeClock, new PeerNews());
+        this.control = new ControlPlane(
+                thread, MonotonicClock.SYSTEM, builder.source, self, builder.decoder, traffic, metrics, start::serve);
     }
 
     /**
@@ -108,27 +86,26 @@
      */
     public void start(CallerSocket callers, RetryAllowance allowance, List<Address> seeds) {
         traffic.retryAllowance(allowance);
-        follower.start();
+        control.start();
         start.begin(callers, () -> meetPeers(seeds));
         LOG.info("the router has started", LogEvent.START.field(), kv("peers", self.id()));
     }
 
     private void meetPeers(List<Address> seeds) {
+        PeerNode node;
         try {
-            peers.start(new PeerNode(
+            node = new PeerNode(
                     new InetSocketAddress(self.address().host(), self.address().port()),
                     loops,
-                    peers,
+                    control.handler(),
                     new TrafficMeter(metrics),
-                    peers::introduction));
+                    control::introduction);
         } catch (ChannelBindException e) {
             LOG.error("the address for peers {} cannot be bound; it is tried again", self.address(), e);
             thread.after(BIND_AGAIN, () -> meetPeers(seeds));
             return;
         }
-        peers.learnAddresses(seeds);
-        registration.register(peers::learn);
-        publish();
+        control.join(node, seeds);
     }
 
     /**
@@ -142,7 +119,7 @@
 
     /** Tells whether it takes new callers. */
     public boolean ready() {
-        return !stopping && view.complete();
+        return !stopping && view().complete();
     }
 
     /** Returns its traffic side. */
@@ -155,86 +132,15 @@
         stopping = true;
         LOG.info("the router is stopping", LogEvent.STOP.field());
         traffic.stopping();
-        thread.run(registration::remove);
-    }
-
-    private void gone(String endpointId) {
-        if (directory.gone(endpointId)) {
-            LOG.info(
-                    "the address of endpoint {} belongs to another one now",
-                    endpointId,
-                    LogEvent.ENDPOINT_GONE.field());
-            publish();
-        }
+        control.leave();
     }
 
     private RoutingView view() {
-        return view;
-    }
-
-    private void publish() {
-        view = new RoutingView(
-                configuration.current().orElse(null),
-                configurationSinceMillis,
-                directory.directory(),
-                directory.known(),
-                directory.origin(),
-                peers.started() ? peers.routers() : RoutingView.ROUTERS_UNKNOWN);
-        if (view.complete()) {
-            start.serve();
-        }
-    }
-
-    /** Hears what the store brought. */
-    private final class StoreNews implements StoreFollower.Listener {
-        @Override
-        public void configurationChanged() {
-            configurationSinceMillis = clock.millis();
-            publish();
-            peers.tellNow();
-        }
-
-        @Override
-        public void directoryRead() {
-            publish();
-            peers.tellNow();
-        }
-
-        @Override
-        public void storeBack() {
-            peers.probeSoon();
-        }
-
-        @Override
-        public ReadingDuty duty() {
-            return peers.duty();
-        }
+        return control.view();
     }
 
-    /** Hears what peers brought. */
-    private final class PeerNews implements PeerExchange.Listener {
-        @Override
-        public void configurationOffered(byte[] content, String origin) {
-            follower.offer(content, origin);
-        }
-
-        @Override
-        public void endpointsChanged() {
-            publish();
-        }
-
-        @Override
-        public void routersChanged() {
-            publish();
-        }
-
-        @Override
-        public void routersForgotten(List<FleetRouter> routers) {
-            publish();
-            if (peers.duty().readsDirectory()) {
-                cleaner.clean(routers).subscribe();
-            }
-        }
+    private void endpointGone(String endpointId) {
+        control.gone(endpointId);
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -6,13 +6,13 @@
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.message.WorkScope;
-import org.radishpass.peer.transport.PeerNode;
+import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.WorkReport;
+import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.traffic.MonotonicClock;
-import org.radishpass.routing.traffic.TrafficServer;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,11 +36,11 @@
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final FleetRouter self;
-    private final TrafficServer traffic;
+    private final WorkSource work;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
     private final PeerBook peers;
-    private final PeerNode node;
+    private final PeerLinks links;
     private boolean gathering = true;
     private int quietTicks;
     private int flatTicks;
@@ -50,19 +50,19 @@
             ControlThread thread,
             MonotonicClock clock,
             FleetRouter self,
-            TrafficServer traffic,
+            WorkSource work,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
             PeerBook peers,
-            PeerNode node) {
+            PeerLinks links) {
         this.thread = thread;
         this.clock = clock;
         this.self = self;
-        this.traffic = traffic;
+        this.work = work;
         this.configuration = configuration;
         this.directory = directory;
         this.peers = peers;
-        this.node = node;
+        this.links = links;
     }
 
     /** Tells whether this router gathers its own work, as far as it told last. */
@@ -100,15 +100,15 @@
             return;
         }
         PeerMessage group = new RoutingMessage.RouterList(PeerStates.entries(peers.present(nowMillis)));
-        plan.otherGatherers().forEach(peer -> send(peer, group, nowMillis));
+        plan.otherGatherers().forEach(peer -> ask(peer, group, nowMillis));
         PeerMessage all = new RoutingMessage.RouterList(PeerStates.entries(peers.known()));
-        members(nowMillis).forEach(peer -> send(peer, all, nowMillis));
+        members(nowMillis).forEach(peer -> send(peer, all));
     }
 
     private void tell() {
         boolean always = quietTicks >= QUIET_TICKS;
         List<String> members = members(clock.millis()).stream().map(Peer::id).toList();
-        traffic.workReport(members, always, report -> thread.run(() -> tellAll(report)));
+        work.workReport(members, always, report -> thread.run(() -> tellAll(report)));
     }
 
     private void tellAll(WorkReport report) {
@@ -119,23 +119,26 @@
         PeerMessage own = plan.gathers()
                 ? state(report.group(), report.failing(), WorkScope.GROUP)
                 : state(report.own(), report.failing(), WorkScope.MEMBER);
-        plan.otherGatherer().ifPresent(peer -> send(peer, own, nowMillis));
-        plan.otherGatherers().forEach(peer -> send(peer, own, nowMillis));
+        plan.otherGatherer().ifPresent(peer -> ask(peer, own, nowMillis));
+        plan.otherGatherers().forEach(peer -> ask(peer, own, nowMillis));
         report.withoutMember()
                 .forEach((id, others) -> peers.find(id)
-                        .ifPresent(
-                                peer -> send(peer, state(others, report.allFailing(), WorkScope.OTHERS), nowMillis)));
-        probe(plan, own, nowMillis);
+                        .ifPresent(peer -> send(peer, state(others, report.allFailing(), WorkScope.OTHERS))));
+        probe(plan, nowMillis);
     }
 
-    /** Tries those that are suspected, if this router would tell them something. */
-    private void probe(GatheringPlan plan, PeerMessage own, long nowMillis) {
+    /**
+     * Tries those that are suspected, if this router would tell them something. It introduces itself, which they answer. Were its own
+     * work told instead, a router that does not gather would take it for a member, and answer as to one.
+     */
+    private void probe(GatheringPlan plan, long nowMillis) {
+        PeerMessage introduction = new RoutingMessage.RouterList(List.of(PeerStates.entry(self)));
         for (Peer peer : new ArrayList<>(peers.all())) {
             boolean near = peer.router().dataCentre().equals(self.dataCentre());
             if ((near || plan.gathers()) && peer.probeDue(nowMillis)) {
                 peer.suspect(nowMillis);
-                node.drop(peer.id());
-                node.send(peer.vm(), own);
+                links.drop(peer.id());
+                send(peer, introduction);
             }
         }
     }
@@ -154,9 +157,18 @@
         return peers.all().stream().filter(peer -> peer.member(nowMillis)).toList();
     }
 
-    private void send(Peer peer, PeerMessage message, long nowMillis) {
+    /** Tells a router that tells its own work in turn, so that its silence means something. */
+    private void ask(Peer peer, PeerMessage message, long nowMillis) {
         peer.asked(nowMillis);
-        node.send(peer.vm(), message);
+        send(peer, message);
+    }
+
+    /**
+     * Tells a router that owes nothing for it: a member ceases to tell its work once another router gathers that. Were its silence
+     * taken for its end, two routers of a calm fleet would lose each other each 1.65 s.
+     */
+    private void send(Peer peer, PeerMessage message) {
+        links.send(peer.vm(), message);
     }
 
     private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -26,6 +26,7 @@
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.InFlightBook;
 import org.radishpass.routing.load.WorkReport;
+import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
@@ -38,7 +39,7 @@
  *
  * @since 0.2.0
  */
-public final class TrafficServer {
+public final class TrafficServer implements WorkSource {
     private static final Logger LOG = LoggerFactory.getLogger(TrafficServer.class);
 
     /** Milliseconds between looks at endpoints: a fraction of the silence that is looked into. */
@@ -144,14 +145,7 @@
         loop.execute(() -> budget.allowance(allowance));
     }
 
-    /**
-     * Takes what a peer tells of its work.
-     *
-     * @param peerId the peer
-     * @param scope whose work it is
-     * @param work the work by endpoint
-     * @param failing the endpoints that were seen to fail too often
-     */
+    @Override
     public void peerTold(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
         loop.execute(() -> {
             book.peerTold(peerId, scope, work, clock.millis());
@@ -159,14 +153,7 @@
         });
     }
 
-    /**
-     * Gives what other routers are to be told, when there are members to tell it to or this router's own work has changed
-     * since the last call.
-     *
-     * @param members the peers whose work this router gathers
-     * @param always whether it is wanted even if nothing has changed
-     * @param taker takes it; called on the traffic thread
-     */
+    @Override
     public void workReport(List<String> members, boolean always, Consumer<WorkReport> taker) {
         loop.execute(() -> {
             boolean changed = !book.takeChanges().isEmpty();
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -0,0 +1,275 @@
+package org.radishpass.routing.control;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.Vm;
+import org.radishpass.peer.message.Envelope;
+import org.radishpass.peer.message.PeerCodec;
+import org.radishpass.peer.message.PeerMessage;
+import org.radishpass.peer.message.WorkScope;
+import org.radishpass.peer.transport.PeerLinks;
+import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.load.InFlight;
+import org.radishpass.routing.load.InFlightBook;
+import org.radishpass.routing.load.WorkReport;
+import org.radishpass.routing.load.WorkSource;
+import org.radishpass.routing.testing.VirtualProcess;
+import org.radishpass.runtime.thread.ControlThread;
+
+/** One router's whole control side in virtual time. */
+final class VirtualRouter {
+    private static final Duration JOINS_AFTER = Duration.ofMillis(400);
+    private static final int FRAME_BYTES = 4;
+    private static final long DIAL_PATIENCE_MILLIS = 500;
+
+    private final VirtualFleet fleet;
+    private final FleetRouter self;
+    private final VirtualProcess process;
+    private final ControlThread thread;
+    private final ControlPlane control;
+    private final Links links = new Links();
+    private final Map<Long, Long> inForceAtMillis = new HashMap<>();
+    private boolean joined;
+    private int dialled;
+    private int dropped;
+
+    VirtualRouter(VirtualFleet fleet, FleetRouter self) {
+        this.fleet = fleet;
+        this.self = self;
+        this.process = new VirtualProcess(fleet.scheduler());
+        this.thread = new ControlThread(process);
+        this.control = new ControlPlane(
+                thread,
+                fleet.scheduler()::millis,
+                fleet.store().link(self.id()),
+                self,
+                VirtualRouter::decode,
+                new Work(),
+                new SimpleMeterRegistry(),
+                this::noteVersion);
+    }
+
+    /** A document begins with its version on a line of its own. */
+    private static RoutingConfiguration decode(byte[] content) {
+        String text = new String(content, StandardCharsets.UTF_8);
+        return RoutingConfiguration.builder(Long.parseLong(text.substring(0, text.indexOf('\n'))))
+                .build();
+    }
+
+    void start(List<Address> seeds) {
+        control.start();
+        thread.after(JOINS_AFTER, () -> {
+            joined = true;
+            control.join(links, seeds);
+        });
+    }
+
+    /** Ends the process without a word. */
+    void kill() {
+        process.dispose();
+        links.closeAll();
+    }
+
+    /** Lets the process stand still, or go on. */
+    void frozen(boolean now) {
+        process.frozen(now);
+    }
+
+    FleetRouter self() {
+        return self;
+    }
+
+    /** Returns the version in force; -1 before the first. */
+    long version() {
+        return control.view().configuration().map(RoutingConfiguration::version).orElse(-1L);
+    }
+
+    /** Tells whether requests can be routed. */
+    boolean serves() {
+        return control.view().complete();
+    }
+
+    /** Returns when a version, or a later one, came into force here. */
+    long inForceAtMillis(long version) {
+        return inForceAtMillis.entrySet().stream()
+                .filter(entry -> entry.getKey() >= version)
+                .mapToLong(Map.Entry::getValue)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /** Returns how many connections it has opened. */
+    int dialled() {
+        return dialled;
+    }
+
+    /** Returns how many links it has dropped as silent. */
+    int dropped() {
+        return dropped;
+    }
+
+    /** Returns how many links to peers it holds open. */
+    int openLinks() {
+        return links.open.size();
+    }
+
+    private void noteVersion() {
+        inForceAtMillis.putIfAbsent(version(), fleet.scheduler().millis());
+    }
+
+    private void disconnectedFrom(String peer) {
+        thread.run(() -> {
+            if (!links.open.containsKey(peer)) {
+                control.handler().disconnected(peer);
+            }
+        });
+    }
+
+    /** The links that it has dialled. */
+    private final class Links implements PeerLinks {
+        private final Map<String, Link> open = new LinkedHashMap<>();
+
+        @Override
+        public void send(Vm peer, PeerMessage message) {
+            Link link = link(peer);
+            if (link != null) {
+                link.write(new Envelope(0, message), bytes -> {}, () -> {});
+            }
+        }
+
+        @Override
+        public reactor.core.publisher.Mono<PeerMessage> fetch(Vm peer, PeerMessage message) {
+            Link link = link(peer);
+            return link == null ? reactor.core.publisher.Mono.error(new IOException("no link")) : link.fetch(message);
+        }
+
+        @Override
+        public void drop(String peerId) {
+            Link link = open.remove(peerId);
+            if (link != null) {
+                dropped++;
+                link.close();
+            }
+        }
+
+        private void closeAll() {
+            List<Link> all = new ArrayList<>(open.values());
+            open.clear();
+            all.forEach(Link::close);
+        }
+
+        private @Nullable Link link(Vm peer) {
+            Link link = open.get(peer.id());
+            if (link != null && link.other == fleet.find(peer.id()) && !link.closed) {
+                return link;
+            }
+            return dial(peer);
+        }
+
+        private @Nullable Link dial(Vm peer) {
+            VirtualRouter other = fleet.find(peer.id());
+            if (other == null || !other.joined || !fleet.network().reaches(self.id(), peer.id())) {
+                open.remove(peer.id());
+                thread.after(
+                        Duration.ofMillis(DIAL_PATIENCE_MILLIS),
+                        () -> control.handler().unreachable(peer.id()));
+                return null;
+            }
+            dialled++;
+            Link link = new Link(other);
+            open.put(peer.id(), link);
+            link.write(new Envelope(0, control.introduction()), bytes -> {}, () -> {});
+            return link;
+        }
+    }
+
+    /** A connection that it has dialled. */
+    private final class Link {
+        private final VirtualRouter other;
+        private final VirtualNetwork.Connection there;
+        private final VirtualNetwork.Connection back;
+        private boolean closed;
+
+        private Link(VirtualRouter other) {
+            this.other = other;
+            this.there = fleet.network().connect(self.id(), other.self.id());
+            this.back = fleet.network().connect(other.self.id(), self.id());
+        }
+
+        private void write(Envelope envelope, java.util.function.LongConsumer progress, Runnable arrived) {
+            there.send(bytes(envelope), progress, () -> {
+                arrived.run();
+                other.thread.run(() -> other.control
+                        .handler()
+                        .handle(self.id(), envelope.message())
+                        .subscribe());
+            });
+        }
+
+        private reactor.core.publisher.Mono<PeerMessage> fetch(PeerMessage message) {
+            VirtualTransfer<PeerMessage> transfer = new VirtualTransfer<>(fleet.scheduler());
+            there.send(
+                    bytes(new Envelope(1, message)),
+                    bytes -> {},
+                    () -> other.thread.run(() -> other.control
+                            .handler()
+                            .handle(self.id(), message)
+                            .subscribe(answer -> back.send(
+                                    bytes(new Envelope(-1, answer)),
+                                    transfer::received,
+                                    () -> transfer.whole(answer)))));
+            return transfer.result();
+        }
+
+        private void close() {
+            closed = true;
+            there.close();
+            back.close();
+            other.disconnectedFrom(self.id());
+        }
+
+        private static int bytes(Envelope envelope) {
+            try {
+                return PeerCodec.encode(envelope).length + FRAME_BYTES;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Work in flight as the traffic side tells of it; this router has one request at one endpoint. */
+    private final class Work implements WorkSource {
+        private final InFlightBook book = new InFlightBook();
+
+        private Work() {
+            book.started("endpoint-" + self.id(), 1);
+        }
+
+        @Override
+        public void peerTold(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
+            book.peerTold(peerId, scope, work, fleet.scheduler().millis());
+        }
+
+        @Override
+        public void workReport(List<String> members, boolean always, Consumer<WorkReport> taker) {
+            boolean changed = !book.takeChanges().isEmpty();
+            if (changed || always || !members.isEmpty()) {
+                Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
+                members.forEach(id -> withoutMember.put(id, book.workWithout(id)));
+                taker.accept(new WorkReport(book.ownWork(), book.groupWork(), withoutMember, List.of(), List.of()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -0,0 +1,174 @@
+package org.radishpass.routing.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.testing.VirtualScheduler;
+import reactor.core.publisher.Mono;
+
+/** A store in virtual time whose answers travel over its link and that of the router that asks. */
+final class VirtualStore {
+    static final String MACHINE = "store";
+
+    private static final long ANSWER_MILLIS = 4;
+    private static final int ENDPOINT_BYTES = 260;
+    private static final int ROUTER_BYTES = 150;
+    private static final int HEAD_BYTES = 200;
+
+    private final VirtualScheduler scheduler;
+    private final VirtualNetwork network;
+    private final List<Version> versions = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private final Map<String, FleetRouter> routers = new LinkedHashMap<>();
+    private List<ServiceEndpoint> endpoints = List.of();
+    private long revision = 1;
+    private int calls;
+
+    VirtualStore(VirtualScheduler scheduler, VirtualNetwork network) {
+        this.scheduler = scheduler;
+        this.network = network;
+    }
+
+    /** Publishes a configuration. */
+    void publish(byte[] content) {
+        revision++;
+        versions.add(new Version(revision, content));
+        List<Runnable> woken = List.copyOf(waiting);
+        waiting.clear();
+        woken.forEach(Runnable::run);
+    }
+
+    /** Lists endpoints. */
+    void list(List<ServiceEndpoint> newEndpoints) {
+        revision++;
+        endpoints = List.copyOf(newEndpoints);
+    }
+
+    /** Returns how many calls were made. */
+    int calls() {
+        return calls;
+    }
+
+    /** Returns a router's way to it. */
+    ControlSource link(String router) {
+        return new Link(router);
+    }
+
+    /** One version of the configuration. */
+    private record Version(long revision, byte[] content) {
+        /** The store sends it as text, four bytes for three. */
+        int bytes() {
+            return content.length * 4 / 3;
+        }
+    }
+
+    /** One router's way. */
+    private final class Link implements ControlSource {
+        private final String router;
+
+        private Link(String router) {
+            this.router = router;
+        }
+
+        @Override
+        public Mono<ConfigurationReading> configuration() {
+            return answer(() -> versions.isEmpty() ? 0 : newest().bytes(), () -> reading(-1))
+                    .onErrorResume(error -> Mono.just(new ConfigurationReading.Unavailable(error.toString())));
+        }
+
+        @Override
+        public Mono<ConfigurationReading> configurationAfter(long after, Duration wait) {
+            return Mono.<ConfigurationReading>create(sink -> {
+                        boolean[] asked = {false};
+                        Runnable ask = () -> {
+                            if (!asked[0]) {
+                                asked[0] = true;
+                                answer(() -> bytesAfter(after), () -> reading(after))
+                                        .subscribe(sink::success, sink::error);
+                            }
+                        };
+                        if (bytesAfter(after) > 0) {
+                            ask.run();
+                        } else {
+                            waiting.add(ask);
+                            scheduler.schedule(ask, wait.toMillis(), TimeUnit.MILLISECONDS);
+                        }
+                    })
+                    .onErrorResume(error -> Mono.just(new ConfigurationReading.Unavailable(error.toString())));
+        }
+
+        @Override
+        public Mono<DirectoryReading> directory() {
+            return answer(() -> ENDPOINT_BYTES * endpoints.size(), () -> (DirectoryReading)
+                            new DirectoryReading.Listed(revision, scheduler.millis(), endpoints, List.of()))
+                    .onErrorResume(error -> Mono.just(new DirectoryReading.Unavailable(error.toString())));
+        }
+
+        @Override
+        public Mono<RegistryReading> register(FleetRouter self) {
+            return answer(() -> ROUTER_BYTES * routers.size(), () -> {
+                        revision++;
+                        routers.put(self.id(), self);
+                        return registry(revision);
+                    })
+                    .onErrorResume(error -> Mono.just(new RegistryReading.Unavailable(error.toString())));
+        }
+
+        @Override
+        public Mono<RegistryReading> registered() {
+            return answer(() -> ROUTER_BYTES * routers.size(), () -> registry(-1))
+                    .onErrorResume(error -> Mono.just(new RegistryReading.Unavailable(error.toString())));
+        }
+
+        @Override
+        public Mono<Boolean> deregister(Address self, long registeredAt) {
+            return Mono.fromSupplier(() -> routers.remove(self.toString()) != null);
+        }
+
+        private <T> Mono<T> answer(java.util.function.IntSupplier bytes, java.util.function.Supplier<T> value) {
+            return Mono.defer(() -> {
+                calls++;
+                VirtualTransfer<T> transfer = new VirtualTransfer<>(scheduler);
+                scheduler.schedule(
+                        () -> send(transfer, bytes.getAsInt(), value.get()), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+                return transfer.result();
+            });
+        }
+
+        private <T> void send(VirtualTransfer<T> transfer, int bytes, T value) {
+            network.connect(MACHINE, router).send(HEAD_BYTES + bytes, transfer::received, () -> transfer.whole(value));
+        }
+    }
+
+    private Version newest() {
+        return versions.get(versions.size() - 1);
+    }
+
+    private ConfigurationReading reading(long after) {
+        if (versions.isEmpty() || newest().revision() <= after) {
+            return new ConfigurationReading.Unchanged(revision);
+        }
+        return new ConfigurationReading.Published(revision, newest().content());
+    }
+
+    private RegistryReading registry(long own) {
+        return new RegistryReading.Registered(
+                routers.values().stream()
+                        .map(router -> new RegistryReading.Registration(router, own))
+                        .toList(),
+                own);
+    }
+
+    private int bytesAfter(long after) {
+        return versions.stream()
+                .filter(version -> version.revision() > after)
+                .mapToInt(Version::bytes)
+                .sum();
+    }
+}
--- a/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
@@ -19,7 +19,6 @@
 public final class ControlThread implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ControlThread.class);
 
-    private final ScheduledExecutorService executor;
     private final Scheduler scheduler;
 
     /**
@@ -28,12 +27,24 @@
      * @param name its name
      */
     public ControlThread(String name) {
-        this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
+        this(Schedulers.fromExecutorService(executor(name), name));
+    }
+
+    /**
+     * Takes a scheduler for the thread.
+     *
+     * @param scheduler runs tasks one after another, in the order of the times at which they are due
+     */
+    public ControlThread(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    private static ScheduledExecutorService executor(String name) {
+        return Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, name);
             thread.setDaemon(true);
             return thread;
         });
-        this.scheduler = Schedulers.fromExecutorService(executor, name);
     }
 
     /** Returns the thread as a scheduler. */
@@ -47,7 +58,7 @@
      * @param task the task
      */
     public void run(Runnable task) {
-        executor.execute(guarded(task));
+        scheduler.schedule(guarded(task));
     }
 
     /**
@@ -83,7 +94,6 @@
 
     @Override
     public void close() {
-        executor.shutdownNow();
         scheduler.dispose();
     }
 
--- /dev/null
+++ b/radishpass-runtime/src/test/java/org/radishpass/runtime/transfer/TransferProgressTest.java
@@ -0,0 +1,43 @@
+package org.radishpass.runtime.transfer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Checks which transfers are waited for. */
+final class TransferProgressTest {
+    private static final long START = 5_000;
+
+    private final TransferProgress transfer = new TransferProgress(START);
+
+    @Test
+    void nothingAtAllIsWaitedForOnlySoLong() {
+        assertThat(transfer.deadlineMillis()).isEqualTo(START + TransferProgress.STANDSTILL_MILLIS);
+    }
+
+    @Test
+    void whatMovesIsWaitedForHoweverLongItTakes() {
+        int seconds = 6;
+        for (int second = 0; second < seconds; second++) {
+            long nowMillis = START + 500 + second * 1_000L;
+            assertThat(transfer.deadlineMillis()).isAtLeast(nowMillis - 500);
+            transfer.received(700_000, nowMillis - 400);
+            transfer.received(175_000, nowMillis);
+        }
+        assertThat(transfer.deadlineMillis()).isGreaterThan(START + 6_000);
+    }
+
+    @Test
+    void whatStandsStillIsGivenUpHoweverMuchHasCome() {
+        transfer.received(2_000_000, START + 300);
+
+        assertThat(transfer.deadlineMillis()).isEqualTo(START + 300 + TransferProgress.STANDSTILL_MILLIS);
+    }
+
+    @Test
+    void aByteASecondIsNotProgress() {
+        transfer.received(1, START + 700);
+
+        assertThat(transfer.deadlineMillis()).isEqualTo(START + TransferProgress.STANDSTILL_MILLIS);
+    }
+}
