A stopping router passes nothing on once it has decided to end

Cause: the process ends some time after it saw that nothing was in progress, up to half a second where processor time is scarce; a request that came whole in between was passed on and lost its connection. Found by reading after a request taken 4.7 s after SIGTERM was closed without an answer; that this was it is not shown.

Change: that look and the end of traffic are one step on the traffic thread: the listening socket and idle connections are closed, later requests refused. Test: failed before (the request reached the endpoint), passes now.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
@@ -72,12 +72,9 @@
 
     private void look(long startedNanos) {
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
-        router.traffic().active(active -> {
-            if (active == 0 || millis > grace.toMillis() - MARGIN_MILLIS) {
-                LOG.info(
-                        "the router has stopped", LogEvent.STOPPED.field(), kv("active", active), kv("millis", millis));
-                ended.countDown();
-            }
+        router.traffic().endIfIdle(millis > grace.toMillis() - MARGIN_MILLIS, active -> {
+            LOG.info("the router has stopped", LogEvent.STOPPED.field(), kv("active", active), kv("millis", millis));
+            ended.countDown();
         });
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -59,7 +59,7 @@
         terms = resolved;
         relay = new AnswerRelay(caller, terms.kind());
         record.terms(terms);
-        if (tools.refusing() && terms.kind().streams()) {
+        if (tools.ended() || (tools.refusing() && terms.kind().streams())) {
             refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
             return;
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.WorkScope;
@@ -59,6 +60,7 @@
     private final SharedRetryBudget budget;
     private final EndpointConnections connections;
     private final TrafficTools tools;
+    private final List<Channel> listening = new ArrayList<>();
 
     /**
      * Creates a server that does not listen yet.
@@ -126,6 +128,7 @@
                 .register()
                 .addListener((io.netty.channel.ChannelFuture registered) -> {
                     if (registered.isSuccess()) {
+                        listening.add(registered.channel());
                         serving.complete(registered.channel());
                     } else {
                         serving.completeExceptionally(registered.cause());
@@ -189,12 +192,25 @@
     }
 
     /**
-     * Tells how many requests are in progress.
+     * Ends it if nothing is in progress: from then on no request is passed on, also one whose last byte comes while the process ends, which
+     * may take half a second where processor time is scarce.
      *
-     * @param taker takes the number; called on the traffic thread
+     * @param anyway whether it ends although requests are in progress
+     * @param whenEnded called on the traffic thread when it has ended, with the number of requests in progress
      */
-    public void active(Consumer<Integer> taker) {
-        loop.execute(() -> taker.accept(tools.exchanges().size()));
+    public void endIfIdle(boolean anyway, IntConsumer whenEnded) {
+        loop.execute(() -> {
+            int active = tools.exchanges().size();
+            if (active > 0 && !anyway) {
+                return;
+            }
+            tools.end();
+            for (Channel channel : listening) {
+                var unused = channel.close();
+            }
+            closeIdle();
+            whenEnded.accept(active);
+        });
     }
 
     private void every(long millis, Runnable task) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -36,6 +36,7 @@
     private final ArrivalQueue arrivals;
     private boolean stopping;
     private boolean refusing;
+    private boolean ended;
 
     TrafficTools(
             EventLoop loop,
@@ -159,6 +160,16 @@
         return refusing;
     }
 
+    /** Tells whether no request is passed on any more, because the process ends. */
+    boolean ended() {
+        return ended;
+    }
+
+    void end() {
+        refusing = true;
+        ended = true;
+    }
+
     void refuseNew() {
         refusing = true;
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
@@ -10,6 +10,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.radishpass.routing.testing.FakeEndpoint;
@@ -32,6 +33,31 @@
         bed.close();
     }
 
+    /**
+     * Seen: a router that was stopping took a request and passed it on, and its process ended before the answer. How it came about:
+     * nothing was in progress when it looked, and the request came in the half second that the process took to end.
+     */
+    @Test
+    void aRequestThatIsWholeOnlyWhenTheProcessEndsIsNotPassedOn() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        try (FakeEndpoint endpoint = new FakeEndpoint("a", (request, out) -> {
+                    arrived.incrementAndGet();
+                    write(out, whole(request, 200, "done"));
+                });
+                TestCaller caller = bed.knows(LONG, endpoint).caller()) {
+            caller.request("POST", "/once/", "first", "x").readUntil("done");
+            caller.send("POST /once/ HTTP/1.1\r\nHost: api\r\n" + PlainDialect.ID
+                            + ": second\r\nExpect: 100-continue\r\n" + "Content-Length: 1\r\n\r\n")
+                    .readUntil("100 Continue\r\n\r\n");
+            CompletableFuture<Integer> ended = new CompletableFuture<>();
+            bed.server().endIfIdle(false, ended::complete);
+            assertThat(ended.get(20, TimeUnit.SECONDS)).isEqualTo(0);
+
+            assertThat(caller.send("x").readUntil("\r\n")).contains("503");
+            assertThat(arrived.get()).isEqualTo(1);
+        }
+    }
+
     @Test
     void aStreamThatBreaksGoesOnElsewhereWithoutLossOrRepeat() throws Exception {
         try (FakeEndpoint breaking = new FakeEndpoint("a", (request, out) -> {
@@ -96,7 +122,7 @@
             bed.server().stopping();
             bed.server().refuseNew();
             CompletableFuture<Integer> active = new CompletableFuture<>();
-            bed.server().active(active::complete);
+            bed.server().endIfIdle(true, active::complete);
             assertThat(active.get(20, TimeUnit.SECONDS)).isEqualTo(1);
             go.countDown();
             String answer = caller.readAll();
