--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -116,14 +116,21 @@
             return;
         }
         state = State.RECEIVING;
+        listener.arrivalChanged();
+    }
+
+    /** Tells whether an answer comes. */
+    boolean receiving() {
+        return state == State.RECEIVING;
     }
 
     private void answered(ConfigurationReading result) {
         lastCall++;
         state = State.IDLE;
         if (result instanceof ConfigurationReading.Unavailable unavailable) {
-            LOG.debug("the configuration cannot be read: {}", unavailable.reason());
+            LOG.info("the configuration cannot be read: {}", unavailable.reason());
             state = State.PAUSING;
+            listener.arrivalChanged();
             thread.after(pause.next(), this::pauseOver);
             return;
         }
@@ -157,6 +164,9 @@
         /** Tells whether this router has to wait for configurations now. */
         boolean readsConfiguration();
 
+        /** An answer begins to come, or has not come whole. */
+        void arrivalChanged();
+
         /** The store has this configuration. */
         void published(byte[] content);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
@@ -49,7 +49,7 @@
      */
     public boolean offer(byte[] offered) {
         SharedDocument document = SharedDocument.of(offered.clone());
-        if (document.hash().equals(documents.newest().hash())) {
+        if (current != null && document.hash().equals(documents.newest().hash())) {
             return false; // several peers give the same; decoding it takes 10 ms and more for 1,500 routes
         }
         RoutingConfiguration configuration = decoder.decode(offered);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -131,6 +131,7 @@
                 configurationSinceMillis,
                 directory.directory(),
                 directory.known(),
+                follower.arriving(),
                 directory.origin(),
                 peers.started() ? peers.routers() : RoutingView.ROUTERS_UNKNOWN);
         if (view.complete()) {
@@ -147,6 +148,11 @@
             peers.tellNow();
         }
 
+        @Override
+        public void arrivalChanged() {
+            publish();
+        }
+
         @Override
         public void directoryRead() {
             publish();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -90,6 +90,16 @@
         return false;
     }
 
+    /**
+     * Asks a peer that has made itself known for what this router lacks altogether. After a start it would hear only later what the
+     * peer has.
+     */
+    void met(PeerLinks links, Peer peer) {
+        if (configuration.version() < 0) {
+            fetch(links, peer, CONFIGURATION, Duration.ZERO, () -> configuration.version() < 0);
+        }
+    }
+
     /** Gives a document to a peer. */
     RoutingMessage.Document document(RoutingMessage.DocumentWanted wanted) throws IOException {
         if (wanted.name().equals(CONFIGURATION)) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -181,6 +181,7 @@
             peers.find(router.id()).ifPresent(peer -> {
                 heard(peer, peer.heard(clock.millis()));
                 links().send(peer.vm(), new RoutingMessage.RouterList(PeerStates.entries(peers.known())));
+                documents.met(links(), peer);
             });
             tellNow();
         });
@@ -188,7 +189,10 @@
 
     private void listed(String from, RoutingMessage.RouterList list) {
         learn(PeerStates.routers(list.routers()));
-        peers.find(from).ifPresent(peer -> heard(peer, peer.heard(clock.millis())));
+        peers.find(from).ifPresent(peer -> {
+            heard(peer, peer.heard(clock.millis()));
+            documents.met(links(), peer);
+        });
     }
 
     private void told(String from, RoutingMessage.RoutingState state) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -58,6 +58,12 @@
         thread.every(Duration.ofMillis(LOOK_MILLIS), configurations::followIfDue);
     }
 
+    /** Tells whether the configuration and the list of endpoints are known, or on their way from the store. */
+    boolean arriving() {
+        boolean configurationComes = configuration.version() >= 0 || configurations.receiving();
+        return configurationComes && (directory.known() || !directory.trouble());
+    }
+
     /** Takes a document from the store or from a peer. */
     void offer(byte[] content, String origin) {
         long before = configuration.version();
@@ -106,6 +112,13 @@
         public void published(byte[] content) {
             offer(content, "store");
         }
+
+        @Override
+        public void arrivalChanged() {
+            if (configuration.version() < 0) {
+                listener.arrivalChanged();
+            }
+        }
     }
 
     /** Hears what came of readings of the list. */
@@ -132,6 +145,9 @@
 
     /** Hears of what was read; called on the control thread. */
     interface Listener {
+        /** The first configuration is on its way, or is not any more. */
+        void arrivalChanged();
+
         /** There is a newer configuration. */
         void configurationChanged();
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ArrivalQueue.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ArrivalQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -39,6 +40,12 @@
         beginSome();
     }
 
+    /** Takes requests that have waited, the oldest first. */
+    void addAll(List<Arrival> arrivals) {
+        arrivals.forEach(waiting::addFirst);
+        beginSome();
+    }
+
     private void pass() {
         passDue = false;
         begun = 0;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
@@ -22,6 +22,7 @@
 import java.util.Deque;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.dialect.MalformedHeadException;
 
 /**
  * One connection from a caller, which has one request in progress at a time; what a caller sends ahead waits.
@@ -240,7 +241,21 @@
     private void dispatch(RequestAssembly request) {
         assembly = null;
         whole = request;
-        tools.arrivals().add(this);
+        if (tools.held().holdsNow()) {
+            long patienceMillis = patienceMillis(request.request());
+            tools.held().add(this, HeldArrivals.deadlineMillis(request.receivedAtMillis(), patienceMillis));
+        } else {
+            tools.arrivals().add(this);
+        }
+    }
+
+    /** A request that cannot be read is refused once there is a configuration, as it would be later. */
+    private long patienceMillis(HttpRequest request) {
+        try {
+            return tools.dialect().decode(request).patienceMillis().orElse(Long.MAX_VALUE);
+        } catch (MalformedHeadException e) {
+            return Long.MAX_VALUE;
+        }
     }
 
     @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
@@ -14,6 +14,7 @@
  * @param inForceSinceMillis since when it is in force here, on the monotonic clock in milliseconds
  * @param directory the endpoints
  * @param directoryKnown whether a list of endpoints has been read at all
+ * @param arriving whether what is still missing is on its way: something of it has come lately
  * @param origin where the list of endpoints comes from
  * @param routers the routers that are registered, this one included; {@link #ROUTERS_UNKNOWN} before peers were joined
  * @since 0.2.0
@@ -23,6 +24,7 @@
         long inForceSinceMillis,
         EndpointDirectory directory,
         boolean directoryKnown,
+        boolean arriving,
         DirectoryOrigin origin,
         int routers) {
     /** The number of routers while nothing is known of others. */
@@ -30,7 +32,7 @@
 
     /** What is believed before anything is known. */
     public static final RoutingView UNKNOWN =
-            new RoutingView(null, 0, EndpointDirectory.EMPTY, false, DirectoryOrigin.UNKNOWN, ROUTERS_UNKNOWN);
+            new RoutingView(null, 0, EndpointDirectory.EMPTY, false, false, DirectoryOrigin.UNKNOWN, ROUTERS_UNKNOWN);
 
     /** Returns the configuration in force. */
     public Optional<RoutingConfiguration> configuration() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -205,6 +205,7 @@
                 return;
             }
             tools.end();
+            tools.held().releaseAll();
             for (Channel channel : listening) {
                 var unused = channel.close();
             }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -16,6 +16,9 @@
 
 /** What the connections and requests of the traffic thread share. All of it belongs to that thread. */
 final class TrafficTools {
+    /** Milliseconds between looks at requests that wait for the configuration: small beside an answer. */
+    private static final long HELD_LOOK_MILLIS = 20;
+
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final Supplier<RoutingView> views;
@@ -34,6 +37,7 @@
     private final EndpointWatch watch = new EndpointWatch(this);
     private final AnswerPatience patience = new AnswerPatience();
     private final ArrivalQueue arrivals;
+    private final HeldArrivals held;
     private boolean stopping;
     private boolean refusing;
     private boolean ended;
@@ -65,6 +69,9 @@
         this.arrivals = new ArrivalQueue(pass -> {
             var unused = loop.schedule(pass, 0, TimeUnit.MILLISECONDS);
         });
+        this.held = new HeldArrivals(clock::millis, this::awaitsConfiguration, arrivals::addAll, look -> {
+            var unused = loop.schedule(look, HELD_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        });
     }
 
     EventLoop loop() {
@@ -129,6 +136,16 @@
         return arrivals;
     }
 
+    /** Returns the requests that came before the configuration. */
+    HeldArrivals held() {
+        return held;
+    }
+
+    private boolean awaitsConfiguration() {
+        RoutingView view = view();
+        return !view.complete() && view.arriving() && !ended;
+    }
+
     RequestLog log() {
         return log;
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -63,7 +63,7 @@
         route(configuration, "/stream/", RequestKind.STREAM, timeoutMillis);
         route(configuration, "/resume/", RequestKind.RESUMABLE_STREAM, timeoutMillis);
         view = new RoutingView(
-                configuration.build(), 0, new EndpointDirectory(known), true, DirectoryOrigin.UNKNOWN, 1);
+                configuration.build(), 0, new EndpointDirectory(known), true, false, DirectoryOrigin.UNKNOWN, 1);
         return this;
     }
 
