--- a/radishpass-peer/src/main/java/org/radishpass/peer/document/DocumentDelta.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/document/DocumentDelta.java
@@ -18,7 +18,9 @@
      */
     private static final int BLOCK = 32;
 
+    /** The factor of the rolling hash: an odd number whose powers differ (that of FNV). */
     private static final int HASH_FACTOR = 0x01000193;
+
     private static final int NONE = -1;
     private static final int BITS = 7;
     private static final int MORE = 1 << BITS;
@@ -130,6 +132,12 @@
 
         private static final int SLOTS_A_BLOCK = 4;
 
+        /** Spreads hashes over the slots (Knuth): 2 to the power of 32 over the golden ratio. */
+        private static final int SPREAD = 0x9E3779B9;
+
+        /** The low bits of the product are not spread well. */
+        private static final int SPREAD_SHIFT = 8;
+
         private final byte[] base;
         private final int[] slots;
 
@@ -151,8 +159,7 @@
         }
 
         private int slot(int hash) {
-            int mixed = hash * 0x9E3779B9;
-            return (mixed >>> 8) & (slots.length - 1);
+            return ((hash * SPREAD) >>> SPREAD_SHIFT) & (slots.length - 1);
         }
 
         private static int power(int factor, int exponent) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
@@ -63,10 +64,7 @@
         List<Address> seeds =
                 places.stream().limit(SEEDS).map(FleetRouter::address).toList();
         for (FleetRouter place : places) {
-            scheduler.schedule(
-                    () -> start(place, seeds),
-                    random.nextInt(START_SPREAD_MILLIS),
-                    java.util.concurrent.TimeUnit.MILLISECONDS);
+            scheduler.schedule(() -> start(place, seeds), random.nextInt(START_SPREAD_MILLIS), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.Vm;
@@ -27,6 +28,7 @@
 import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.testing.VirtualProcess;
 import org.radishpass.runtime.thread.ControlThread;
+import reactor.core.publisher.Mono;
 
 /** One router's whole control side in virtual time. */
 final class VirtualRouter {
@@ -150,9 +152,9 @@
         }
 
         @Override
-        public reactor.core.publisher.Mono<PeerMessage> fetch(Vm peer, PeerMessage message) {
+        public Mono<PeerMessage> fetch(Vm peer, PeerMessage message) {
             Link link = link(peer);
-            return link == null ? reactor.core.publisher.Mono.error(new IOException("no link")) : link.fetch(message);
+            return link == null ? Mono.error(new IOException("no link")) : link.fetch(message);
         }
 
         @Override
@@ -208,7 +210,7 @@
             this.back = fleet.network().connect(other.self.id(), self.id());
         }
 
-        private void write(Envelope envelope, java.util.function.LongConsumer progress, Runnable arrived) {
+        private void write(Envelope envelope, LongConsumer progress, Runnable arrived) {
             there.send(bytes(envelope), progress, () -> {
                 arrived.run();
                 other.thread.run(() -> other.control
@@ -218,7 +220,7 @@
             });
         }
 
-        private reactor.core.publisher.Mono<PeerMessage> fetch(PeerMessage message) {
+        private Mono<PeerMessage> fetch(PeerMessage message) {
             VirtualTransfer<PeerMessage> transfer = new VirtualTransfer<>(fleet.scheduler());
             there.send(
                     bytes(new Envelope(1, message)),
