Tests: a gatherer lost in the middle, and a router that missed five versions behind a cut

Ends, stands still or is cut off 0.3 s after the publication of 500 KB (23 routers, 3 data centres, 14 Mbit/s): the others have it within 3 s. A router that missed five versions behind a cut has the newest within 2 s of its end.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DocumentSpreadTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DocumentSpreadTest.java
@@ -4,9 +4,11 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
+import java.util.Objects;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Checks how soon configurations are in force in large fleets on small links, and what they cost there.
@@ -58,6 +60,73 @@
         assertThat(awaitInForce(fleet, 2) - publishedAtMillis).isAtMost(withinMillis);
     }
 
+    /** What may happen to a router that gives a document to a whole group. */
+    private enum Mishap {
+        ENDS {
+            @Override
+            void befalls(VirtualFleet fleet, String router) {
+                fleet.kill(router);
+            }
+        },
+        STANDS_STILL {
+            @Override
+            void befalls(VirtualFleet fleet, String router) {
+                Objects.requireNonNull(fleet.find(router)).frozen(true);
+            }
+        },
+        CUT_OFF {
+            @Override
+            void befalls(VirtualFleet fleet, String router) {
+                fleet.network().cut(router, true);
+            }
+        };
+
+        abstract void befalls(VirtualFleet fleet, String router);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mishap.class)
+    void theOthersAreGivenItAlthoughTheirGathererIsLost(Mishap mishap) {
+        VirtualFleet fleet = new VirtualFleet(23, 3, 65, 14);
+        String gatherer = "10.0.0.1:7640";
+        fleet.publish(1, 500_000);
+        fleet.startAll();
+        fleet.pass(ConfigurationFollower.WAIT.plus(SETTLING));
+        long publishedAtMillis = fleet.scheduler().millis();
+        fleet.publish(2, 500_000);
+        fleet.pass(Duration.ofMillis(300));
+
+        mishap.befalls(fleet, gatherer);
+        fleet.pass(Duration.ofMillis(ENOUGH_MILLIS));
+
+        long lastMillis = fleet.routers().stream()
+                .filter(router -> !router.self().id().equals(gatherer))
+                .mapToLong(router -> router.inForceAtMillis(2))
+                .max()
+                .orElseThrow();
+        assertThat(lastMillis - publishedAtMillis).isAtMost(3_000);
+    }
+
+    /** It is given the newest alone: all five versions would take 2 s on its link. */
+    @ParameterizedTest
+    @CsvSource({"10.0.0.1:7640", "10.1.0.3:7640", "10.2.0.7:7640"})
+    void aRouterThatMissedFiveVersionsBehindACutIsGivenTheNewestInTime(String router) {
+        VirtualFleet fleet = new VirtualFleet(23, 3, 65, 14);
+        fleet.publish(1, 500_000);
+        fleet.startAll();
+        fleet.pass(ConfigurationFollower.WAIT.plus(SETTLING));
+        fleet.network().cut(router, true);
+        int versions = 6;
+        for (int version = 2; version <= versions; version++) {
+            fleet.publish(version, 500_000);
+            fleet.pass(Duration.ofMillis(800));
+        }
+        fleet.network().cut(router, false);
+        long mendedAtMillis = fleet.scheduler().millis();
+
+        assertThat(awaitInForce(fleet, versions) - mendedAtMillis).isAtMost(2_000);
+    }
+
     @Test
     void theLastOfAStormIsInForceInTime() {
         VirtualFleet fleet = new VirtualFleet(95, 6, 65, 14);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
@@ -74,11 +74,12 @@
         router.start(seeds);
     }
 
-    /** Ends all processes at the same moment. */
-    void killAll() {
-        List<VirtualRouter> all = new ArrayList<>(routers.values());
-        routers.clear();
-        all.forEach(VirtualRouter::kill);
+    /** Ends a process without a word. */
+    void kill(String id) {
+        VirtualRouter router = routers.remove(id);
+        if (router != null) {
+            router.kill();
+        }
     }
 
     /** Lets time pass. */
