Sight: requests have a fingerprint, and an endpoint's end is told with the requests at work there

Cause: no log line could tell that two arrivals are the same request, nor that an endpoint has ended rather than broken one answer off. Change: a digest of workspace, target and body in each request's line; an endpoint whose answers break off is connected to at once, and a refused connection within a second makes an end, logged with the requests at work and how long they had been. Conclusion: two routers' lines can be put together now; nothing is decided by it yet.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -34,6 +34,10 @@
     /** See {@link #meaning}. */
     ENDPOINT_DOWN("endpoint-down", "connections to an endpoint fail; it gets nothing until one succeeds"),
     /** See {@link #meaning}. */
+    ENDPOINT_ENDED(
+            "endpoint-ended",
+            "an endpoint's answers broke off and it refuses connections: its process has ended; `atWork` names the requests"),
+    /** See {@link #meaning}. */
     ENDPOINT_BACK("endpoint-back", "a connection to an endpoint that was down succeeded"),
     /** See {@link #meaning}. */
     ENDPOINT_FAILING(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -26,6 +26,7 @@
     private @Nullable EndpointConnection connection;
     private boolean refused;
     private int status;
+    private long sentAtMillis;
     private boolean over;
 
     /**
@@ -104,6 +105,7 @@
             return;
         }
         connection = made;
+        sentAtMillis = tools.nowMillis();
         owner.connected(this, made);
         if (!over) {
             clock.start(record.receivedAtMillis());
@@ -111,16 +113,13 @@
     }
 
     @Override
-    public void unreachable(String cause) {
-        if (health().unreachable(tools.nowMillis())) {
-            tools.log().endpointDown(endpoint, cause);
-            tools.watch().doubtOthers(endpoint);
-        }
+    public void unreachable(ConnectFailure failure) {
+        tools.watch().unreachable(endpoint, failure);
         if (over) {
             return;
         }
         finish();
-        record.attemptEnded("unreachable: " + cause);
+        record.attemptEnded("unreachable: " + failure.cause());
         owner.unreachable(this);
     }
 
@@ -177,7 +176,10 @@
         if (!keptConnectionWasClosed()) {
             noteFailure();
         }
-        health().broke(tools.nowMillis());
+        long nowMillis = tools.nowMillis();
+        health().broke(nowMillis);
+        tools.ends().broke(endpoint, record.fingerprint(), nowMillis - sentAtMillis, nowMillis);
+        tools.watch().lookAt(endpoint);
         owner.broken(this, cause);
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectionTaker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectionTaker.java
@@ -6,5 +6,5 @@
     void connected(EndpointConnection connection);
 
     /** None could be made; nothing has been sent. */
-    void unreachable(String cause);
+    void unreachable(ConnectFailure failure);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -100,7 +100,7 @@
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
-                taker.unreachable(String.valueOf(future.cause()));
+                taker.unreachable(ConnectFailure.of(future.cause()));
                 return;
             }
             opened.increment();
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointEnds.java
@@ -0,0 +1,100 @@
+package org.radishpass.routing.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+
+/**
+ * Puts together that an endpoint's process has ended and which requests were at work there. A broken answer alone does not show it:
+ * only that the endpoint then refuses connections. Belongs to the traffic thread.
+ */
+final class EndpointEnds {
+    /**
+     * Milliseconds within which broken answers and a refused connection belong together: a process that ends closes all its connections
+     * within a few milliseconds, and one that is started again takes longer.
+     */
+    private static final long TOGETHER_MILLIS = 1_000;
+
+    private final Map<String, Breaks> byEndpoint = new HashMap<>();
+    private final Listener listener;
+
+    EndpointEnds(Listener listener) {
+        this.listener = listener;
+    }
+
+    /**
+     * Notes an answer that broke off.
+     *
+     * @param endpoint the endpoint
+     * @param request the request that was at work there
+     * @param atWorkMillis for how long, in milliseconds since it was sent
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    void broke(ServiceEndpoint endpoint, RequestFingerprint request, long atWorkMillis, long nowMillis) {
+        Breaks breaks = byEndpoint.computeIfAbsent(endpoint.id(), id -> new Breaks());
+        breaks.atMillis = nowMillis;
+        breaks.requests.add(new AtWork(request, atWorkMillis));
+        if (breaks.refused) {
+            tell(endpoint, breaks);
+        }
+    }
+
+    /**
+     * Notes that an endpoint refuses connections.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    void refused(ServiceEndpoint endpoint, long nowMillis) {
+        Breaks breaks = byEndpoint.get(endpoint.id());
+        if (breaks == null || nowMillis - breaks.atMillis > TOGETHER_MILLIS) {
+            return;
+        }
+        breaks.refused = true;
+        tell(endpoint, breaks);
+    }
+
+    /** Forgets answers that broke off too long ago to belong to anything that comes. */
+    void tidy(long nowMillis) {
+        Iterator<Breaks> all = byEndpoint.values().iterator();
+        while (all.hasNext()) {
+            if (nowMillis - all.next().atMillis > TOGETHER_MILLIS) {
+                all.remove();
+            }
+        }
+    }
+
+    private void tell(ServiceEndpoint endpoint, Breaks breaks) {
+        List<AtWork> news = List.copyOf(breaks.requests);
+        breaks.requests.clear();
+        if (!news.isEmpty()) {
+            listener.ended(endpoint, news);
+        }
+    }
+
+    /** A request that was at work at an endpoint when that ended. */
+    record AtWork(RequestFingerprint request, long atWorkMillis) {
+        @Override
+        public String toString() {
+            return request + " for " + atWorkMillis + " ms";
+        }
+    }
+
+    /** Hears of endpoints that have ended. */
+    @FunctionalInterface
+    interface Listener {
+        /** An endpoint has ended with these requests at work; once more for those whose answers break off a little later. */
+        void ended(ServiceEndpoint endpoint, List<AtWork> atWork);
+    }
+
+    /** Answers of one endpoint that broke off lately. */
+    private static final class Breaks {
+        private final List<AtWork> requests = new ArrayList<>();
+        private long atMillis;
+        private boolean refused;
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointWatch.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointWatch.java
@@ -63,6 +63,33 @@
         }
     }
 
+    /**
+     * Finds out at once whether an endpoint whose answer broke off still takes connections: if it refuses them its process has ended, and
+     * nobody waits for it then.
+     *
+     * @param endpoint the endpoint
+     */
+    void lookAt(ServiceEndpoint endpoint) {
+        check(endpoint, tools.health().of(endpoint.id(), tools.nowMillis()));
+    }
+
+    /**
+     * Notes that an endpoint cannot be connected to.
+     *
+     * @param endpoint the endpoint
+     * @param failure why
+     */
+    void unreachable(ServiceEndpoint endpoint, ConnectFailure failure) {
+        long nowMillis = tools.nowMillis();
+        if (failure.refused()) {
+            tools.ends().refused(endpoint, nowMillis);
+        }
+        if (tools.health().of(endpoint.id(), nowMillis).unreachable(nowMillis)) {
+            tools.log().endpointDown(endpoint, failure.cause());
+            doubtOthers(endpoint);
+        }
+    }
+
     private boolean silent(ServiceEndpoint endpoint, EndpointHealth health, long nowMillis) {
         return !health.down()
                 && nowMillis - health.heardAtMillis() > SILENCE_MILLIS
@@ -86,12 +113,9 @@
             }
 
             @Override
-            public void unreachable(String cause) {
+            public void unreachable(ConnectFailure failure) {
                 checking.remove(endpoint.id());
-                if (health.unreachable(tools.nowMillis())) {
-                    tools.log().endpointDown(endpoint, cause);
-                    doubtOthers(endpoint);
-                }
+                EndpointWatch.this.unreachable(endpoint, failure);
                 List<Exchange> waiting = new ArrayList<>(tools.exchanges());
                 waiting.stream()
                         .filter(exchange -> exchange.waitsFor(endpoint.id()))
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -11,7 +11,9 @@
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.config.Workspace;
 import org.radishpass.routing.placement.PlacementChoice;
+import org.radishpass.routing.quarantine.RequestFingerprint;
 
 /**
  * The life of one request: from when it is whole until its answer is whole, refused or broken off.
@@ -58,7 +60,7 @@
     private void start(Terms resolved) {
         terms = resolved;
         relay = new AnswerRelay(caller, terms.kind());
-        record.terms(terms);
+        record.terms(terms, fingerprint());
         if (tools.ended() || (tools.refusing() && terms.kind().streams())) {
             refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
             return;
@@ -69,6 +71,15 @@
         attempt();
     }
 
+    private RequestFingerprint fingerprint() {
+        return RequestFingerprint.of(
+                terms.workspace().map(Workspace::name).orElse(""),
+                request.method().name(),
+                terms.host(),
+                request.uri(),
+                body);
+    }
+
     private void attempt() {
         Optional<PlacementChoice> choice = tools.placer().place(terms, triedEndpoints, sends > 0);
         if (choice.isEmpty()) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -6,6 +6,7 @@
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.placement.PlacementChoice;
+import org.radishpass.routing.quarantine.RequestFingerprint;
 
 /** The account of one request, for the log: what was decided, on what inputs of which age, and what came of it. */
 final class ExchangeRecord {
@@ -14,6 +15,7 @@
     private final long receivedAtMillis;
     private final List<Step> steps = new ArrayList<>(1);
     private String requestId = "";
+    private RequestFingerprint fingerprint = RequestFingerprint.UNKNOWN;
     private long configurationVersion;
     private long configurationAgeMillis;
     private Terms terms = Terms.UNKNOWN;
@@ -74,8 +76,13 @@
         this.configurationAgeMillis = receivedAtMillis - inForceSinceMillis;
     }
 
-    void terms(Terms newTerms) {
+    void terms(Terms newTerms, RequestFingerprint newFingerprint) {
         this.terms = newTerms;
+        this.fingerprint = newFingerprint;
+    }
+
+    RequestFingerprint fingerprint() {
+        return fingerprint;
     }
 
     void chosen(PlacementChoice choice, RoutingView view, long nowMillis) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
@@ -26,11 +27,15 @@
     /** Lines a second altogether: about 100 KB. */
     private static final int ALL_LINES = 200;
 
+    /** Requests that the line of an endpoint's end names: more than an engine of today's deployments runs of one router. */
+    private static final int MOST_AT_WORK = 32;
+
     private static final long SECOND_MILLIS = 1_000;
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final MeterRegistry metrics;
     private final Counter suppressed;
+    private final Counter ends;
     private final Map<String, Timer> timers = new HashMap<>();
     private long second = Long.MIN_VALUE;
     private int lines;
@@ -41,6 +46,9 @@
         this.suppressed = Counter.builder("radishpass.log.suppressed")
                 .description("log lines left out to keep the volume bounded")
                 .register(metrics);
+        this.ends = Counter.builder("radishpass.endpoint.ends")
+                .description("endpoints whose process ended with requests of this router at work")
+                .register(metrics);
     }
 
     void finished(ExchangeRecord record, long nowMillis) {
@@ -66,6 +74,7 @@
                                 .map(org.radishpass.routing.config.Workspace::name)
                                 .orElse("")),
                 kv("service", record.terms().service()),
+                kv("fingerprint", record.fingerprint()),
                 kv("urgency", record.terms().urgency()),
                 kv("attempts", record.steps().stream().map(Object::toString).toList()),
                 kv("status", record.status()),
@@ -96,6 +105,22 @@
                 LogEvent.ENDPOINT_BACK.field());
     }
 
+    void endpointEnded(ServiceEndpoint endpoint, List<EndpointEnds.AtWork> atWork) {
+        ends.increment();
+        LOG.info(
+                "endpoint {} at {} has ended with {} requests of this router at work",
+                endpoint.id(),
+                endpoint.address(),
+                atWork.size(),
+                LogEvent.ENDPOINT_ENDED.field(),
+                kv(
+                        "atWork",
+                        atWork.stream()
+                                .limit(MOST_AT_WORK)
+                                .map(Object::toString)
+                                .toList()));
+    }
+
     void endpointFailing(ServiceEndpoint endpoint) {
         LOG.info(
                 "endpoint {} at {} fails too many requests and is left out",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
@@ -19,6 +19,7 @@
  * The terms on which a request is served, fixed when it starts.
  *
  * @param requestId the caller's name for it
+ * @param host the host that it is for
  * @param route its route
  * @param workspaceSpec the workspace that it is run for, or null
  * @param service the service that answers it
@@ -29,6 +30,7 @@
  */
 record Terms(
         String requestId,
+        String host,
         Route route,
         @Nullable Workspace workspaceSpec,
         String service,
@@ -38,7 +40,7 @@
         long deadlineMillis) {
     /** The terms of a request of which nothing is known yet. */
     static final Terms UNKNOWN = new Terms(
-            "", Route.builder("").split(TrafficSplit.all("")).build(), null, "", null, null, null, Long.MAX_VALUE);
+            "", "", Route.builder("").split(TrafficSplit.all("")).build(), null, "", null, null, null, Long.MAX_VALUE);
 
     private static final int LEAST_URGENT = 9;
 
@@ -52,6 +54,7 @@
         long patience = Math.min(route.timeoutMillis(), head.patienceMillis().orElse(Long.MAX_VALUE));
         return new Terms(
                 head.id(),
+                head.host(),
                 route,
                 workspace.orElse(null),
                 service,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -242,6 +242,7 @@
         book.forgetSilentPeers(nowMillis);
         connections.tidy(view.directory());
         health.retain(view.directory());
+        tools.ends().tidy(nowMillis);
         if (tools.refusing()) {
             closeIdle();
             return;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -35,6 +36,7 @@
     private final RequestResolver resolver;
     private final RequestPlacer placer = new RequestPlacer(this);
     private final EndpointWatch watch = new EndpointWatch(this);
+    private final EndpointEnds ends = new EndpointEnds(this::endpointEnded);
     private final AnswerPatience patience = new AnswerPatience();
     private final ArrivalQueue arrivals;
     private final HeldArrivals held;
@@ -122,6 +124,14 @@
         return watch;
     }
 
+    EndpointEnds ends() {
+        return ends;
+    }
+
+    private void endpointEnded(ServiceEndpoint endpoint, List<EndpointEnds.AtWork> atWork) {
+        log.endpointEnded(endpoint, atWork);
+    }
+
     SharedRetryBudget budget() {
         return budget;
     }
