Requests that end their endpoints are recognised and kept from further ones, at all routers

Cause: no router knew that two requests are the same, and what ended an endpoint was forgotten with it; bounds on attempts and repeats are per arrival and per service. Class: a bound kept per attempt where the harm is per cause. Change: a quarantine by fingerprint. Each end makes suspects of the requests at work; one that meets a second end soon after it was sent, and alone, or a third however, is refused at once (503, not run); an answer clears it everywhere. Routers tell each other at once along the gathering plan, pass on only news, and tell all to a router that they meet. One arrival puts two endpoints at risk at most.

--- a/radishpass-core/src/main/java/org/radishpass/core/outcome/RefusalCode.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/outcome/RefusalCode.java
@@ -30,6 +30,8 @@
     NOT_READY(503, 1),
     /** The platform's store is needed and cannot be reached. */
     STORE_UNAVAILABLE(503, 5),
+    /** Endpoints have ended whenever they ran this request; it is held back for a while. */
+    QUARANTINED(503, 60),
     /** The deadline passed or could not be met. */
     DEADLINE(504, 1),
     /** The endpoint broke off or gave an answer that is not this request's. */
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -40,7 +40,8 @@
     @JsonSubTypes.Type(value = RoutingMessage.RouterList.class, name = "rl"),
     @JsonSubTypes.Type(value = RoutingMessage.DocumentWanted.class, name = "dw"),
     @JsonSubTypes.Type(value = RoutingMessage.Document.class, name = "do"),
-    @JsonSubTypes.Type(value = RoutingMessage.Introduction.class, name = "in")
+    @JsonSubTypes.Type(value = RoutingMessage.Introduction.class, name = "in"),
+    @JsonSubTypes.Type(value = RoutingMessage.SuspectRequests.class, name = "sq")
 })
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public sealed interface PeerMessage
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -113,6 +113,67 @@
         }
     }
 
+    /**
+     * What a router tells of requests with which endpoints have ended; told at once, and again a second later.
+     *
+     * @param suspects the requests
+     * @param cleared requests that were answered since they were told of
+     * @param scope how far the message has come: from a member, from the router that gathers a group, or to its members
+     * @since 0.5.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SuspectRequests(
+            List<SuspectRequest> suspects,
+            List<RequestName> cleared,
+            @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope)
+            implements RoutingMessage {
+        /** Refuses a message that lacks a component. */
+        public SuspectRequests {
+            suspects = List.copyOf(suspects);
+            cleared = List.copyOf(cleared);
+            Objects.requireNonNull(scope, "scope");
+        }
+    }
+
+    /**
+     * A request by its digests; nothing of the request itself is told.
+     *
+     * @param workspace that of the workspace's name
+     * @param target that of method, host, path and query
+     * @param body that of the body
+     * @since 0.5.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record RequestName(long workspace, long target, long body) {}
+
+    /**
+     * A request with which endpoints have ended.
+     *
+     * @param request the request
+     * @param ends the endpoints
+     * @param triedMillisAgo how long ago it was let through to find out whether it still ends its endpoint; negative if it was not
+     * @since 0.5.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SuspectRequest(RequestName request, List<EndedEndpoint> ends, long triedMillisAgo) {
+        /** Refuses a message that lacks a component. */
+        public SuspectRequest {
+            Objects.requireNonNull(request, "request");
+            ends = List.copyOf(ends);
+        }
+    }
+
+    /**
+     * An endpoint that ended while a request was at work there.
+     *
+     * @param endpointHash the hash of its id
+     * @param ageMillis how long ago
+     * @param soon whether that was soon after the request was sent there
+     * @since 0.5.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record EndedEndpoint(long endpointHash, long ageMillis, boolean soon) {}
+
     /**
      * Asks for a document that the receiver holds; it is answered with a {@link Document}.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -9,6 +9,7 @@
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.WorkSource;
+import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.runtime.thread.ControlThread;
@@ -43,6 +44,7 @@
      * @param self this router
      * @param decoder reads configurations
      * @param work the work in flight
+     * @param suspects the requests that may end their endpoints
      * @param metrics where counters are kept
      * @param whenComplete called on the control thread when requests can be routed, and with each news after that
      */
@@ -53,6 +55,7 @@
             FleetRouter self,
             ConfigurationDecoder decoder,
             WorkSource work,
+            SuspectSource suspects,
             MeterRegistry metrics,
             Runnable whenComplete) {
         this.thread = thread;
@@ -71,7 +74,8 @@
                 new StoreNews());
         this.cleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
-        this.peers = new PeerExchange(thread, clock, self, work, configuration, directory, storeClock, new PeerNews());
+        this.peers = new PeerExchange(
+                thread, clock, self, work, suspects, configuration, directory, storeClock, new PeerNews());
     }
 
     /** Starts to read the store. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -14,6 +14,7 @@
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.WorkSource;
+import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
@@ -34,6 +35,7 @@
     private final MonotonicClock clock;
     private final FleetRouter self;
     private final WorkSource work;
+    private final SuspectSource suspects;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory;
     private final Listener listener;
@@ -42,12 +44,14 @@
     private final DocumentExchange documents;
     private @Nullable PeerLinks links;
     private @Nullable WorkTeller teller;
+    private @Nullable SuspectTeller suspectTeller;
 
     PeerExchange(
             ControlThread thread,
             MonotonicClock clock,
             FleetRouter self,
             WorkSource work,
+            SuspectSource suspects,
             ConfigurationTracker configuration,
             DirectoryTracker directory,
             StoreClock storeClock,
@@ -56,6 +60,7 @@
         this.clock = clock;
         this.self = self;
         this.work = work;
+        this.suspects = suspects;
         this.configuration = configuration;
         this.directory = directory;
         this.listener = listener;
@@ -67,6 +72,8 @@
     /** Starts to tell. */
     void start(PeerLinks peerLinks) {
         this.links = peerLinks;
+        this.suspectTeller = new SuspectTeller(thread, clock, self, suspects, peers, peerLinks);
+        suspectTeller.start();
         this.teller = new WorkTeller(thread, clock, self, work, configuration, directory, peers, peerLinks);
         thread.every(Duration.ofMillis(TICK_MILLIS), this::tick);
     }
@@ -119,6 +126,9 @@
         if (message instanceof RoutingMessage.RouterList list) {
             return later(() -> listed(from, list));
         }
+        if (message instanceof RoutingMessage.SuspectRequests told) {
+            return later(() -> suspectTeller().ifPresent(known -> known.told(from, told)));
+        }
         if (message instanceof RoutingMessage.DocumentWanted wanted) {
             return thread.call(() -> documents.document(wanted));
         }
@@ -165,6 +175,10 @@
         return Optional.ofNullable(teller);
     }
 
+    private Optional<SuspectTeller> suspectTeller() {
+        return Optional.ofNullable(suspectTeller);
+    }
+
     private Mono<PeerMessage> later(Runnable task) {
         thread.run(task);
         return Mono.empty();
@@ -182,6 +196,7 @@
                 heard(peer, peer.heard(clock.millis()));
                 links().send(peer.vm(), new RoutingMessage.RouterList(PeerStates.entries(peers.known())));
                 documents.met(links(), peer);
+                suspectTeller().ifPresent(known -> known.met(peer));
             });
             tellNow();
         });
@@ -222,6 +237,7 @@
     private void heard(Peer peer, boolean news) {
         if (news) {
             LOG.info("router {} answers again", peer.id(), LogEvent.PEER_BACK.field());
+            suspectTeller().ifPresent(known -> known.met(peer));
             probeSoon();
         }
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -61,7 +61,15 @@
                 metrics);
         this.start = new StartSequence(thread, traffic);
         this.control = new ControlPlane(
-                thread, MonotonicClock.SYSTEM, builder.source, self, builder.decoder, traffic, metrics, start::serve);
+                thread,
+                MonotonicClock.SYSTEM,
+                builder.source,
+                self,
+                builder.decoder,
+                traffic,
+                traffic,
+                metrics,
+                start::serve);
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -67,6 +67,14 @@
     /** See {@link #meaning}. */
     REQUEST("request", "a request has ended; the line has every decision that was taken for it"),
     /** See {@link #meaning}. */
+    REQUEST_QUARANTINED(
+            "request-quarantined",
+            "a request is held to end the endpoints that run it, and is refused from now on; `fingerprint` names it"),
+    /** See {@link #meaning}. */
+    REQUEST_TRIED("request-tried", "such a request is let through once, to find out whether that is still so"),
+    /** See {@link #meaning}. */
+    REQUEST_CLEARED("request-cleared", "a request with which several endpoints had ended was answered: it is harmless"),
+    /** See {@link #meaning}. */
     MALFORMED("malformed", "a request was refused before it was whole: malformed or larger than the limits"),
     /** See {@link #meaning}. */
     LOG_SUPPRESSED("log-suppressed", "lines that were left out in the second before, to keep the volume bounded");
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectSource.java
@@ -0,0 +1,33 @@
+package org.radishpass.routing.quarantine;
+
+import java.util.function.Consumer;
+
+/**
+ * The traffic side as its control side sees it: which requests may end their endpoints. Methods may be called from any thread.
+ *
+ * @since 0.5.0
+ */
+public interface SuspectSource {
+    /**
+     * Takes what another router tells, or the store.
+     *
+     * @param report what it tells
+     * @param origin who tells it, for the log
+     * @param news takes the part of it that was not known, if there is any; called on the traffic thread
+     */
+    void suspectsTold(SuspectReport report, String origin, Consumer<SuspectReport> news);
+
+    /**
+     * Gives all that is believed now.
+     *
+     * @param taker takes it; called on the traffic thread
+     */
+    void suspects(Consumer<SuspectReport> taker);
+
+    /**
+     * Hears from now on of what this router has found out itself.
+     *
+     * @param listener takes it; called on the traffic thread
+     */
+    void onSuspects(Consumer<SuspectReport> listener);
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointEnds.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointEnds.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.AtWork;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 
 /**
@@ -35,8 +36,7 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     void broke(ServiceEndpoint endpoint, RequestFingerprint request, long atWorkMillis, long nowMillis) {
-        Breaks breaks = byEndpoint.computeIfAbsent(endpoint.id(), id -> new Breaks());
-        breaks.atMillis = nowMillis;
+        Breaks breaks = breaks(endpoint, nowMillis);
         breaks.requests.add(new AtWork(request, atWorkMillis));
         if (breaks.refused) {
             tell(endpoint, breaks);
@@ -50,14 +50,27 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     void refused(ServiceEndpoint endpoint, long nowMillis) {
-        Breaks breaks = byEndpoint.get(endpoint.id());
-        if (breaks == null || nowMillis - breaks.atMillis > TOGETHER_MILLIS) {
-            return;
-        }
+        Breaks breaks = breaks(endpoint, nowMillis);
         breaks.refused = true;
         tell(endpoint, breaks);
     }
 
+    /** Tells whether an endpoint has refused a connection lately. */
+    boolean hasEnded(String endpointId) {
+        Breaks breaks = byEndpoint.get(endpointId);
+        return breaks != null && breaks.refused;
+    }
+
+    private Breaks breaks(ServiceEndpoint endpoint, long nowMillis) {
+        Breaks known = byEndpoint.get(endpoint.id());
+        if (known != null && nowMillis - known.atMillis <= TOGETHER_MILLIS) {
+            return known;
+        }
+        Breaks created = new Breaks(nowMillis);
+        byEndpoint.put(endpoint.id(), created);
+        return created;
+    }
+
     /** Forgets answers that broke off too long ago to belong to anything that comes. */
     void tidy(long nowMillis) {
         Iterator<Breaks> all = byEndpoint.values().iterator();
@@ -76,14 +89,6 @@
         }
     }
 
-    /** A request that was at work at an endpoint when that ended. */
-    record AtWork(RequestFingerprint request, long atWorkMillis) {
-        @Override
-        public String toString() {
-            return request + " for " + atWorkMillis + " ms";
-        }
-    }
-
     /** Hears of endpoints that have ended. */
     @FunctionalInterface
     interface Listener {
@@ -91,10 +96,14 @@
         void ended(ServiceEndpoint endpoint, List<AtWork> atWork);
     }
 
-    /** Answers of one endpoint that broke off lately. */
+    /** What has happened at one endpoint since a moment. */
     private static final class Breaks {
         private final List<AtWork> requests = new ArrayList<>();
-        private long atMillis;
+        private final long atMillis;
         private boolean refused;
+
+        private Breaks(long atMillis) {
+            this.atMillis = atMillis;
+        }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -14,6 +14,7 @@
 import org.radishpass.routing.config.Workspace;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.Standing;
 
 /**
  * The life of one request: from when it is whole until its answer is whole, refused or broken off.
@@ -22,6 +23,9 @@
  * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
  */
 final class Exchange implements Attempt.Owner {
+    /** Endpoints at which the answer of one arrival may break off if one of them has ended. */
+    private static final int MOST_BROKEN = 2;
+
     private final TrafficTools tools;
     private final CallerConnection caller;
     private final HttpRequest request;
@@ -37,6 +41,8 @@
     private int sends;
     private long sentAtMillis;
     private boolean ended;
+    private Standing startedAs = Standing.CLEAR;
+    private final List<String> brokenAt = new ArrayList<>(1);
 
     Exchange(TrafficTools tools, CallerConnection caller, RequestAssembly assembly) {
         this.tools = tools;
@@ -65,6 +71,7 @@
             refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
             return;
         }
+        startedAs = standing();
         tools.budget().requested(terms.service(), tools.nowMillis());
         long left = terms.leftMillis(tools.nowMillis());
         timer = tools.loop().schedule(this::expired, Math.max(0, left), TimeUnit.MILLISECONDS);
@@ -81,6 +88,10 @@
     }
 
     private void attempt() {
+        if (!standing().admitted()) {
+            giveUpQuarantined();
+            return;
+        }
         Optional<PlacementChoice> choice = tools.placer().place(terms, triedEndpoints, sends > 0);
         if (choice.isEmpty()) {
             giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
@@ -94,6 +105,14 @@
         attempt(choice.get());
     }
 
+    private Standing standing() {
+        return tools.quarantine().standing(record.fingerprint(), tools.nowMillis());
+    }
+
+    private void giveUpQuarantined() {
+        giveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
+    }
+
     private void attempt(PlacementChoice choice) {
         record.chosen(choice, tools.view(), tools.nowMillis());
         Attempt next = new Attempt(tools, this, caller, relay(), record, choice, terms.tokens());
@@ -118,13 +137,24 @@
     private void failedAtEndpoint(String cause) {
         record.attemptEnded(cause);
         relay().dropPending();
-        if (terms.kind().mayRunAgain() && (!relay().started() || terms.kind().resumes()) && mayRetry()) {
+        boolean repeatable = terms.kind().mayRunAgain()
+                && (!relay().started() || terms.kind().resumes());
+        if (repeatable && maySuffer() && mayRetry()) {
             attempt();
         } else {
             giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint failed");
         }
     }
 
+    /**
+     * Tells whether another endpoint may be put at risk with this arrival. Mostly the request is innocent, and another one ended its endpoint:
+     * so it may, once. Were it tried at each of {@code maxAttempts} endpoints, one arrival ended three before anyone could know.
+     */
+    private boolean maySuffer() {
+        boolean enough = brokenAt.size() >= MOST_BROKEN && brokenAt.stream().anyMatch(tools.ends()::hasEnded);
+        return startedAs.mayBeRepeated() && !enough;
+    }
+
     private boolean mayRetry() {
         return sends < terms.maxAttempts()
                 && terms.leftMillis(tools.nowMillis()) > 0
@@ -196,7 +226,11 @@
         if (ended || attempt == null || !terms.kind().mayRunAgain()) {
             return;
         }
+        String endpointId = attempt.endpoint().id();
+        tools.ends()
+                .broke(attempt.endpoint(), record.fingerprint(), tools.nowMillis() - sentAtMillis, tools.nowMillis());
         stopAttempt();
+        brokenAt.add(endpointId);
         failedAtEndpoint("the endpoint cannot be reached any more");
     }
 
@@ -230,11 +264,17 @@
             expired();
             return;
         }
+        if (!standing().admitted()) {
+            stopAttempt();
+            giveUpQuarantined();
+            return;
+        }
         sends++;
         sentAtMillis = tools.nowMillis();
         verdictBeforeAttempt = verdict;
         verdict = verdict.and(Verdict.MAY_HAVE_RUN);
         record.sent(tools.nowMillis());
+        tools.quarantine().sent(record.fingerprint(), sentAtMillis);
         terms.prompt().ifPresent(prompt -> tools.chooser().sent(prompt, current.endpoint(), sentAtMillis));
         connection.send(
                 OnwardRequest.of(
@@ -251,7 +291,7 @@
      */
     @Override
     public void overdue(Attempt late) {
-        if (late != attempt || relay().started() || !terms.kind().mayRunAgain()) {
+        if (late != attempt || relay().started() || !terms.kind().mayRunAgain() || !startedAs.mayBeRepeated()) {
             return;
         }
         Optional<PlacementChoice> other = tools.placer().another(terms, triedEndpoints, late.endpoint());
@@ -309,6 +349,9 @@
         attempt = null;
         triedEndpoints.add(whole.endpoint().id());
         record.finished(Verdict.RAN, status, "answered");
+        if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+            tools.quarantine().answered(record.fingerprint());
+        }
         if (relay().complete()) {
             end();
         } else {
@@ -319,6 +362,7 @@
     @Override
     public void broken(Attempt failed, String cause) {
         attempt = null;
+        brokenAt.add(failed.endpoint().id());
         if (!failed.keptConnectionWasClosed()) {
             triedEndpoints.add(failed.endpoint().id());
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -11,6 +11,9 @@
 import java.util.Map;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.AtWork;
+import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -18,7 +21,7 @@
  * Writes the account of each request, and of each change in what is believed of an endpoint. Belongs to the traffic
  * thread. Beyond a number of lines a second only requests that failed are written, and how many lines were left out.
  */
-final class RequestLog {
+final class RequestLog implements Quarantine.Listener {
     private static final Logger LOG = LoggerFactory.getLogger("org.radishpass.routing.requests");
 
     /** Lines a second for requests that were answered: twice what a router of today's deployments serves. */
@@ -105,7 +108,7 @@
                 LogEvent.ENDPOINT_BACK.field());
     }
 
-    void endpointEnded(ServiceEndpoint endpoint, List<EndpointEnds.AtWork> atWork) {
+    void endpointEnded(ServiceEndpoint endpoint, List<AtWork> atWork) {
         ends.increment();
         LOG.info(
                 "endpoint {} at {} has ended with {} requests of this router at work",
@@ -121,6 +124,40 @@
                                 .toList()));
     }
 
+    @Override
+    public void quarantined(RequestFingerprint request, int count, String origin) {
+        LOG.warn(
+                "request {} is held back: {} endpoints have ended with it at work, the last told by {}",
+                request,
+                count,
+                origin,
+                LogEvent.REQUEST_QUARANTINED.field(),
+                kv("fingerprint", request),
+                kv("ends", count));
+    }
+
+    @Override
+    public void tried(RequestFingerprint request, int count) {
+        LOG.warn(
+                "request {}, with which {} endpoints have ended, is let through once",
+                request,
+                count,
+                LogEvent.REQUEST_TRIED.field(),
+                kv("fingerprint", request),
+                kv("ends", count));
+    }
+
+    @Override
+    public void cleared(RequestFingerprint request, int count) {
+        LOG.info(
+                "request {}, with which {} endpoints had ended, was answered and is not suspected any more",
+                request,
+                count,
+                LogEvent.REQUEST_CLEARED.field(),
+                kv("fingerprint", request),
+                kv("ends", count));
+    }
+
     void endpointFailing(ServiceEndpoint endpoint) {
         LOG.info(
                 "endpoint {} at {} fails too many requests and is left out",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
@@ -15,6 +15,8 @@
     NOT_READY(300),
     /** Endpoints that have gone are replaced, or found again, within about half a second. */
     NO_ENDPOINT(250),
+    /** The shortest time for which a request is held back that ends its endpoints; coming back sooner makes no sense. */
+    QUARANTINED(60_000),
     /** A place becomes free within a few turns of a plain service. */
     OVERLOADED(100);
 
@@ -29,6 +31,7 @@
             case OVERLOADED, WORKSPACE_LIMIT -> OVERLOADED;
             case NO_ENDPOINT -> NO_ENDPOINT;
             case NOT_READY -> NOT_READY;
+            case QUARANTINED -> QUARANTINED;
             default -> NONE;
         };
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -29,6 +29,9 @@
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.placement.EndpointChooser;
+import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.quarantine.SuspectReport;
+import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.slf4j.Logger;
@@ -40,7 +43,7 @@
  *
  * @since 0.2.0
  */
-public final class TrafficServer implements WorkSource {
+public final class TrafficServer implements WorkSource, SuspectSource {
     private static final Logger LOG = LoggerFactory.getLogger(TrafficServer.class);
 
     /** Milliseconds between looks at endpoints: a fraction of the silence that is looked into. */
@@ -101,6 +104,9 @@
         Gauge.builder("radishpass.requests.active", tools.exchanges(), java.util.Set::size)
                 .description("requests in progress")
                 .register(metrics);
+        Gauge.builder("radishpass.requests.quarantined", tools.quarantine(), Quarantine::held)
+                .description("different requests that are refused because endpoints end when they run them")
+                .register(metrics);
     }
 
     /**
@@ -166,6 +172,26 @@
         });
     }
 
+    @Override
+    public void suspectsTold(SuspectReport report, String origin, Consumer<SuspectReport> news) {
+        loop.execute(() -> {
+            SuspectReport unknown = tools.quarantine().told(report, origin, clock.millis());
+            if (!unknown.isEmpty()) {
+                news.accept(unknown);
+            }
+        });
+    }
+
+    @Override
+    public void suspects(Consumer<SuspectReport> taker) {
+        loop.execute(() -> taker.accept(tools.quarantine().all(clock.millis())));
+    }
+
+    @Override
+    public void onSuspects(Consumer<SuspectReport> listener) {
+        loop.execute(() -> tools.quarantine().onNews(listener));
+    }
+
     private WorkReport report(List<String> members) {
         Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
         members.forEach(id -> withoutMember.put(id, book.workWithout(id)));
@@ -243,6 +269,7 @@
         connections.tidy(view.directory());
         health.retain(view.directory());
         tools.ends().tidy(nowMillis);
+        tools.quarantine().tidy(nowMillis);
         if (tools.refusing()) {
             closeIdle();
             return;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -13,6 +13,8 @@
 import org.radishpass.routing.health.HealthBook;
 import org.radishpass.routing.load.InFlightBook;
 import org.radishpass.routing.placement.EndpointChooser;
+import org.radishpass.routing.quarantine.AtWork;
+import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.retry.SharedRetryBudget;
 
 /** What the connections and requests of the traffic thread share. All of it belongs to that thread. */
@@ -37,6 +39,7 @@
     private final RequestPlacer placer = new RequestPlacer(this);
     private final EndpointWatch watch = new EndpointWatch(this);
     private final EndpointEnds ends = new EndpointEnds(this::endpointEnded);
+    private final Quarantine quarantine;
     private final AnswerPatience patience = new AnswerPatience();
     private final ArrivalQueue arrivals;
     private final HeldArrivals held;
@@ -67,6 +70,7 @@
         this.health = health;
         this.budget = budget;
         this.log = log;
+        this.quarantine = new Quarantine(log);
         this.goneReports = goneReports;
         this.arrivals = new ArrivalQueue(pass -> {
             var unused = loop.schedule(pass, 0, TimeUnit.MILLISECONDS);
@@ -128,8 +132,21 @@
         return ends;
     }
 
-    private void endpointEnded(ServiceEndpoint endpoint, List<EndpointEnds.AtWork> atWork) {
+    /** Returns which requests are kept from endpoints because they end them. */
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
+    /** An endpoint that had said that it leaves has ended by itself, which says nothing of the requests at work there. */
+    private void endpointEnded(ServiceEndpoint endpoint, List<AtWork> atWork) {
         log.endpointEnded(endpoint, atWork);
+        boolean leaving = view().directory()
+                .find(endpoint.id())
+                .map(ServiceEndpoint::leaving)
+                .orElse(false);
+        if (!leaving) {
+            quarantine.ended(endpoint.hash(), atWork, nowMillis());
+        }
     }
 
     SharedRetryBudget budget() {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -40,6 +40,7 @@
     private final FleetRouter self;
     private final VirtualProcess process;
     private final ControlThread thread;
+    private final VirtualSuspects suspects;
     private final ControlPlane control;
     private final Links links = new Links();
     private final Map<Long, Long> inForceAtMillis = new HashMap<>();
@@ -52,6 +53,7 @@
         this.self = self;
         this.process = new VirtualProcess(fleet.scheduler());
         this.thread = new ControlThread(process);
+        this.suspects = new VirtualSuspects(fleet.scheduler()::millis);
         this.control = new ControlPlane(
                 thread,
                 fleet.scheduler()::millis,
@@ -59,10 +61,16 @@
                 self,
                 VirtualRouter::decode,
                 new Work(),
+                suspects,
                 new SimpleMeterRegistry(),
                 this::noteVersion);
     }
 
+    /** Returns what its traffic side believes of requests that may end their endpoints. */
+    VirtualSuspects suspects() {
+        return suspects;
+    }
+
     /** A document begins with its version on a line of its own. */
     private static RoutingConfiguration decode(byte[] content) {
         String text = new String(content, StandardCharsets.UTF_8);
