Requests that are held back are kept in the store and read at each start

Cause: after a start of all routers nobody was left to ask; each request would have ended two more endpoints. Change: a router that saw one of the ends writes a row once the request is held, and removes it when it proves harmless; each router reads the rows once when it starts. Conclusion: what is held outlives a restart of all.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -9,6 +9,10 @@
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.WorkSource;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.Suspect;
+import org.radishpass.routing.quarantine.SuspectListener;
+import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
@@ -28,10 +32,12 @@
     private final Runnable whenComplete;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory = new DirectoryTracker();
+    private final SuspectSource suspects;
     private final StoreFollower follower;
     private final PeerExchange peers;
     private final RegistryCleaner cleaner;
     private final Registration registration;
+    private final QuarantineKeeper quarantine;
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private long configurationSinceMillis;
 
@@ -61,6 +67,7 @@
         this.thread = thread;
         this.clock = clock;
         this.whenComplete = whenComplete;
+        this.suspects = suspects;
         this.configuration = new ConfigurationTracker(decoder);
         StoreClock storeClock = new StoreClock();
         this.follower = new StoreFollower(
@@ -74,6 +81,7 @@
                 new StoreNews());
         this.cleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
+        this.quarantine = new QuarantineKeeper(thread, clock, source, storeClock, suspects);
         this.peers = new PeerExchange(
                 thread, clock, self, work, suspects, configuration, directory, storeClock, new PeerNews());
     }
@@ -81,6 +89,8 @@
     /** Starts to read the store. */
     void start() {
         follower.start();
+        suspects.onSuspects(new SuspectNews());
+        thread.run(quarantine::read);
     }
 
     /**
@@ -174,6 +184,24 @@
         }
     }
 
+    /** Hears what this router has found out of requests that may end their endpoints. */
+    private final class SuspectNews implements SuspectListener {
+        @Override
+        public void found(SuspectReport news) {
+            thread.run(() -> peers.tellSuspects(news));
+        }
+
+        @Override
+        public void quarantined(Suspect suspect) {
+            thread.run(() -> quarantine.quarantined(suspect));
+        }
+
+        @Override
+        public void released(RequestFingerprint request) {
+            thread.run(() -> quarantine.released(request));
+        }
+    }
+
     /** Hears what peers brought. */
     private final class PeerNews implements PeerExchange.Listener {
         @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -4,6 +4,8 @@
 import java.util.function.LongConsumer;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.Suspect;
 import reactor.core.publisher.Mono;
 
 /**
@@ -13,6 +15,9 @@
  * @since 0.2.0
  */
 public interface ControlSource {
+    /** A moment of the store's clock that is not known. */
+    long TIME_UNKNOWN = -1;
+
     /**
      * Reads the configuration.
      *
@@ -54,4 +59,30 @@
      * @return whether it was removed
      */
     Mono<Boolean> deregister(Address self, long revision);
+
+    /**
+     * Reads the requests that are kept from endpoints because they end them.
+     *
+     * @since 0.5.0
+     */
+    Mono<QuarantineReading> quarantined();
+
+    /**
+     * Keeps a request, or what is known of it now.
+     *
+     * @param suspect the request, with its ends
+     * @param storeMillis the time on the store's clock, in milliseconds; {@link #TIME_UNKNOWN} if that is not known
+     * @return whether that is done
+     * @since 0.5.0
+     */
+    Mono<Boolean> quarantine(Suspect suspect, long storeMillis);
+
+    /**
+     * Removes a request that has proved harmless, or is forgotten.
+     *
+     * @param request the request
+     * @return whether that is done
+     * @since 0.5.0
+     */
+    Mono<Boolean> release(RequestFingerprint request);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -14,6 +14,7 @@
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.WorkSource;
+import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
@@ -73,7 +74,6 @@
     void start(PeerLinks peerLinks) {
         this.links = peerLinks;
         this.suspectTeller = new SuspectTeller(thread, clock, self, suspects, peers, peerLinks);
-        suspectTeller.start();
         this.teller = new WorkTeller(thread, clock, self, work, configuration, directory, peers, peerLinks);
         thread.every(Duration.ofMillis(TICK_MILLIS), this::tick);
     }
@@ -109,6 +109,11 @@
         return peers.routers();
     }
 
+    /** Tells what this router has found out of requests that may end their endpoints. */
+    void tellSuspects(SuspectReport news) {
+        suspectTeller().ifPresent(known -> known.found(news));
+    }
+
     /** Tells at once that there is something newer. */
     void tellNow() {
         teller().ifPresent(WorkTeller::tellNow);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreClock.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreClock.java
@@ -52,6 +52,19 @@
         observedAtMillis = answeredAtMillis;
     }
 
+    /**
+     * Returns the latest moment that the store's clock may show now; {@link ControlSource#TIME_UNKNOWN} while it has not answered yet.
+     *
+     * @param nowMillis the time on this router's clock
+     */
+    long latestStoreMillis(long nowMillis) {
+        if (observedAtMillis == NEVER) {
+            return ControlSource.TIME_UNKNOWN;
+        }
+        double drift = DRIFT * (nowMillis - observedAtMillis);
+        return (long) Math.ceil(nowMillis - least + drift);
+    }
+
     /**
      * Returns the earliest moment on this router's clock that a moment of the store's may have been; {@link #NEVER} while the store
      * has not answered yet.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/SuspectTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/SuspectTeller.java
@@ -45,10 +45,9 @@
         this.links = links;
     }
 
-    /** Begins to tell what this router finds out. */
-    void start() {
-        suspects.onSuspects(news ->
-                thread.run(() -> twice(news, report -> passOn(report, WorkScope.MEMBER, self.id()))));
+    /** Tells what this router has found out. */
+    void found(SuspectReport news) {
+        twice(news, report -> passOn(report, WorkScope.MEMBER, self.id()));
     }
 
     /** Takes what a peer tells, and passes on what of it is news to those that the peer does not tell. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /**
  * Which requests are kept from endpoints because they end them, as far as this router and those that tell it know. Belongs to the traffic
@@ -31,9 +30,11 @@
     /** Requests of one end that are told: the youngest, since the cause is among them, and few enough for a message of 2 KB. */
     static final int MOST_OF_END = 32;
 
+    private static final String THIS_ROUTER = "this router";
+
     private final Map<RequestFingerprint, Suspicion> suspicions = new LinkedHashMap<>();
     private final Listener listener;
-    private Consumer<SuspectReport> teller = report -> {};
+    private SuspectListener outward = SuspectListener.NONE;
 
     /**
      * Creates one that knows nothing.
@@ -45,12 +46,12 @@
     }
 
     /**
-     * Sets who takes what this router finds out itself.
+     * Sets who hears of what this router finds out itself.
      *
-     * @param newTeller takes it
+     * @param newListener hears of it
      */
-    public void onNews(Consumer<SuspectReport> newTeller) {
-        teller = newTeller;
+    public void onNews(SuspectListener newListener) {
+        outward = newListener;
     }
 
     /**
@@ -67,7 +68,7 @@
                 .limit(MOST_OF_END)
                 .forEach(one -> {
                     Sighting sighting = new Sighting(endpointHash, 0, one.millis() <= SOON_MILLIS);
-                    if (add(one.request(), List.of(sighting), nowMillis, "this router")) {
+                    if (add(one.request(), List.of(sighting), nowMillis, THIS_ROUTER)) {
                         news.add(new Suspect(one.request(), List.of(sighting), Suspect.NEVER_TRIED));
                     }
                 });
@@ -80,8 +81,15 @@
      * @param request the request
      */
     public void answered(RequestFingerprint request) {
-        if (clear(request)) {
-            tell(new SuspectReport(List.of(), List.of(request)));
+        Suspicion suspicion = suspicions.get(request);
+        if (suspicion == null) {
+            return;
+        }
+        boolean held = heldToBeTheCause(suspicion);
+        clear(request);
+        tell(new SuspectReport(List.of(), List.of(request)));
+        if (held) {
+            outward.released(request);
         }
     }
 
@@ -181,6 +189,10 @@
         if (!heldBefore && heldToBeTheCause(suspicion)) {
             listener.quarantined(request, suspicion.ends(), origin);
         }
+        suspicion.seenHere(origin.equals(THIS_ROUTER));
+        if (news && suspicion.seenHere() && heldToBeTheCause(suspicion)) {
+            outward.quarantined(suspicion.told(request, nowMillis));
+        }
         return news;
     }
 
@@ -222,7 +234,7 @@
 
     private void tell(SuspectReport report) {
         if (!report.isEmpty()) {
-            teller.accept(report);
+            outward.found(report);
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectSource.java
@@ -27,7 +27,7 @@
     /**
      * Hears from now on of what this router has found out itself.
      *
-     * @param listener takes it; called on the traffic thread
+     * @param listener hears of it
      */
-    void onSuspects(Consumer<SuspectReport> listener);
+    void onSuspects(SuspectListener listener);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Suspicion.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Suspicion.java
@@ -43,6 +43,7 @@
 
     private final Map<Long, End> ends = new LinkedHashMap<>();
     private long triedAtMillis = NEVER;
+    private boolean seenHere;
 
     /** Takes an end; returns whether it is news. */
     boolean add(Sighting sighting, long nowMillis) {
@@ -60,6 +61,16 @@
         return news;
     }
 
+    /** Notes whether this router has seen one of the ends itself. */
+    void seenHere(boolean now) {
+        seenHere |= now;
+    }
+
+    /** Tells whether this router has seen one of the ends itself; one that has keeps the request in the store. */
+    boolean seenHere() {
+        return seenHere;
+    }
+
     int ends() {
         return ends.size();
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -30,6 +30,7 @@
 import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.retry.RetryAllowance;
@@ -188,7 +189,7 @@
     }
 
     @Override
-    public void onSuspects(Consumer<SuspectReport> listener) {
+    public void onSuspects(SuspectListener listener) {
         loop.execute(() -> tools.quarantine().onNews(listener));
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
 import org.radishpass.runtime.thread.ControlThread;
 import reactor.core.publisher.Mono;
@@ -195,6 +197,21 @@
         public Mono<Boolean> deregister(Address self, long revision) {
             return Mono.never();
         }
+
+        @Override
+        public Mono<QuarantineReading> quarantined() {
+            return Mono.never();
+        }
+
+        @Override
+        public Mono<Boolean> quarantine(Suspect suspect, long storeMillis) {
+            return Mono.never();
+        }
+
+        @Override
+        public Mono<Boolean> release(RequestFingerprint request) {
+            return Mono.never();
+        }
     }
 
     /** Notes what is published. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/SuspectSpreadTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/SuspectSpreadTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -47,6 +48,25 @@
         assertThat(standings(fleet)).containsExactly(Standing.QUARANTINED);
     }
 
+    /** After a loss of power of all routers none is left to ask but the store. */
+    @Test
+    void itIsStillKnownAfterAllRoutersHaveStartedAnew() {
+        VirtualFleet fleet = started(9);
+        List<VirtualRouter> routers = List.copyOf(fleet.routers());
+        routers.get(1).suspects().endedUnder(POISON, 1);
+        routers.get(2).suspects().endedUnder(POISON, 2);
+        fleet.pass(TO_SPREAD);
+        fleet.restartAll();
+        fleet.pass(TO_SPREAD);
+        assertThat(standings(fleet)).containsExactly(Standing.QUARANTINED);
+
+        List.copyOf(fleet.routers()).get(4).suspects().answered(POISON);
+        fleet.pass(TO_SPREAD);
+        fleet.restartAll();
+        fleet.pass(TO_SPREAD);
+        assertThat(standings(fleet)).containsExactly(Standing.CLEAR);
+    }
+
     private static VirtualFleet started(int count) {
         VirtualFleet fleet = new VirtualFleet(count, 3, 20, 1_000);
         fleet.publish(1, 2_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
@@ -92,6 +92,12 @@
         start(place, seeds());
     }
 
+    /** Ends all processes at the same moment, and starts them again. */
+    void restartAll() {
+        places.forEach(place -> kill(place.id()));
+        places.forEach(place -> start(place, seeds()));
+    }
+
     /** Lets time pass. */
     void pass(Duration time) {
         scheduler.pass(time);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -12,6 +12,8 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -23,12 +25,14 @@
     private static final long ANSWER_MILLIS = 4;
     private static final int ENDPOINT_BYTES = 260;
     private static final int ROUTER_BYTES = 150;
+    private static final int QUARANTINED_BYTES = 250;
     private static final int HEAD_BYTES = 200;
 
     private final VirtualScheduler scheduler;
     private final VirtualNetwork network;
     private final List<Version> versions = new ArrayList<>();
     private final List<Runnable> waiting = new ArrayList<>();
+    private final Map<RequestFingerprint, Suspect> quarantined = new LinkedHashMap<>();
     private final Map<String, FleetRouter> routers = new LinkedHashMap<>();
     private List<ServiceEndpoint> endpoints = List.of();
     private long revision = 1;
@@ -134,6 +138,29 @@
             return Mono.fromSupplier(() -> routers.remove(self.toString()) != null);
         }
 
+        @Override
+        public Mono<QuarantineReading> quarantined() {
+            return answer(() -> QUARANTINED_BYTES * quarantined.size(), () ->
+                            (QuarantineReading) new QuarantineReading.Listed(List.copyOf(quarantined.values())))
+                    .onErrorResume(error -> Mono.just(new QuarantineReading.Unavailable(error.toString())));
+        }
+
+        @Override
+        public Mono<Boolean> quarantine(Suspect suspect, long storeMillis) {
+            return Mono.fromSupplier(() -> {
+                quarantined.put(suspect.request(), suspect);
+                return true;
+            });
+        }
+
+        @Override
+        public Mono<Boolean> release(RequestFingerprint request) {
+            return Mono.fromSupplier(() -> {
+                quarantined.remove(request);
+                return true;
+            });
+        }
+
         private <T> Mono<T> answer(IntSupplier bytes, Supplier<T> value) {
             return answer(bytes, value, size -> {});
         }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
@@ -7,6 +7,7 @@
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Standing;
+import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
 
@@ -47,7 +48,7 @@
     }
 
     @Override
-    public void onSuspects(Consumer<SuspectReport> listener) {
+    public void onSuspects(SuspectListener listener) {
         quarantine.onNews(listener);
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/QuarantineTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/QuarantineTest.java
@@ -33,7 +33,9 @@
         quarantine.ended(2, List.of(new AtWork(POISON, SOON)), NOW + 900);
         assertThat(quarantine.standing(POISON, NOW + 901)).isEqualTo(Standing.QUARANTINED);
         assertThat(quarantine.standing(INNOCENT, NOW + 901)).isEqualTo(Standing.SUSPECTED);
-        assertThat(heard).containsExactly("quarantined 1 after 2 by this router");
+        assertThat(heard)
+                .containsExactly("quarantined 1 after 2 by this router", "kept 1 with 2")
+                .inOrder();
     }
 
     @Test
@@ -107,7 +109,12 @@
         quarantine.answered(POISON);
         assertThat(quarantine.standing(POISON, NOW + MINUTE + 2)).isEqualTo(Standing.CLEAR);
         assertThat(heard)
-                .containsExactly("quarantined 1 after 2 by this router", "tried 1 after 2", "cleared 1 after 2")
+                .containsExactly(
+                        "quarantined 1 after 2 by this router",
+                        "kept 1 with 2",
+                        "tried 1 after 2",
+                        "cleared 1 after 2",
+                        "released 1")
                 .inOrder();
     }
 
@@ -127,7 +134,9 @@
         other.ended(2, List.of(new AtWork(POISON, SOON)), NOW + 900);
         other.told(quarantineThatSawAnEnd(), "first", NOW + 950);
         assertThat(other.standing(POISON, NOW + 951)).isEqualTo(Standing.QUARANTINED);
-        assertThat(heard).containsExactly("quarantined 1 after 2 by first");
+        assertThat(heard)
+                .containsExactly("quarantined 1 after 2 by first", "kept 1 with 2")
+                .inOrder();
     }
 
     @Test
@@ -201,7 +210,23 @@
                 heard.add("cleared " + request.body() + " after " + ends);
             }
         });
-        created.onNews(told::add);
+        created.onNews(new SuspectListener() {
+            @Override
+            public void found(SuspectReport news) {
+                told.add(news);
+            }
+
+            @Override
+            public void quarantined(Suspect suspect) {
+                heard.add("kept " + suspect.request().body() + " with "
+                        + suspect.ends().size());
+            }
+
+            @Override
+            public void released(RequestFingerprint request) {
+                heard.add("released " + request.body());
+            }
+        });
         return created;
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
@@ -63,6 +63,11 @@
         return seen.size();
     }
 
+    /** Tells whether it has been closed. */
+    public boolean closed() {
+        return server.isClosed();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,9 +13,12 @@
 import org.radishpass.routing.control.ConfigurationReading;
 import org.radishpass.routing.control.ControlSource;
 import org.radishpass.routing.control.DirectoryReading;
+import org.radishpass.routing.control.QuarantineReading;
 import org.radishpass.routing.control.RegistryReading;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.Suspect;
 import reactor.core.publisher.Mono;
 
 /** A store in memory that several routers share; each reaches it by a link of its own, which a test can cut. */
@@ -24,6 +28,7 @@
     private final Set<FleetRouter> routers = ConcurrentHashMap.newKeySet();
     private volatile List<ServiceEndpoint> endpoints = List.of();
     private volatile String document = "";
+    private final Map<RequestFingerprint, Suspect> quarantined = new ConcurrentHashMap<>();
     private final AtomicLong revision = new AtomicLong(1);
 
     /** Publishes a configuration. */
@@ -123,6 +128,33 @@
                     () -> routers.removeIf(router -> router.address().equals(self)));
         }
 
+        @Override
+        public Mono<QuarantineReading> quarantined() {
+            return Mono.fromSupplier(() -> cut
+                    ? new QuarantineReading.Unavailable("cut")
+                    : new QuarantineReading.Listed(List.copyOf(quarantined.values())));
+        }
+
+        @Override
+        public Mono<Boolean> quarantine(Suspect suspect, long storeMillis) {
+            return Mono.fromSupplier(() -> {
+                if (!cut) {
+                    quarantined.put(suspect.request(), suspect);
+                }
+                return !cut;
+            });
+        }
+
+        @Override
+        public Mono<Boolean> release(RequestFingerprint request) {
+            return Mono.fromSupplier(() -> {
+                if (!cut) {
+                    quarantined.remove(request);
+                }
+                return !cut;
+            });
+        }
+
         private ConfigurationReading reading() {
             if (cut) {
                 return new ConfigurationReading.Unavailable("cut");
