--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -12,9 +12,9 @@
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
-import org.radishpass.routing.quarantine.Standing;
 
 /**
  * The life of one request: from when it is whole until its answer is whole, refused or broken off.
@@ -23,14 +23,12 @@
  * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
  */
 final class Exchange implements Attempt.Owner {
-    /** Endpoints at which the answer of one arrival may break off if one of them has ended. */
-    private static final int MOST_BROKEN = 2;
-
     private final TrafficTools tools;
     private final CallerConnection caller;
     private final HttpRequest request;
     private final ByteBuf body;
     private final ExchangeRecord record;
+    private EndpointRisk risk;
     private final List<String> triedEndpoints = new ArrayList<>();
     private Terms terms = Terms.UNKNOWN;
     private @Nullable AnswerRelay relay;
@@ -41,8 +39,6 @@
     private int sends;
     private long sentAtMillis;
     private boolean ended;
-    private Standing startedAs = Standing.CLEAR;
-    private final List<String> brokenAt = new ArrayList<>(1);
 
     Exchange(TrafficTools tools, CallerConnection caller, RequestAssembly assembly) {
         this.tools = tools;
@@ -50,6 +46,7 @@
         this.request = assembly.request();
         this.body = assembly.body();
         this.record = new ExchangeRecord(assembly.receivedAtMillis());
+        this.risk = new EndpointRisk(tools, RequestFingerprint.UNKNOWN);
         tools.exchanges().add(this);
     }
 
@@ -71,7 +68,7 @@
             refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
             return;
         }
-        startedAs = standing();
+        risk = new EndpointRisk(tools, record.fingerprint());
         tools.budget().requested(terms.service(), tools.nowMillis());
         long left = terms.leftMillis(tools.nowMillis());
         timer = tools.loop().schedule(this::expired, Math.max(0, left), TimeUnit.MILLISECONDS);
@@ -88,7 +85,7 @@
     }
 
     private void attempt() {
-        if (!standing().admitted()) {
+        if (!risk.admitted()) {
             giveUpQuarantined();
             return;
         }
@@ -105,10 +102,6 @@
         attempt(choice.get());
     }
 
-    private Standing standing() {
-        return tools.quarantine().standing(record.fingerprint(), tools.nowMillis());
-    }
-
     private void giveUpQuarantined() {
         giveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
     }
@@ -139,22 +132,13 @@
         relay().dropPending();
         boolean repeatable = terms.kind().mayRunAgain()
                 && (!relay().started() || terms.kind().resumes());
-        if (repeatable && maySuffer() && mayRetry()) {
+        if (repeatable && risk.mayBeRepeated() && mayRetry()) {
             attempt();
         } else {
             giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint failed");
         }
     }
 
-    /**
-     * Tells whether another endpoint may be put at risk with this arrival. Mostly the request is innocent, and another one ended its endpoint:
-     * so it may, once. Were it tried at each of {@code maxAttempts} endpoints, one arrival ended three before anyone could know.
-     */
-    private boolean maySuffer() {
-        boolean enough = brokenAt.size() >= MOST_BROKEN && brokenAt.stream().anyMatch(tools.ends()::hasEnded);
-        return startedAs.mayBeRepeated() && !enough;
-    }
-
     private boolean mayRetry() {
         return sends < terms.maxAttempts()
                 && terms.leftMillis(tools.nowMillis()) > 0
@@ -226,11 +210,10 @@
         if (ended || attempt == null || !terms.kind().mayRunAgain()) {
             return;
         }
-        String endpointId = attempt.endpoint().id();
-        tools.ends()
-                .broke(attempt.endpoint(), record.fingerprint(), tools.nowMillis() - sentAtMillis, tools.nowMillis());
+        ServiceEndpoint endpoint = attempt.endpoint();
+        tools.ends().broke(endpoint, record.fingerprint(), tools.nowMillis() - sentAtMillis, tools.nowMillis());
         stopAttempt();
-        brokenAt.add(endpointId);
+        risk.brokeAt(endpoint);
         failedAtEndpoint("the endpoint cannot be reached any more");
     }
 
@@ -264,7 +247,7 @@
             expired();
             return;
         }
-        if (!standing().admitted()) {
+        if (!risk.admitted()) {
             stopAttempt();
             giveUpQuarantined();
             return;
@@ -274,7 +257,7 @@
         verdictBeforeAttempt = verdict;
         verdict = verdict.and(Verdict.MAY_HAVE_RUN);
         record.sent(tools.nowMillis());
-        tools.quarantine().sent(record.fingerprint(), sentAtMillis);
+        risk.sent();
         terms.prompt().ifPresent(prompt -> tools.chooser().sent(prompt, current.endpoint(), sentAtMillis));
         connection.send(
                 OnwardRequest.of(
@@ -291,7 +274,7 @@
      */
     @Override
     public void overdue(Attempt late) {
-        if (late != attempt || relay().started() || !terms.kind().mayRunAgain() || !startedAs.mayBeRepeated()) {
+        if (late != attempt || relay().started() || !terms.kind().mayRunAgain() || !risk.mayBeRepeated()) {
             return;
         }
         Optional<PlacementChoice> other = tools.placer().another(terms, triedEndpoints, late.endpoint());
@@ -350,7 +333,7 @@
         triedEndpoints.add(whole.endpoint().id());
         record.finished(Verdict.RAN, status, "answered");
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-            tools.quarantine().answered(record.fingerprint());
+            risk.answered();
         }
         if (relay().complete()) {
             end();
@@ -362,7 +345,7 @@
     @Override
     public void broken(Attempt failed, String cause) {
         attempt = null;
-        brokenAt.add(failed.endpoint().id());
+        risk.brokeAt(failed.endpoint());
         if (!failed.keptConnectionWasClosed()) {
             triedEndpoints.add(failed.endpoint().id());
         }
