How many ends tell a request that causes them depends on how often endpoints of its service end

What was refused stays so until it is answered or forgotten. A router that saw an end, or read the row, removes the row when the request proves harmless anywhere.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/QuarantineKeeper.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/QuarantineKeeper.java
@@ -1,12 +1,10 @@
 package org.radishpass.routing.control;
 
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Sighting;
 import org.radishpass.routing.quarantine.Suspect;
-import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
@@ -55,9 +53,7 @@
 
     private void take(QuarantineReading reading) {
         if (reading instanceof QuarantineReading.Listed listed) {
-            suspects.suspectsTold(new SuspectReport(listed.suspects(), List.of()), "the store", news -> {
-                // each router reads the store itself
-            });
+            suspects.suspectsRestored(listed.suspects());
             listed.suspects().stream().filter(QuarantineKeeper::outdated).forEach(old -> released(old.request()));
         } else if (reading instanceof QuarantineReading.Unavailable unavailable) {
             LOG.info("requests that are held back cannot be read yet: {}", unavailable.reason());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,7 +13,7 @@
  * thread.
  *
  * <p>Whenever an endpoint ends, every request at work there may have been the cause. One that is sent again and meets a second end soon after
- * that, and alone, or a third end however it came, is held to be it. Whatever is answered is cleared at once, at all routers: a request that
+ * that, and alone, or a third end however it came, is held to be it; of a service whose endpoints often end, more are asked for. Whatever is answered is cleared at once, at all routers: a request that
  * ends its endpoints is never answered. What is believed ages: after a pause that grows with the ends one try is made.
  *
  * @since 0.5.0
@@ -27,10 +28,15 @@
     /** Requests of one end that are told: the youngest, since the cause is among them, and few enough for a message of 2 KB. */
     static final int MOST_OF_END = 32;
 
+    /** Ends in a row from which a request is held to be the cause that did not come soon each time, or met them with another one. */
+    private static final int ENDS_OTHERWISE = 3;
+
     private static final String THIS_ROUTER = "this router";
+    private static final String THE_STORE = "the store";
 
     private final Map<RequestFingerprint, Suspicion> suspicions = new LinkedHashMap<>();
     private final Listener listener;
+    private final BackgroundEnds background = new BackgroundEnds();
     private SuspectListener outward = SuspectListener.NONE;
     private volatile int held;
 
@@ -55,39 +61,54 @@
     /**
      * Notes that an endpoint has ended.
      *
+     * @param service the service that it answered for
      * @param endpointHash the hash of its id
      * @param atWork the requests that were at work there
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void ended(long endpointHash, Collection<AtWork> atWork, long nowMillis) {
-        List<Suspect> news = new ArrayList<>();
-        atWork.stream()
-                .sorted((one, other) -> Long.compare(one.millis(), other.millis()))
+    public void ended(String service, long endpointHash, Collection<AtWork> atWork, long nowMillis) {
+        background.ended(service, atWork.size(), nowMillis);
+        List<Suspect> news = atWork.stream()
+                .sorted(Comparator.comparingLong(AtWork::millis))
                 .limit(MOST_OF_END)
-                .forEach(one -> {
-                    Sighting sighting = new Sighting(endpointHash, 0, one.millis());
-                    if (add(one.request(), List.of(sighting), nowMillis, THIS_ROUTER)) {
-                        news.add(new Suspect(one.request(), List.of(sighting), Suspect.NEVER_TRIED));
-                    }
-                });
+                .map(one -> suspect(one, endpointHash))
+                .filter(suspect -> seenHere(suspect, service, nowMillis))
+                .toList();
+        news.forEach(suspect -> keepIfHeld(suspect.request(), nowMillis));
         tell(new SuspectReport(news, List.of()));
     }
 
+    private static Suspect suspect(AtWork one, long endpointHash) {
+        return new Suspect(one.request(), List.of(new Sighting(endpointHash, 0, one.millis())), Suspect.NEVER_TRIED);
+    }
+
+    private boolean seenHere(Suspect suspect, String service, long nowMillis) {
+        Suspicion suspicion = suspicion(suspect.request());
+        suspicion.service(service);
+        suspicion.seenHere();
+        return suspicion.addAll(suspect.ends(), THIS_ROUTER, nowMillis);
+    }
+
+    /** A router that has seen one of the ends itself sees to it that the request is kept in the store. */
+    private void keepIfHeld(RequestFingerprint request, long nowMillis) {
+        Suspicion suspicion = suspicions.get(request);
+        if (suspicion != null && suspicion.wasSeenHere() && heldToBeTheCause(suspicion, nowMillis)) {
+            suspicion.kept();
+            outward.quarantined(suspicion.told(request, nowMillis));
+        }
+    }
+
     /**
      * Notes that a request was answered: it is harmless.
      *
      * @param request the request
+     * @param service the service that answered it
+     * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void answered(RequestFingerprint request) {
-        Suspicion suspicion = suspicions.get(request);
-        if (suspicion == null) {
-            return;
-        }
-        boolean held = heldToBeTheCause(suspicion);
-        clear(request);
-        tell(new SuspectReport(List.of(), List.of(request)));
-        if (held) {
-            outward.released(request);
+    public void answered(RequestFingerprint request, String service, long nowMillis) {
+        background.answered(service, nowMillis);
+        if (clear(request)) {
+            tell(new SuspectReport(List.of(), List.of(request)));
         }
     }
 
@@ -99,7 +120,7 @@
      */
     public void sent(RequestFingerprint request, long nowMillis) {
         Suspicion suspicion = suspicions.get(request);
-        if (suspicion != null && standing(request, nowMillis) == Standing.ON_TRIAL) {
+        if (suspicion != null && standing(suspicion, nowMillis) == Standing.ON_TRIAL) {
             suspicion.tried(nowMillis);
             listener.tried(request, suspicion.endsInRow());
             tell(new SuspectReport(List.of(suspicion.told(request, nowMillis)), List.of()));
@@ -123,14 +144,30 @@
     }
 
     private boolean told(Suspect suspect, String origin, long nowMillis) {
-        boolean news = add(suspect.request(), suspect.ends(), nowMillis, origin);
-        Suspicion suspicion = suspicions.get(suspect.request());
-        if (suspicion != null && suspect.tried()) {
+        Suspicion suspicion = suspicion(suspect.request());
+        boolean news = suspicion.addAll(suspect.ends(), origin, nowMillis);
+        if (news) {
+            keepIfHeld(suspect.request(), nowMillis);
+        }
+        if (suspect.tried()) {
             news |= suspicion.tried(nowMillis - suspect.triedMillisAgo());
         }
         return news;
     }
 
+    /**
+     * Takes what the store has kept of earlier days; this router removes a row when its request proves harmless.
+     *
+     * @param suspects the requests
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public void restored(Collection<Suspect> suspects, long nowMillis) {
+        for (Suspect suspect : suspects) {
+            told(suspect, THE_STORE, nowMillis);
+            suspicion(suspect.request()).kept();
+        }
+    }
+
     /** Returns all that is believed. */
     public SuspectReport all(long nowMillis) {
         List<Suspect> suspects = new ArrayList<>(suspicions.size());
@@ -142,14 +179,25 @@
      * Returns what may be done with a request now.
      *
      * @param request the request
+     * @param service the service that it is for
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public Standing standing(RequestFingerprint request, long nowMillis) {
+    public Standing standing(RequestFingerprint request, String service, long nowMillis) {
         Suspicion suspicion = suspicions.get(request);
         if (suspicion == null || suspicion.outdated(nowMillis)) {
             return Standing.CLEAR;
         }
-        return heldToBeTheCause(suspicion) ? suspicion.standing(nowMillis) : Standing.SUSPECTED;
+        suspicion.service(service);
+        Standing standing = standing(suspicion, nowMillis);
+        if (standing == Standing.QUARANTINED && !suspicion.held()) {
+            suspicion.hold();
+            listener.quarantined(request, suspicion.endsInRow(), suspicion.origin());
+        }
+        return standing;
+    }
+
+    private Standing standing(Suspicion suspicion, long nowMillis) {
+        return heldToBeTheCause(suspicion, nowMillis) ? suspicion.standing(nowMillis) : Standing.SUSPECTED;
     }
 
     /** Returns how many requests were held to end their endpoints when last tidied up; from any thread. */
@@ -160,47 +208,50 @@
     /** Forgets what makes no difference any more. */
     public void tidy(long nowMillis) {
         suspicions.values().removeIf(suspicion -> suspicion.outdated(nowMillis));
-        held = (int) suspicions.values().stream().filter(this::heldToBeTheCause).count();
+        background.tidy(nowMillis);
+        held = (int) suspicions.values().stream()
+                .filter(suspicion -> heldToBeTheCause(suspicion, nowMillis))
+                .count();
     }
 
-    private boolean heldToBeTheCause(Suspicion suspicion) {
-        return suspicion.certain() || (suspicion.likely() && alone(suspicion));
+    /** What is once refused stays so until it is answered or forgotten: ends of others make it no better. */
+    private boolean heldToBeTheCause(Suspicion suspicion, long nowMillis) {
+        if (suspicion.held()) {
+            return true;
+        }
+        int needed = background.endsNeeded(suspicion.service(), nowMillis);
+        boolean fewTell = suspicion.typical() && alone(suspicion);
+        return suspicion.endsInRow() >= (fewTell ? needed : Math.max(needed, ENDS_OTHERWISE));
     }
 
     /** Two requests that met the same two ends cannot be told apart by them; the third end, or an answer, does. */
     private boolean alone(Suspicion suspicion) {
         return suspicions.values().stream()
-                .noneMatch(other -> other != suspicion && other.likely() && suspicion.sharedWith(other));
+                .noneMatch(other -> other != suspicion && other.typical() && suspicion.sharedWith(other));
     }
 
-    private boolean add(RequestFingerprint request, List<Sighting> ends, long nowMillis, String origin) {
-        Suspicion suspicion = suspicions.get(request);
-        if (suspicion == null) {
+    private Suspicion suspicion(RequestFingerprint request) {
+        Suspicion known = suspicions.get(request);
+        if (known == null) {
             makeRoom(request);
-            suspicion = new Suspicion();
-            suspicions.put(request, suspicion);
-        }
-        boolean heldBefore = heldToBeTheCause(suspicion);
-        boolean news = false;
-        for (Sighting end : ends) {
-            news |= suspicion.add(end, nowMillis);
-        }
-        if (!heldBefore && heldToBeTheCause(suspicion)) {
-            listener.quarantined(request, suspicion.endsInRow(), origin);
-        }
-        suspicion.seenHere(origin.equals(THIS_ROUTER));
-        if (news && suspicion.seenHere() && heldToBeTheCause(suspicion)) {
-            outward.quarantined(suspicion.told(request, nowMillis));
+            known = new Suspicion();
+            suspicions.put(request, known);
         }
-        return news;
+        return known;
     }
 
     private boolean clear(RequestFingerprint request) {
         Suspicion cleared = suspicions.remove(request);
-        if (cleared != null && cleared.endsInRow() > 1) {
+        if (cleared == null) {
+            return false;
+        }
+        if (cleared.held()) {
             listener.cleared(request, cleared.endsInRow());
         }
-        return cleared != null;
+        if (cleared.wasKept()) {
+            outward.released(request);
+        }
+        return true;
     }
 
     /** Drops the request with the fewest and oldest ends, of the same workspace if that has many, else of the one with the most. */
@@ -241,13 +292,13 @@
 
     /** Hears of what is believed of requests. */
     public interface Listener {
-        /** A request is held to end its endpoints from now on. */
+        /** A request is refused for the first time since it is held to end its endpoints. */
         void quarantined(RequestFingerprint request, int ends, String origin);
 
         /** A request that was held back is let through once. */
         void tried(RequestFingerprint request, int ends);
 
-        /** A request with which several endpoints had ended was answered, here or elsewhere. */
+        /** A request that was refused here because of its ends was answered, here or elsewhere. */
         void cleared(RequestFingerprint request, int ends);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectSource.java
@@ -1,5 +1,6 @@
 package org.radishpass.routing.quarantine;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -9,7 +10,7 @@
  */
 public interface SuspectSource {
     /**
-     * Takes what another router tells, or the store.
+     * Takes what another router tells.
      *
      * @param report what it tells
      * @param origin who tells it, for the log
@@ -17,6 +18,13 @@
      */
     void suspectsTold(SuspectReport report, String origin, Consumer<SuspectReport> news);
 
+    /**
+     * Takes what the store has kept.
+     *
+     * @param suspects the requests
+     */
+    void suspectsRestored(List<Suspect> suspects);
+
     /**
      * Gives all that is believed now.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Suspicion.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Suspicion.java
@@ -15,11 +15,8 @@
 final class Suspicion {
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    /** Ends in a row from which a request is held to be the cause, whatever else speaks for it. */
-    private static final int CERTAIN_ENDS = 3;
-
-    /** Ends in a row from which it is, if each came soon and no other request was at work at the same endpoints. */
-    private static final int LIKELY_ENDS = 2;
+    /** Ends in a row without which nothing is held against a request. */
+    private static final int LEAST_ENDS = 2;
 
     /** Milliseconds after a request was sent within which an end speaks against it: it ends its endpoint as it begins to run. */
     private static final long SOON_MILLIS = 1_000;
@@ -53,14 +50,27 @@
     private long lastEndMillis = NEVER;
     private long triedAtMillis = NEVER;
     private boolean seenHere;
+    private boolean held;
+    private boolean kept;
+    private String service = "";
+    private String origin = "";
+
+    /** Takes ends; returns whether one of them is news. */
+    boolean addAll(List<Sighting> sightings, String from, long nowMillis) {
+        boolean news = false;
+        for (Sighting sighting : sightings) {
+            news |= add(sighting, from, nowMillis);
+        }
+        return news;
+    }
 
-    /** Takes an end; returns whether it is news. */
-    boolean add(Sighting sighting, long nowMillis) {
+    private boolean add(Sighting sighting, String from, long nowMillis) {
         if (ends.size() >= MOST_ENDS || ends.containsKey(sighting.endpointHash())) {
             return false;
         }
         long atMillis = nowMillis - sighting.ageMillis();
         ends.put(sighting.endpointHash(), new End(atMillis, sighting.atWorkMillis()));
+        origin = from;
         count();
         return true;
     }
@@ -87,16 +97,26 @@
         return news;
     }
 
-    /** Notes whether this router has seen one of the ends itself. */
-    void seenHere(boolean now) {
-        seenHere |= now;
+    /** Notes that this router has seen one of the ends itself. */
+    void seenHere() {
+        seenHere = true;
     }
 
-    /** Tells whether this router has seen one of the ends itself; one that has keeps the request in the store. */
-    boolean seenHere() {
+    /** Tells whether this router has seen one of the ends itself. */
+    boolean wasSeenHere() {
         return seenHere;
     }
 
+    /** Notes that the store has a row of it. */
+    void kept() {
+        kept = true;
+    }
+
+    /** Tells whether the store has a row of it, as far as this router knows. */
+    boolean wasKept() {
+        return kept;
+    }
+
     /** Returns how many ends have followed each other. */
     int endsInRow() {
         return endsInRow;
@@ -106,14 +126,33 @@
         return lastEndMillis;
     }
 
-    /** Tells whether it alone explains its ends, as far as they show. */
-    boolean likely() {
-        return endsInRow >= LIKELY_ENDS && allSoon;
+    /** Tells whether its ends came as they do that a request causes: more than one, each soon after it was sent. */
+    boolean typical() {
+        return endsInRow >= LEAST_ENDS && allSoon;
+    }
+
+    /** Tells whether it has been refused because it is held to be the cause of its ends. */
+    boolean held() {
+        return held;
+    }
+
+    void hold() {
+        held = true;
+    }
+
+    /** Returns the service that it is for; empty while this router has not seen it. */
+    String service() {
+        return service;
+    }
+
+    /** Notes the service that it is for. */
+    void service(String name) {
+        service = name;
     }
 
-    /** Tells whether it is held to be the cause whatever other requests have met. */
-    boolean certain() {
-        return endsInRow >= CERTAIN_ENDS;
+    /** Returns who has told last of an end. */
+    String origin() {
+        return origin;
     }
 
     /** Tells whether another request met all of the same ends. */
@@ -137,10 +176,10 @@
     }
 
     private long heldUntilMillis() {
-        if (endsInRow < LIKELY_ENDS) {
+        if (endsInRow < LEAST_ENDS) {
             return lastEndMillis;
         }
-        return lastEndMillis + PAUSES_MILLIS[Math.min(endsInRow - LIKELY_ENDS, PAUSES_MILLIS.length - 1)];
+        return lastEndMillis + PAUSES_MILLIS[Math.min(endsInRow - LEAST_ENDS, PAUSES_MILLIS.length - 1)];
     }
 
     /** Returns it as it is told to others. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointRisk.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointRisk.java
@@ -13,12 +13,14 @@
 
     private final TrafficTools tools;
     private final RequestFingerprint request;
+    private final String service;
     private final Standing atArrival;
     private final List<String> brokenAt = new ArrayList<>(1);
 
-    EndpointRisk(TrafficTools tools, RequestFingerprint request) {
+    EndpointRisk(TrafficTools tools, RequestFingerprint request, String service) {
         this.tools = tools;
         this.request = request;
+        this.service = service;
         this.atArrival = standing();
     }
 
@@ -49,10 +51,10 @@
 
     /** Notes that it was answered, and its endpoint lives: it is harmless. */
     void answered() {
-        tools.quarantine().answered(request);
+        tools.quarantine().answered(request, service, tools.nowMillis());
     }
 
     private Standing standing() {
-        return tools.quarantine().standing(request, tools.nowMillis());
+        return tools.quarantine().standing(request, service, tools.nowMillis());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -46,7 +46,7 @@
         this.request = assembly.request();
         this.body = assembly.body();
         this.record = new ExchangeRecord(assembly.receivedAtMillis());
-        this.risk = new EndpointRisk(tools, RequestFingerprint.UNKNOWN);
+        this.risk = new EndpointRisk(tools, RequestFingerprint.UNKNOWN, terms.service());
         tools.exchanges().add(this);
     }
 
@@ -68,7 +68,7 @@
             refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
             return;
         }
-        risk = new EndpointRisk(tools, record.fingerprint());
+        risk = new EndpointRisk(tools, record.fingerprint(), terms.service());
         tools.budget().requested(terms.service(), tools.nowMillis());
         long left = terms.leftMillis(tools.nowMillis());
         timer = tools.loop().schedule(this::expired, Math.max(0, left), TimeUnit.MILLISECONDS);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -30,6 +30,7 @@
 import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
@@ -183,6 +184,11 @@
         });
     }
 
+    @Override
+    public void suspectsRestored(List<Suspect> suspects) {
+        loop.execute(() -> tools.quarantine().restored(suspects, clock.millis()));
+    }
+
     @Override
     public void suspects(Consumer<SuspectReport> taker) {
         loop.execute(() -> taker.accept(tools.quarantine().all(clock.millis())));
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -145,7 +145,7 @@
                 .map(ServiceEndpoint::leaving)
                 .orElse(false);
         if (!leaving) {
-            quarantine.ended(endpoint.hash(), atWork, nowMillis());
+            quarantine.ended(endpoint.service(), endpoint.hash(), atWork, nowMillis());
         }
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
@@ -7,12 +7,15 @@
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Standing;
+import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.quarantine.SuspectSource;
 
 /** The traffic side of a router in virtual time, as far as requests that may end their endpoints go. */
 final class VirtualSuspects implements SuspectSource, Quarantine.Listener {
+    private static final String SERVICE = "orders";
+
     private final LongSupplier clock;
     private final Quarantine quarantine = new Quarantine(this);
 
@@ -22,16 +25,16 @@
 
     /** An endpoint ends 100 ms after a request was sent there by this router. */
     void endedUnder(RequestFingerprint request, long endpointHash) {
-        quarantine.ended(endpointHash, List.of(new AtWork(request, 100)), clock.getAsLong());
+        quarantine.ended(SERVICE, endpointHash, List.of(new AtWork(request, 100)), clock.getAsLong());
     }
 
     /** A request is answered by this router. */
     void answered(RequestFingerprint request) {
-        quarantine.answered(request);
+        quarantine.answered(request, SERVICE, clock.getAsLong());
     }
 
     Standing standing(RequestFingerprint request) {
-        return quarantine.standing(request, clock.getAsLong());
+        return quarantine.standing(request, SERVICE, clock.getAsLong());
     }
 
     @Override
@@ -42,6 +45,11 @@
         }
     }
 
+    @Override
+    public void suspectsRestored(List<Suspect> suspects) {
+        quarantine.restored(suspects, clock.getAsLong());
+    }
+
     @Override
     public void suspects(Consumer<SuspectReport> taker) {
         taker.accept(quarantine.all(clock.getAsLong()));
