--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -77,7 +77,7 @@
                                 .map(org.radishpass.routing.config.Workspace::name)
                                 .orElse("")),
                 kv("service", record.terms().service()),
-                kv("fingerprint", record.fingerprint()),
+                kv("fingerprint", record.fingerprint().toString()),
                 kv("urgency", record.terms().urgency()),
                 kv("attempts", record.steps().stream().map(Object::toString).toList()),
                 kv("status", record.status()),
@@ -132,7 +132,7 @@
                 count,
                 origin,
                 LogEvent.REQUEST_QUARANTINED.field(),
-                kv("fingerprint", request),
+                kv("fingerprint", request.toString()),
                 kv("ends", count));
     }
 
@@ -143,7 +143,7 @@
                 request,
                 count,
                 LogEvent.REQUEST_TRIED.field(),
-                kv("fingerprint", request),
+                kv("fingerprint", request.toString()),
                 kv("ends", count));
     }
 
@@ -154,7 +154,7 @@
                 request,
                 count,
                 LogEvent.REQUEST_CLEARED.field(),
-                kv("fingerprint", request),
+                kv("fingerprint", request.toString()),
                 kv("ends", count));
     }
 
