Nothing is sent on for callers whose close already lies in their socket

Cause: between choosing an endpoint and sending, nothing looked at the caller. The traffic thread learns of a close only when it comes round to the socket again; where a pass takes half a second (a start on an eighth of a core, a router that stood still) it had read requests, opened connections and sent them on before it came to the closes. Change: the caller's socket is read once, without waiting, before a request begins and again right before each send (first tries, second tries, resumed streams, requests held for a configuration all pass there). A request begins when the reading of its socket is over, so that the look is never inside another one. A connection on which nothing was sent goes back to the pool. Conclusion: the class is closed at its one place, the send.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -97,6 +97,16 @@
         }
     }
 
+    /** Ends the attempt before the request was sent; its connection can carry another one. */
+    void withdraw() {
+        finish();
+        EndpointConnection unused = connection;
+        connection = null;
+        if (unused != null) {
+            unused.release();
+        }
+    }
+
     @Override
     public void connected(EndpointConnection made) {
         health().connected(tools.nowMillis());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -39,6 +41,8 @@
     private @Nullable Exchange exchange;
     private boolean closeAfterAnswer;
     private boolean closing;
+    private boolean reading;
+    private boolean arrivalDue;
     private long quietSinceMillis;
 
     CallerConnection(TrafficTools tools) {
@@ -54,6 +58,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        reading = true;
         if (closing) {
             ReferenceCountUtil.release(message);
             return;
@@ -66,6 +71,15 @@
         accept((HttpObject) message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        reading = false;
+        if (arrivalDue) {
+            arrivalDue = false;
+            arrive();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
@@ -98,6 +112,20 @@
         return ctx().channel().isWritable();
     }
 
+    /**
+     * Tells whether the caller has left, by a look at its socket now. The traffic thread sees a close only when it comes round to the
+     * socket again; in a pass of half a second, as after a start on an eighth of a core, two of three requests were sent on for callers
+     * whose close had been lying there since before.
+     */
+    boolean hasLeft() {
+        Channel channel = ctx().channel();
+        boolean readable = channel.isActive() && channel.config().isAutoRead();
+        if (readable && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return !channel.isActive();
+    }
+
     /** Tells whether no request is in progress or on its way in. */
     boolean idle() {
         return !busy() && assembly == null;
@@ -241,6 +269,18 @@
     private void dispatch(RequestAssembly request) {
         assembly = null;
         whole = request;
+        if (reading) {
+            arrivalDue = true; // its socket can be looked at once the reading is over
+        } else {
+            arrive();
+        }
+    }
+
+    private void arrive() {
+        RequestAssembly request = whole;
+        if (request == null) {
+            return;
+        }
         if (tools.held().holdsNow()) {
             long patienceMillis = patienceMillis(request.request());
             tools.held().add(this, HeldArrivals.deadlineMillis(request.receivedAtMillis(), patienceMillis));
@@ -261,10 +301,10 @@
     @Override
     public boolean begin() {
         RequestAssembly request = whole;
-        whole = null;
-        if (request == null) {
+        if (request == null || hasLeft()) {
             return false;
         }
+        whole = null;
         Exchange started = new Exchange(tools, this, request);
         exchange = started;
         started.begin();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -217,6 +217,14 @@
         failedAtEndpoint("the endpoint cannot be reached any more");
     }
 
+    private void withdrawAttempt() {
+        Attempt current = attempt;
+        attempt = null;
+        if (current != null) {
+            current.withdraw();
+        }
+    }
+
     private void stopAttempt() {
         Attempt current = attempt;
         attempt = null;
@@ -242,13 +250,19 @@
 
     @Override
     public void connected(Attempt current, EndpointConnection connection) {
+        if (caller.hasLeft()) {
+            withdrawAttempt();
+            callerLeft();
+            return;
+        }
         long left = terms.leftMillis(tools.nowMillis());
         if (left <= 0) {
+            withdrawAttempt();
             expired();
             return;
         }
         if (!risk.admitted()) {
-            stopAttempt();
+            withdrawAttempt();
             giveUpQuarantined();
             return;
         }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.radishpass.core.fleet.DataCentre;
@@ -72,6 +73,18 @@
         skippedMillis.addAndGet(millis);
     }
 
+    /**
+     * Lets the traffic thread stand still, as where the process does not get the processor.
+     *
+     * @return lets it go on when it is closed
+     */
+    public Standstill standStill() throws InterruptedException {
+        Standstill standstill = new Standstill();
+        loops.onServer(false).next().execute(standstill::hold);
+        standstill.begun.await();
+        return standstill;
+    }
+
     /** Returns the traffic side. */
     public TrafficServer server() {
         return server;
@@ -82,6 +95,26 @@
         return new TestCaller(((InetSocketAddress) listening.localAddress()).getPort());
     }
 
+    /** A time in which the traffic thread does nothing. */
+    public static final class Standstill implements AutoCloseable {
+        private final CountDownLatch begun = new CountDownLatch(1);
+        private final CountDownLatch over = new CountDownLatch(1);
+
+        private void hold() {
+            begun.countDown();
+            try {
+                over.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void close() {
+            over.countDown();
+        }
+    }
+
     @Override
     public void close() {
         listening.close().syncUninterruptibly();
