--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -75,6 +75,7 @@
      * @param failing the endpoints that were seen to fail too many requests
      * @param scope whose work this is
      * @param ownReadMillis when the sender itself read the store last, on the store's clock in milliseconds
+     * @param drains the data centres of which the operator has said whether their endpoints are to get nothing new
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -87,13 +88,33 @@
             boolean directorySettled,
             List<String> failing,
             @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope,
-            long ownReadMillis)
+            long ownReadMillis,
+            List<DrainEntry> drains)
             implements RoutingMessage {
-        /** Refuses a message that lacks a component. */
+        /** Refuses a message that lacks a component; earlier releases do not tell of drained data centres. */
+        @SuppressWarnings("NullAway") // a decoder leaves out what a message lacks
         public RoutingState {
             work = List.copyOf(work);
             failing = List.copyOf(failing);
             Objects.requireNonNull(scope, "scope");
+            drains = List.copyOf(Objects.requireNonNullElse(drains, List.of()));
+        }
+    }
+
+    /**
+     * Whether endpoints of a data centre are to get nothing new.
+     *
+     * @param dataCentre the data centre
+     * @param revision the store's revision at which that was said; the highest holds
+     * @param drained whether they are to get nothing new; false once that was taken back
+     * @param forMillis for how long that has held, as far as the sender knows
+     * @since 0.6.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record DrainEntry(String dataCentre, long revision, boolean drained, long forMillis) {
+        /** Refuses a message that lacks a component. */
+        public DrainEntry {
+            Objects.requireNonNull(dataCentre, "dataCentre");
         }
     }
 
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -27,7 +27,8 @@
             true,
             List.of("f"),
             WorkScope.GROUP,
-            17);
+            17,
+            List.of(new RoutingMessage.DrainEntry("there", 19, true, 23)));
 
     static Stream<RoutingMessage> messages() {
         return Stream.of(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/config/Route.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/config/Route.java
@@ -1,7 +1,9 @@
 package org.radishpass.routing.config;
 
 import java.util.Objects;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.fleet.Region;
 
 /**
  * Where the requests of one host and path prefix go, and under which terms.
@@ -17,6 +19,7 @@
  * @param maxAttempts the endpoints that one request may be sent to
  * @param anonymous whether requests need no key
  * @param promptAffinity whether requests say which parts their prompts share
+ * @param allowedRegions the regions in which its requests may run; empty if that is everywhere
  * @since 0.2.0
  */
 public record Route(
@@ -30,7 +33,13 @@
         int priority,
         int maxAttempts,
         boolean anonymous,
-        boolean promptAffinity) {
+        boolean promptAffinity,
+        Set<Region> allowedRegions) {
+    /** Takes a copy. */
+    public Route {
+        allowedRegions = Set.copyOf(allowedRegions);
+    }
+
     /**
      * Starts a route.
      *
@@ -62,6 +71,7 @@
         private int maxAttempts = 1;
         private boolean anonymous;
         private boolean promptAffinity;
+        private Set<Region> allowedRegions = Set.of();
 
         private Builder(String name) {
             this.name = name;
@@ -122,6 +132,12 @@
             return this;
         }
 
+        /** Sets the regions in which requests may run; empty if that is everywhere. */
+        public Builder allowedRegions(Set<Region> regions) {
+            this.allowedRegions = regions;
+            return this;
+        }
+
         /**
          * Returns the route.
          *
@@ -139,7 +155,8 @@
                     priority,
                     maxAttempts,
                     anonymous,
-                    promptAffinity);
+                    promptAffinity,
+                    allowedRegions);
         }
     }
 }
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Beliefs.java
@@ -0,0 +1,12 @@
+package org.radishpass.routing.control;
+
+/**
+ * What a router believes of its deployment; each part belongs to the control thread.
+ *
+ * @param configuration the configuration in force
+ * @param directory the endpoints
+ * @param drains the data centres that get nothing new
+ * @param storeClock how the store's clock relates to this router's
+ */
+record Beliefs(
+        ConfigurationTracker configuration, DirectoryTracker directory, DrainTracker drains, StoreClock storeClock) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -150,9 +150,11 @@
     private void take(ConfigurationReading result) {
         if (result instanceof ConfigurationReading.Published published) {
             revision = Math.max(revision, published.revision());
+            listener.drains(published.drains());
             listener.published(published.content());
         } else if (result instanceof ConfigurationReading.Unchanged unchanged) {
             revision = Math.max(revision, unchanged.revision());
+            listener.drains(unchanged.drains());
         } else if (result instanceof ConfigurationReading.HistoryLost) {
             LOG.info("the store has lost its history; the configuration is read anew", LogEvent.STORE_HISTORY.field());
             readsWhole = true;
@@ -167,6 +169,9 @@
         /** An answer begins to come, or has not come whole. */
         void arrivalChanged();
 
+        /** The store says this of data centres that are to get nothing new. */
+        void drains(DrainReading reading);
+
         /** The store has this configuration. */
         void published(byte[] content);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -1,13 +1,21 @@
 package org.radishpass.routing.control;
 
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.List;
+import java.util.Map;
 import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
@@ -30,8 +38,11 @@
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final Runnable whenComplete;
+    private final RegionMap regions;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory = new DirectoryTracker();
+    private final DrainTracker drains = new DrainTracker();
+    private final ColdEndpoints coldEndpoints;
     private final SuspectSource suspects;
     private final StoreFollower follower;
     private final PeerExchange peers;
@@ -51,6 +62,7 @@
      * @param decoder reads configurations
      * @param work the work in flight
      * @param suspects the requests that may end their endpoints
+     * @param regions where data centres stand
      * @param metrics where counters are kept
      * @param whenComplete called on the control thread when requests can be routed, and with each news after that
      */
@@ -62,28 +74,36 @@
             ConfigurationDecoder decoder,
             WorkSource work,
             SuspectSource suspects,
+            RegionMap regions,
             MeterRegistry metrics,
             Runnable whenComplete) {
         this.thread = thread;
         this.clock = clock;
         this.whenComplete = whenComplete;
         this.suspects = suspects;
+        this.regions = regions;
         this.configuration = new ConfigurationTracker(decoder);
         StoreClock storeClock = new StoreClock();
-        this.follower = new StoreFollower(
-                thread,
-                clock,
-                source,
-                configuration,
-                directory,
-                storeClock,
-                new UnusableEntries(metrics),
-                new StoreNews());
+        Beliefs beliefs = new Beliefs(configuration, directory, drains, storeClock);
+        this.coldEndpoints = new ColdEndpoints(directory, drains, storeClock);
+        this.follower =
+                new StoreFollower(thread, clock, source, beliefs, new UnusableEntries(metrics), new StoreNews());
         this.cleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
         this.quarantine = new QuarantineKeeper(thread, clock, source, storeClock, suspects);
-        this.peers = new PeerExchange(
-                thread, clock, self, work, suspects, configuration, directory, storeClock, new PeerNews());
+        this.peers = new PeerExchange(thread, clock, self, work, suspects, beliefs, new PeerNews());
+        Gauge.builder(
+                        "radishpass.datacentres.drained",
+                        this,
+                        plane -> plane.view.eligibility().drained().size())
+                .description("data centres whose endpoints get nothing new because the operator wants it")
+                .register(metrics);
+        Gauge.builder(
+                        "radishpass.endpoints.cold",
+                        this,
+                        plane -> plane.view.eligibility().coldUntilMillis().size())
+                .description("endpoints that bear little because they have just started, as of the last news")
+                .register(metrics);
     }
 
     /** Starts to read the store. */
@@ -147,14 +167,50 @@
                 directory.known(),
                 follower.arriving(),
                 directory.origin(),
-                peers.started() ? peers.routers() : RoutingView.ROUTERS_UNKNOWN);
+                peers.started() ? peers.routers() : RoutingView.ROUTERS_UNKNOWN,
+                eligibility(),
+                peers.started() && registration.done() ? peers.members() : FleetMembers.UNKNOWN);
         if (view.complete()) {
             whenComplete.run();
         }
     }
 
+    private EndpointEligibility eligibility() {
+        return new EndpointEligibility(
+                drains.drained(),
+                configuration
+                        .current()
+                        .map(current -> coldEndpoints.untilMillis(current, clock.millis()))
+                        .orElse(Map.of()),
+                regions);
+    }
+
+    private void drainsChanged(String origin) {
+        LOG.info(
+                "data centres whose endpoints get nothing new: {}, from {}",
+                drains.drained(),
+                origin,
+                LogEvent.DRAINS.field(),
+                kv("drained", drains.drained().stream().map(DataCentre::name).toList()),
+                kv(
+                        "revisions",
+                        drains.changes().stream()
+                                .map(change -> change.drain().dataCentre() + " "
+                                        + change.drain().revision())
+                                .toList()));
+        publish();
+        peers.tellNow();
+    }
+
     /** Hears what the store brought. */
     private final class StoreNews implements StoreFollower.Listener {
+        @Override
+        public void drains(DrainReading reading) {
+            if (drains.read(reading, clock.millis())) {
+                drainsChanged("store");
+            }
+        }
+
         @Override
         public void configurationChanged() {
             configurationSinceMillis = clock.millis();
@@ -209,6 +265,11 @@
             follower.offer(content, origin);
         }
 
+        @Override
+        public void drainsChanged(String origin) {
+            ControlPlane.this.drainsChanged(origin);
+        }
+
         @Override
         public void endpointsChanged() {
             publish();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
@@ -233,7 +234,8 @@
             if (endpoint.leaving()) {
                 left.put(endpoint.id(), true);
             }
-            known.put(endpoint.id(), left.containsKey(endpoint.id()) ? endpoint.asLeaving() : endpoint);
+            ServiceEndpoint steady = sameColdSpell(endpoint, before.get(endpoint.id()));
+            known.put(endpoint.id(), left.containsKey(endpoint.id()) ? steady.asLeaving() : steady);
         }
         kept.addAll(keptThere);
         kept.retainAll(known.keySet());
@@ -241,20 +243,35 @@
         return !before.equals(known);
     }
 
+    /**
+     * Entries say how long an endpoint is still cold as of their last renewal, so that the end seems to move with each reading. The first
+     * end that was read holds for that spell: routers that read at different moments then list the same.
+     */
+    private static ServiceEndpoint sameColdSpell(ServiceEndpoint read, @Nullable ServiceEndpoint before) {
+        if (before == null) {
+            return read;
+        }
+        long apartMillis = Math.abs(read.coldUntilStoreMillis() - before.coldUntilStoreMillis());
+        boolean same = read.coldUntilStoreMillis() == ServiceEndpoint.NEVER_COLD
+                || apartMillis <= ColdEndpoints.ENTRY_LAG_MILLIS;
+        return same ? read.coldUntil(before.coldUntilStoreMillis()) : read;
+    }
+
     private void forget(String name) {
         known.values().removeIf(endpoint -> endpoint.name().equals(name));
     }
 
     private void changed() {
-        hash = hashOf(known.values());
+        hash = hashOf(known.values(), reading.storeMillis());
         directory = new EndpointDirectory(known.values());
     }
 
     /** The order of the endpoints does not matter. */
-    private static long hashOf(Collection<ServiceEndpoint> endpoints) {
+    private static long hashOf(Collection<ServiceEndpoint> endpoints, long storeMillis) {
         long sum = endpoints.size();
         for (ServiceEndpoint endpoint : endpoints) {
-            sum += Rendezvous.mix(endpoint.hash(), endpoint.leaving() ? 1 : 2);
+            boolean cold = endpoint.coldUntilStoreMillis() > storeMillis;
+            sum += Rendezvous.mix(endpoint.hash(), (endpoint.leaving() ? 1 : 2) + (cold ? 2 : 0));
         }
         return sum;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -44,18 +44,12 @@
     private final FetchBook fetches = new FetchBook();
     private final DocumentPacker packer = new DocumentPacker();
 
-    DocumentExchange(
-            ControlThread thread,
-            MonotonicClock clock,
-            ConfigurationTracker configuration,
-            DirectoryTracker directory,
-            StoreClock storeClock,
-            PeerExchange.Listener listener) {
+    DocumentExchange(ControlThread thread, MonotonicClock clock, Beliefs beliefs, PeerExchange.Listener listener) {
         this.thread = thread;
         this.clock = clock;
-        this.configuration = configuration;
-        this.directory = directory;
-        this.storeClock = storeClock;
+        this.configuration = beliefs.configuration();
+        this.directory = beliefs.directory();
+        this.storeClock = beliefs.storeClock();
         this.listener = listener;
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -61,7 +61,8 @@
             int port,
             String dataCentre,
             int slots,
-            boolean leaving) {
+            boolean leaving,
+            long coldUntilStoreMillis) {
         private static Entry of(ServiceEndpoint endpoint) {
             return new Entry(
                     endpoint.name(),
@@ -71,13 +72,15 @@
                     endpoint.address().port(),
                     endpoint.dataCentre().name(),
                     endpoint.slots(),
-                    endpoint.leaving());
+                    endpoint.leaving(),
+                    endpoint.coldUntilStoreMillis());
         }
 
         private ServiceEndpoint endpoint() {
             return new ServiceEndpoint(
                             name, service, new Address(host, port), new DataCentre(dataCentre), slots, leaving)
-                    .startedAs(new Incarnation(startedAtMillis));
+                    .startedAs(new Incarnation(startedAtMillis))
+                    .coldUntil(coldUntilStoreMillis);
         }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -12,6 +12,7 @@
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.WorkSource;
 import org.radishpass.routing.quarantine.SuspectReport;
@@ -37,8 +38,7 @@
     private final FleetRouter self;
     private final WorkSource work;
     private final SuspectSource suspects;
-    private final ConfigurationTracker configuration;
-    private final DirectoryTracker directory;
+    private final Beliefs beliefs;
     private final Listener listener;
     private final PeerBook peers;
     private final ReaderChoice readers;
@@ -53,28 +53,25 @@
             FleetRouter self,
             WorkSource work,
             SuspectSource suspects,
-            ConfigurationTracker configuration,
-            DirectoryTracker directory,
-            StoreClock storeClock,
+            Beliefs beliefs,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
         this.self = self;
         this.work = work;
         this.suspects = suspects;
-        this.configuration = configuration;
-        this.directory = directory;
+        this.beliefs = beliefs;
         this.listener = listener;
         this.peers = new PeerBook(self);
-        this.readers = new ReaderChoice(clock, self, peers, directory, storeClock);
-        this.documents = new DocumentExchange(thread, clock, configuration, directory, storeClock, listener);
+        this.readers = new ReaderChoice(clock, self, peers, beliefs.directory(), beliefs.storeClock());
+        this.documents = new DocumentExchange(thread, clock, beliefs, listener);
     }
 
     /** Starts to tell. */
     void start(PeerLinks peerLinks) {
         this.links = peerLinks;
         this.suspectTeller = new SuspectTeller(thread, clock, self, suspects, peers, peerLinks);
-        this.teller = new WorkTeller(thread, clock, self, work, configuration, directory, peers, peerLinks);
+        this.teller = new WorkTeller(thread, clock, self, work, beliefs, peers, peerLinks);
         thread.every(Duration.ofMillis(TICK_MILLIS), this::tick);
     }
 
@@ -109,6 +106,11 @@
         return peers.routers();
     }
 
+    /** Returns all routers that are known, those included that are suspected to be gone. */
+    FleetMembers members() {
+        return FleetMembers.of(self.id(), peers.all().stream().map(Peer::id).toList());
+    }
+
     /** Tells what this router has found out of requests that may end their endpoints. */
     void tellSuspects(SuspectReport news) {
         suspectTeller().ifPresent(known -> known.found(news));
@@ -226,11 +228,25 @@
         Peer peer = found.get();
         long nowMillis = clock.millis();
         heard(peer, peer.told(state, nowMillis));
+        drainsTold(peer, state.drains(), nowMillis);
         if (documents.compare(links(), peer, state, duty().readsConfiguration())) {
             confirmed(nowMillis);
         }
     }
 
+    private void drainsTold(Peer peer, List<RoutingMessage.DrainEntry> entries, long nowMillis) {
+        boolean news = false;
+        for (RoutingMessage.DrainEntry entry : entries) {
+            long sinceMillis = nowMillis - Math.max(0, entry.forMillis());
+            news |= PeerStates.drain(entry)
+                    .filter(drain -> beliefs.drains().offer(drain, sinceMillis))
+                    .isPresent();
+        }
+        if (news) {
+            listener.drainsChanged("router " + peer.id());
+        }
+    }
+
     /** A later reading of the same list: placements count its age from then on, and members are told. */
     private void confirmed(long nowMillis) {
         listener.endpointsChanged();
@@ -277,6 +293,9 @@
         /** A peer offers a configuration. */
         void configurationOffered(byte[] content, String origin);
 
+        /** A peer has told which data centres are to get nothing new, or are to be used again. */
+        void drainsChanged(String origin);
+
         /** A peer's list of endpoints has been taken over, or has confirmed this router's. */
         void endpointsChanged();
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
@@ -8,6 +8,7 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.RoutingMessage;
+import org.radishpass.routing.fleet.DataCentreDrain;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.InFlight;
 import org.slf4j.Logger;
@@ -64,6 +65,25 @@
         return work;
     }
 
+    /** Returns the entries that tell of data centres that are to get nothing new. */
+    static List<RoutingMessage.DrainEntry> drains(DrainTracker tracker, long nowMillis) {
+        return tracker.changes().stream()
+                .map(change -> new RoutingMessage.DrainEntry(
+                        change.drain().dataCentre().name(),
+                        change.drain().revision(),
+                        change.drain().drained(),
+                        nowMillis - change.sinceMillis()))
+                .toList();
+    }
+
+    /** Returns what an entry says of a data centre, if it names one. */
+    static Optional<DataCentreDrain> drain(RoutingMessage.DrainEntry entry) {
+        return entry.dataCentre().isBlank()
+                ? Optional.empty()
+                : Optional.of(
+                        new DataCentreDrain(new DataCentre(entry.dataCentre()), entry.revision(), entry.drained()));
+    }
+
     /** Returns the reading that a peer's list rests on. */
     static ListReading reading(RoutingMessage.RoutingState state) {
         return new ListReading(state.directory(), state.directoryReadMillis(), state.directorySettled());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
@@ -45,6 +45,11 @@
         });
     }
 
+    /** Tells whether it was made, and with it the registrations of all others were read. */
+    boolean done() {
+        return revision != NOT_REGISTERED;
+    }
+
     /** Removes the registration, if there is one. */
     void remove() {
         if (revision != NOT_REGISTERED) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -14,6 +14,7 @@
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.traffic.CallerSocket;
 import org.radishpass.routing.traffic.MonotonicClock;
@@ -68,6 +69,7 @@
                 builder.decoder,
                 traffic,
                 traffic,
+                builder.regions,
                 metrics,
                 start::serve);
     }
@@ -165,6 +167,7 @@
         private Address peerAddress = new Address("127.0.0.1", 1);
         private DataCentre home = new DataCentre("unknown");
         private double cores = 1;
+        private RegionMap regions = RegionMap.EMPTY;
 
         private Builder(
                 LoopResources loops, ControlSource source, ConfigurationDecoder decoder, RequestDialect dialect) {
@@ -198,6 +201,12 @@
             return this;
         }
 
+        /** Sets where data centres stand. */
+        public Builder regions(RegionMap map) {
+            this.regions = map;
+            return this;
+        }
+
         /** Returns the router, not yet started. */
         public RoutedRouter build() {
             return new RoutedRouter(this);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreClock.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreClock.java
@@ -65,6 +65,21 @@
         return (long) Math.ceil(nowMillis - least + drift);
     }
 
+    /**
+     * Returns the latest moment on this router's clock that a moment of the store's may be; {@link #NEVER} while the store has not answered
+     * yet.
+     *
+     * @param storeMillis the moment on the store's clock
+     * @param nowMillis the time on this router's clock
+     */
+    long latest(long storeMillis, long nowMillis) {
+        if (observedAtMillis == NEVER) {
+            return NEVER;
+        }
+        double drift = DRIFT * (nowMillis - observedAtMillis);
+        return (long) Math.ceil(storeMillis + most + drift);
+    }
+
     /**
      * Returns the earliest moment on this router's clock that a moment of the store's may have been; {@link #NEVER} while the store
      * has not answered yet.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -36,16 +36,14 @@
             ControlThread thread,
             MonotonicClock clock,
             ControlSource source,
-            ConfigurationTracker configuration,
-            DirectoryTracker directory,
-            StoreClock storeClock,
+            Beliefs beliefs,
             UnusableEntries unusable,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
-        this.configuration = configuration;
-        this.directory = directory;
-        this.storeClock = storeClock;
+        this.configuration = beliefs.configuration();
+        this.directory = beliefs.directory();
+        this.storeClock = beliefs.storeClock();
         this.unusable = unusable;
         this.listener = listener;
         this.configurations = new ConfigurationFollower(thread, source, new ConfigurationNews());
@@ -108,6 +106,11 @@
             return listener.duty().readsConfiguration();
         }
 
+        @Override
+        public void drains(DrainReading reading) {
+            listener.drains(reading);
+        }
+
         @Override
         public void published(byte[] content) {
             offer(content, "store");
@@ -148,6 +151,9 @@
         /** The first configuration is on its way, or is not any more. */
         void arrivalChanged();
 
+        /** The store says this of data centres that are to get nothing new. */
+        void drains(DrainReading reading);
+
         /** There is a newer configuration. */
         void configurationChanged();
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -37,8 +37,7 @@
     private final MonotonicClock clock;
     private final FleetRouter self;
     private final WorkSource work;
-    private final ConfigurationTracker configuration;
-    private final DirectoryTracker directory;
+    private final Beliefs beliefs;
     private final PeerBook peers;
     private final PeerLinks links;
     private boolean gathering = true;
@@ -51,16 +50,14 @@
             MonotonicClock clock,
             FleetRouter self,
             WorkSource work,
-            ConfigurationTracker configuration,
-            DirectoryTracker directory,
+            Beliefs beliefs,
             PeerBook peers,
             PeerLinks links) {
         this.thread = thread;
         this.clock = clock;
         this.self = self;
         this.work = work;
-        this.configuration = configuration;
-        this.directory = directory;
+        this.beliefs = beliefs;
         this.peers = peers;
         this.links = links;
     }
@@ -172,8 +169,9 @@
     }
 
     private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
+        DirectoryTracker directory = beliefs.directory();
         return new RoutingMessage.RoutingState(
-                configuration.version(),
+                beliefs.configuration().version(),
                 directory.reading().revision(),
                 PeerStates.entries(work),
                 directory.hash(),
@@ -181,6 +179,7 @@
                 directory.reading().settled(),
                 failing,
                 scope,
-                directory.ownReadStoreMillis());
+                directory.ownReadStoreMillis(),
+                PeerStates.drains(beliefs.drains(), clock.millis()));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -25,6 +25,8 @@
     /** See {@link #meaning}. */
     ENDPOINTS("endpoints", "the list of endpoints has changed; `revision` of the store"),
     /** See {@link #meaning}. */
+    DRAINS("drains", "the data centres whose endpoints get nothing new, after a change; where it came from"),
+    /** See {@link #meaning}. */
     ENTRY_UNUSABLE(
             "entry-unusable", "an entry of the list names no endpoint to use; `fault` says why; the others hold"),
     /** See {@link #meaning}. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -36,6 +36,8 @@
     /** Milliseconds by which the last sign of life is set back when a connection breaks: beyond any use of it. */
     private static final long FORGOTTEN_MILLIS = 10_000;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private double errorRate;
     private int slowInRow;
     private long failingUntilMillis = Long.MIN_VALUE;
@@ -47,6 +49,7 @@
     private long probeAtMillis;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long heardAtMillis;
+    private long unreachableAtMillis = NEVER;
 
     /**
      * Creates the health of an endpoint that nothing is known of.
@@ -73,6 +76,7 @@
      */
     public boolean unreachable(long nowMillis) {
         boolean news = !down;
+        unreachableAtMillis = nowMillis;
         down = true;
         doubted = false;
         probing = false;
@@ -81,6 +85,11 @@
         return news;
     }
 
+    /** Returns when a connection to it failed last, on the monotonic clock in milliseconds; long ago if none did. */
+    public long unreachableAtMillis() {
+        return unreachableAtMillis;
+    }
+
     /** Notes any bytes that came from it. */
     public void heard(long nowMillis) {
         heardAtMillis = nowMillis;
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
@@ -0,0 +1,68 @@
+package org.radishpass.routing.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/**
+ * Which endpoints a request may go to, by what the operator wants: the one place that knows. First tries, second tries, answers that go on
+ * elsewhere and the fetching of caches all choose among what it lets through.
+ */
+final class EndpointFilter {
+    private final RoutingView view;
+
+    EndpointFilter(RoutingView view) {
+        this.view = view;
+    }
+
+    /** Returns the endpoints of a service that take new work of anyone. */
+    List<ServiceEndpoint> open(String service) {
+        return those(view.directory().open(service), this::notDrained);
+    }
+
+    /** Returns the endpoints that a request may be sent to. */
+    List<ServiceEndpoint> open(Terms terms) {
+        return those(view.directory().open(terms.service()), endpoint -> mayRun(terms, endpoint));
+    }
+
+    /** Returns the endpoints whose caches may be read for a request; those that take nothing new are among them. */
+    List<ServiceEndpoint> cacheSources(Terms terms) {
+        return those(view.directory().all(terms.service()), endpoint -> within(terms, endpoint));
+    }
+
+    /** Tells whether an endpoint that was chosen a while ago may still be sent the request. */
+    boolean stillOpen(Terms terms, ServiceEndpoint chosen) {
+        return view.directory()
+                .find(chosen.id())
+                .filter(endpoint -> !endpoint.leaving() && mayRun(terms, endpoint))
+                .isPresent();
+    }
+
+    private boolean mayRun(Terms terms, ServiceEndpoint endpoint) {
+        return notDrained(endpoint) && within(terms, endpoint);
+    }
+
+    private boolean notDrained(ServiceEndpoint endpoint) {
+        return !eligibility().drained().contains(endpoint.dataCentre());
+    }
+
+    private boolean within(Terms terms, ServiceEndpoint endpoint) {
+        return terms.mayRunIn(endpoint.dataCentre(), eligibility().regions());
+    }
+
+    private EndpointEligibility eligibility() {
+        return view.eligibility();
+    }
+
+    private static List<ServiceEndpoint> those(List<ServiceEndpoint> all, Predicate<ServiceEndpoint> wanted) {
+        List<ServiceEndpoint> those = new ArrayList<>(all.size());
+        for (ServiceEndpoint endpoint : all) {
+            if (wanted.test(endpoint)) {
+                those.add(endpoint);
+            }
+        }
+        return those;
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -266,6 +266,12 @@
             giveUpQuarantined();
             return;
         }
+        if (!tools.placer().stillOpen(terms, current.endpoint())) {
+            withdrawAttempt();
+            record.attemptEnded("the endpoint takes nothing new");
+            attempt();
+            return;
+        }
         sends++;
         sentAtMillis = tools.nowMillis();
         verdictBeforeAttempt = verdict;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -47,12 +47,30 @@
      */
     boolean othersHaveRoom(ServiceEndpoint endpoint) {
         long nowMillis = tools.nowMillis();
-        List<ServiceEndpoint> open = tools.view().directory().open(endpoint.service());
+        List<ServiceEndpoint> open = new EndpointFilter(tools.view()).open(endpoint.service());
         List<ServiceEndpoint> others = new ArrayList<>(tools.health().usable(open, nowMillis));
         others.removeIf(other -> other.id().equals(endpoint.id()));
         return !tools.health().doubtful(open, nowMillis) && SpareRoom.at(others, tools.book());
     }
 
+    /**
+     * Tells whether a request may still be sent where it was placed, and counts it where only a few may be: connections take a while to
+     * be made, and the operator's word may have come meanwhile.
+     *
+     * @param terms its terms
+     * @param chosen where it was placed
+     */
+    boolean stillOpen(Terms terms, ServiceEndpoint chosen) {
+        EndpointFilter filter = new EndpointFilter(tools.view());
+        long nowMillis = tools.nowMillis();
+        return filter.stillOpen(terms, chosen)
+                && tools.coldGuard().takes(chosen, usable(filter, terms, nowMillis), terms, nowMillis);
+    }
+
+    private List<ServiceEndpoint> usable(EndpointFilter filter, Terms terms, long nowMillis) {
+        return tools.health().usable(filter.open(terms), nowMillis);
+    }
+
     /**
      * Places a request.
      *
@@ -62,14 +80,14 @@
      */
     Optional<PlacementChoice> place(Terms terms, List<String> tried, boolean sentBefore) {
         long nowMillis = tools.nowMillis();
-        List<ServiceEndpoint> open = tools.view().directory().open(terms.service());
-        List<ServiceEndpoint> candidates = new ArrayList<>(tools.health().usable(open, nowMillis));
+        EndpointFilter filter = new EndpointFilter(tools.view());
+        List<ServiceEndpoint> candidates =
+                new ArrayList<>(tools.coldGuard().admitted(usable(filter, terms, nowMillis), terms, nowMillis));
         candidates.removeIf(endpoint -> tried.contains(endpoint.id()));
         if (sentBefore) {
             candidates = tools.health().heardLately(candidates, SURELY_ALIVE_MILLIS, nowMillis);
         }
-        List<ServiceEndpoint> sources =
-                tools.health().reachable(tools.view().directory().all(terms.service()), nowMillis);
+        List<ServiceEndpoint> sources = tools.health().reachable(filter.cacheSources(terms), nowMillis);
         return tools.chooser()
                 .choose(new PlacementQuery(
                         candidates,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
@@ -6,6 +6,8 @@
 import org.radishpass.routing.config.RoutingConfiguration;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.FleetMembers;
 
 /**
  * What the control side believes at one moment; immutable, published to the traffic thread as a whole.
@@ -17,6 +19,8 @@
  * @param arriving whether what is still missing is on its way: something of it has come lately
  * @param origin where the list of endpoints comes from
  * @param routers the routers that are registered, this one included; {@link #ROUTERS_UNKNOWN} before peers were joined
+ * @param eligibility what keeps endpoints from new work
+ * @param members the routers by name, for duties that are shared out
  * @since 0.2.0
  */
 public record RoutingView(
@@ -26,7 +30,9 @@
         boolean directoryKnown,
         boolean arriving,
         DirectoryOrigin origin,
-        int routers) {
+        int routers,
+        EndpointEligibility eligibility,
+        FleetMembers members) {
     /** The number of routers while nothing is known of others. */
     public static final int ROUTERS_UNKNOWN = 0;
 
@@ -34,6 +40,27 @@
     public static final RoutingView UNKNOWN =
             new RoutingView(null, 0, EndpointDirectory.EMPTY, false, false, DirectoryOrigin.UNKNOWN, ROUTERS_UNKNOWN);
 
+    /** Creates a view in which nothing keeps endpoints from new work, and the other routers are not known by name. */
+    public RoutingView(
+            @Nullable RoutingConfiguration published,
+            long inForceSinceMillis,
+            EndpointDirectory directory,
+            boolean directoryKnown,
+            boolean arriving,
+            DirectoryOrigin origin,
+            int routers) {
+        this(
+                published,
+                inForceSinceMillis,
+                directory,
+                directoryKnown,
+                arriving,
+                origin,
+                routers,
+                EndpointEligibility.ALL,
+                FleetMembers.UNKNOWN);
+    }
+
     /** Returns the configuration in force. */
     public Optional<RoutingConfiguration> configuration() {
         return Optional.ofNullable(published);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Terms.java
@@ -2,7 +2,8 @@
 
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
-import org.radishpass.routing.config.EngineSpec;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.config.ColdStart;
 import org.radishpass.routing.config.RequestKind;
 import org.radishpass.routing.config.Route;
 import org.radishpass.routing.config.ServiceSpec;
@@ -11,6 +12,7 @@
 import org.radishpass.routing.dialect.ForwardingHead;
 import org.radishpass.routing.dialect.PromptShape;
 import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.QueueLimit;
 import org.radishpass.routing.placement.PlacementChoice;
@@ -23,7 +25,7 @@
  * @param route its route
  * @param workspaceSpec the workspace that it is run for, or null
  * @param service the service that answers it
- * @param engineSpec what the service's engines can take, or null for a plain service
+ * @param serviceSpec what the configuration says of the service, or null if it does not name it
  * @param promptShape what it says of its prompt, or null
  * @param callerLastEventId the event after which the caller wants the answer to go on, or null
  * @param deadlineMillis when the answer must be whole, on the monotonic clock in milliseconds
@@ -34,7 +36,7 @@
         Route route,
         @Nullable Workspace workspaceSpec,
         String service,
-        @Nullable EngineSpec engineSpec,
+        @Nullable ServiceSpec serviceSpec,
         @Nullable PromptShape promptShape,
         @Nullable String callerLastEventId,
         long deadlineMillis) {
@@ -58,7 +60,7 @@
                 route,
                 workspace.orElse(null),
                 service,
-                spec.flatMap(ServiceSpec::engine).orElse(null),
+                spec.orElse(null),
                 head.promptShape(),
                 head.lastEventId(),
                 receivedAtMillis + patience);
@@ -98,10 +100,23 @@
 
     /** Tells whether the chosen endpoint holds all the work that it should. */
     boolean full(PlacementChoice choice) {
-        QueueLimit limit = engineSpec == null ? QueueLimit.PLAIN : QueueLimit.ENGINE;
+        boolean engine = serviceSpec != null && serviceSpec.engine().isPresent();
+        QueueLimit limit = engine ? QueueLimit.ENGINE : QueueLimit.PLAIN;
         return choice.load() >= limit.requests(choice.endpoint().slots());
     }
 
+    /** Returns what endpoints bear shortly after their start; null if that is no less than later. */
+    @Nullable
+    ColdStart coldStart() {
+        return serviceSpec == null ? null : serviceSpec.coldStartSpec();
+    }
+
+    /** Tells whether the request may run in a data centre: where route and workspace both name regions, both bind. */
+    boolean mayRunIn(DataCentre dataCentre, RegionMap regions) {
+        boolean byRoute = regions.within(dataCentre, route.allowedRegions());
+        return byRoute && (workspaceSpec == null || regions.within(dataCentre, workspaceSpec.allowedRegions()));
+    }
+
     ForwardingHead forwarding(
             ServiceEndpoint endpoint,
             long leftMillis,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -24,6 +24,7 @@
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.HealthBook;
+import org.radishpass.routing.load.ColdStartAllowance;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.InFlightBook;
 import org.radishpass.routing.load.WorkReport;
@@ -156,6 +157,16 @@
         loop.execute(() -> budget.allowance(allowance));
     }
 
+    /**
+     * Takes over what all routers may send to endpoints that have just started.
+     *
+     * @param allowance the allowance
+     * @since 0.6.0
+     */
+    public void coldStartAllowance(ColdStartAllowance allowance) {
+        loop.execute(() -> tools.coldGuard().shares().allowance(allowance));
+    }
+
     @Override
     public void peerTold(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
         loop.execute(() -> {
@@ -277,6 +288,7 @@
         health.retain(view.directory());
         tools.ends().tidy(nowMillis);
         tools.quarantine().tidy(nowMillis);
+        tools.coldGuard().shares().tidy(nowMillis);
         if (tools.refusing()) {
             closeIdle();
             return;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -37,6 +37,7 @@
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final RequestResolver resolver;
     private final RequestPlacer placer = new RequestPlacer(this);
+    private final ColdEndpointGuard coldGuard = new ColdEndpointGuard(this);
     private final EndpointWatch watch = new EndpointWatch(this);
     private final EndpointEnds ends = new EndpointEnds(this::endpointEnded);
     private final Quarantine quarantine;
@@ -104,6 +105,11 @@
         return placer;
     }
 
+    /** Returns what keeps endpoints that have just started from more than they bear. */
+    ColdEndpointGuard coldGuard() {
+        return coldGuard;
+    }
+
     EndpointConnections connections() {
         return connections;
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -226,6 +226,11 @@
             // of no interest here
         }
 
+        @Override
+        public void drains(DrainReading reading) {
+            // of no interest here
+        }
+
         @Override
         public void published(byte[] content) {
             published.add(new String(content, StandardCharsets.UTF_8));
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -126,7 +126,8 @@
                             reading.settled(),
                             List.of(),
                             WorkScope.GROUP,
-                            tracker.ownReadStoreMillis()));
+                            tracker.ownReadStoreMillis(),
+                            List.of()));
         }
 
         /** Takes a message, and the sender's list where it has a newer one. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ReadingDutyTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ReadingDutyTest.java
@@ -30,7 +30,8 @@
     void aPeerThatHasItsListFromOthersIsNotOneThatReads() {
         Peer refused = new Peer(FleetRouter.unlocated(new Address("10.0.0.1", 7_340)), 0);
         refused.told(
-                new RoutingMessage.RoutingState(1, 1, List.of(), 0, 9_900, true, List.of(), WorkScope.GROUP, 1_000),
+                new RoutingMessage.RoutingState(
+                        1, 1, List.of(), 0, 9_900, true, List.of(), WorkScope.GROUP, 1_000, List.of()),
                 10_000);
         assertThat(refused.listReading().storeMillis()).isEqualTo(9_900);
         assertThat(refused.ownReadStoreMillis()).isEqualTo(1_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -10,10 +10,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.core.fleet.Vm;
 import org.radishpass.peer.message.Envelope;
 import org.radishpass.peer.message.PeerCodec;
@@ -21,7 +23,9 @@
 import org.radishpass.peer.message.WorkScope;
 import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.InFlightBook;
 import org.radishpass.routing.load.WorkReport;
@@ -62,6 +66,7 @@
                 VirtualRouter::decode,
                 new Work(),
                 suspects,
+                RegionMap.EMPTY,
                 new SimpleMeterRegistry(),
                 this::noteVersion);
     }
@@ -86,6 +91,16 @@
         });
     }
 
+    /** Returns the data centres to which it sends nothing new. */
+    Set<DataCentre> drained() {
+        return control.view().eligibility().drained();
+    }
+
+    /** Returns the routers that it knows by name. */
+    FleetMembers members() {
+        return control.view().members();
+    }
+
     /** Ends the process without a word. */
     void kill() {
         process.dispose();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -1,15 +1,21 @@
 package org.radishpass.routing.control;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.fleet.DataCentreDrain;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -34,6 +40,8 @@
     private final List<Runnable> waiting = new ArrayList<>();
     private final Map<RequestFingerprint, Suspect> quarantined = new LinkedHashMap<>();
     private final Map<String, FleetRouter> routers = new LinkedHashMap<>();
+    private final Map<DataCentre, DataCentreDrain> drains = new LinkedHashMap<>();
+    private final Set<String> refused = new HashSet<>();
     private List<ServiceEndpoint> endpoints = List.of();
     private long revision = 1;
     private int calls;
@@ -52,6 +60,26 @@
         woken.forEach(Runnable::run);
     }
 
+    /** Asks for a data centre to be emptied, or takes that back. */
+    void drain(DataCentre dataCentre, boolean drained) {
+        revision++;
+        drains.put(dataCentre, new DataCentreDrain(dataCentre, revision, drained));
+        List<Runnable> woken = List.copyOf(waiting);
+        waiting.clear();
+        woken.forEach(Runnable::run);
+    }
+
+    /** Turns routers away from now on. */
+    void refuse(Collection<String> routers) {
+        refused.addAll(routers);
+    }
+
+    /** Forgets what was taken back, as a store does in time. */
+    void forgetDrains() {
+        revision++;
+        drains.values().removeIf(drain -> !drain.drained());
+    }
+
     /** Lists endpoints. */
     void list(List<ServiceEndpoint> newEndpoints) {
         revision++;
@@ -99,7 +127,7 @@
 
         private Mono<Void> awaitChange(long after, Duration wait) {
             return Mono.defer(() -> {
-                if (bytesAfter(after) > 0) {
+                if (bytesAfter(after) > 0 || !drainsAfter(after).entries().isEmpty()) {
                     return Mono.empty();
                 }
                 Sinks.Empty<Void> woken = Sinks.empty();
@@ -168,6 +196,9 @@
         private <T> Mono<T> answer(IntSupplier bytes, Supplier<T> value, LongConsumer begun) {
             return Mono.defer(() -> {
                 calls++;
+                if (refused.contains(router)) {
+                    return Mono.error(new IOException("refused"));
+                }
                 VirtualTransfer<T> transfer = new VirtualTransfer<>(scheduler);
                 VirtualNetwork.Connection connection = network.connect(MACHINE, router);
                 Runnable send = () -> send(connection, transfer, HEAD_BYTES + bytes.getAsInt(), value.get(), begun);
@@ -198,9 +229,20 @@
 
     private ConfigurationReading reading(long after) {
         if (versions.isEmpty() || newest().revision() <= after) {
-            return new ConfigurationReading.Unchanged(revision);
+            return new ConfigurationReading.Unchanged(revision, drainsAfter(after));
         }
-        return new ConfigurationReading.Published(revision, newest().content());
+        return new ConfigurationReading.Published(revision, newest().content(), drainsAfter(after));
+    }
+
+    /** A whole reading holds what is there, others what has changed. */
+    private DrainReading drainsAfter(long after) {
+        boolean whole = after < 0;
+        return new DrainReading(
+                whole,
+                revision,
+                drains.values().stream()
+                        .filter(drain -> whole ? drain.drained() : drain.revision() > after)
+                        .toList());
     }
 
     private RegistryReading registry(long own) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.config.CallerLimits;
+import org.radishpass.routing.config.ColdStart;
 import org.radishpass.routing.config.RequestKind;
 import org.radishpass.routing.config.Route;
 import org.radishpass.routing.config.RoutingConfiguration;
@@ -18,6 +19,8 @@
 import org.radishpass.routing.config.TrafficSplit;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.traffic.CallerSocket;
@@ -31,6 +34,9 @@
     /** The service of all routes. */
     public static final String SERVICE = "service";
 
+    /** What its endpoints bear shortly after their start: with the allowance that is set, this router alone sends two a second. */
+    private static final ColdStart COLD_START = new ColdStart(3_000, 4);
+
     private final LoopResources loops = LoopResources.create("bed", 1, 1, true, false);
     private final AtomicLong skippedMillis = new AtomicLong();
     private final TrafficServer server;
@@ -57,7 +63,7 @@
         List<ServiceEndpoint> known = new ArrayList<>();
         Arrays.stream(endpoints).forEach(endpoint -> known.add(endpoint.endpoint(SERVICE)));
         RoutingConfiguration.Builder configuration = RoutingConfiguration.builder(1)
-                .service(new ServiceSpec(SERVICE, "/health", 100, null))
+                .service(new ServiceSpec(SERVICE, "/health", 100, null, COLD_START))
                 .limits(new CallerLimits(8_192, 10_000, 3_000, 15_000));
         route(configuration, "/once/", RequestKind.NON_IDEMPOTENT, timeoutMillis);
         route(configuration, "/again/", RequestKind.IDEMPOTENT, timeoutMillis);
@@ -68,6 +74,27 @@
         return this;
     }
 
+    /** Lets it know what keeps endpoints from new work. */
+    public TrafficBed restricts(EndpointEligibility eligibility) {
+        RoutingView known = view;
+        view = new RoutingView(
+                known.published(),
+                known.inForceSinceMillis(),
+                known.directory(),
+                known.directoryKnown(),
+                known.arriving(),
+                known.origin(),
+                known.routers(),
+                eligibility,
+                FleetMembers.of("self", List.of()));
+        return this;
+    }
+
+    /** Returns the time on the router's clock, in milliseconds. */
+    public long nowMillis() {
+        return MonotonicClock.SYSTEM.millis() + skippedMillis.get();
+    }
+
     /** Lets time pass at once for what the router reads from its clock; its timers do not notice. */
     public void skip(long millis) {
         skippedMillis.addAndGet(millis);
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointFilterTest.java
@@ -0,0 +1,118 @@
+package org.radishpass.routing.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.ServiceSpec;
+import org.radishpass.routing.config.TrafficSplit;
+import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.fleet.DirectoryOrigin;
+import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.FleetMembers;
+import org.radishpass.routing.fleet.Region;
+import org.radishpass.routing.fleet.RegionMap;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/** Checks that nothing leads round the operator's word on where requests may go. */
+final class EndpointFilterTest {
+    private static final List<Region> REGIONS = List.of(new Region("north"), new Region("south"), new Region("west"));
+    private static final int DATA_CENTRES = 6;
+
+    @Property(tries = 2_000, seed = "71")
+    void onlyEndpointsThatMayRunTheRequestAreLetThrough(@ForAll long seed) {
+        Random random = new Random(seed);
+        Map<DataCentre, Region> placed = new HashMap<>();
+        Set<DataCentre> drained = new HashSet<>();
+        List<ServiceEndpoint> endpoints = new ArrayList<>();
+        for (int number = 0; number < DATA_CENTRES; number++) {
+            DataCentre dataCentre = new DataCentre("dc-" + number);
+            if (random.nextInt(5) > 0) { // some data centres stand nobody knows where
+                placed.put(dataCentre, REGIONS.get(random.nextInt(REGIONS.size())));
+            }
+            if (random.nextInt(4) == 0) {
+                drained.add(dataCentre);
+            }
+            for (int endpoint = 0; endpoint < 3; endpoint++) {
+                endpoints.add(endpoint(dataCentre, endpoint, random.nextInt(4) == 0));
+            }
+        }
+        Set<Region> byRoute = some(random);
+        Set<Region> byWorkspace = some(random);
+        RoutingView view = view(endpoints, new EndpointEligibility(drained, Map.of(), new RegionMap(placed)));
+        EndpointFilter filter = new EndpointFilter(view);
+        Terms terms = terms(byRoute, byWorkspace);
+
+        List<ServiceEndpoint> open = filter.open(terms);
+        List<ServiceEndpoint> sources = filter.cacheSources(terms);
+        for (ServiceEndpoint endpoint : endpoints) {
+            Optional<Region> region = Optional.ofNullable(placed.get(endpoint.dataCentre()));
+            boolean allowed = allows(byRoute, region) && allows(byWorkspace, region);
+            boolean mayRun = allowed && !endpoint.leaving() && !drained.contains(endpoint.dataCentre());
+            assertThat(open.contains(endpoint)).isEqualTo(mayRun);
+            assertThat(filter.stillOpen(terms, endpoint)).isEqualTo(mayRun);
+            assertThat(sources.contains(endpoint)).isEqualTo(allowed);
+        }
+    }
+
+    private static boolean allows(Set<Region> allowed, Optional<Region> region) {
+        return allowed.isEmpty() || region.map(allowed::contains).orElse(false);
+    }
+
+    private static Set<Region> some(Random random) {
+        Set<Region> some = new HashSet<>();
+        REGIONS.forEach(region -> {
+            if (random.nextInt(3) == 0) {
+                some.add(region);
+            }
+        });
+        return some;
+    }
+
+    private static ServiceEndpoint endpoint(DataCentre dataCentre, int number, boolean leaving) {
+        return new ServiceEndpoint(dataCentre + "-" + number, "s", new Address("10.0.0.9", 80), dataCentre, 6, leaving);
+    }
+
+    private static Terms terms(Set<Region> byRoute, Set<Region> byWorkspace) {
+        Route route = Route.builder("r")
+                .split(TrafficSplit.all("s"))
+                .allowedRegions(byRoute)
+                .build();
+        RequestHead head = new RequestHead("id", "h", "/", OptionalLong.empty(), null, null, null);
+        return Terms.of(
+                head,
+                route,
+                Optional.of(new Workspace("w", OptionalInt.empty(), byWorkspace)),
+                Optional.of(new ServiceSpec("s", "/health", 100, null)),
+                "s",
+                0);
+    }
+
+    private static RoutingView view(List<ServiceEndpoint> endpoints, EndpointEligibility eligibility) {
+        return new RoutingView(
+                null,
+                0,
+                new EndpointDirectory(endpoints),
+                true,
+                false,
+                DirectoryOrigin.UNKNOWN,
+                1,
+                eligibility,
+                FleetMembers.UNKNOWN);
+    }
+}
