Time in which the machine was suspended counts in all ages

Cause: ages of lists, permissions, news and deadlines stand on the steady clock, which does not count a suspension of the machine. Change: one clock for all of routing that compares the time of day with the steady clock at each reading; after a jump the kernel's time since the boot tells a suspension from a time of day that was set. It is a suspension only where both agree. Figures: SuspensionAwareClockTest (suspensions, steps of the time of day in both directions, drift, no boot time).

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -17,6 +17,8 @@
     /** See {@link #meaning}. */
     RELOAD("reload", "the settings file was read anew"),
     /** See {@link #meaning}. */
+    SUSPENDED("suspended", "the machine was suspended for `millis`; the ages of all that is believed count them"),
+    /** See {@link #meaning}. */
     STOP("stop", "the process was told to stop; it is no longer ready"),
     /** See {@link #meaning}. */
     STOPPED("stopped", "the process ends; `active` requests were still in progress"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/MonotonicClock.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/MonotonicClock.java
@@ -8,7 +8,8 @@
 @FunctionalInterface
 public interface MonotonicClock {
     /** The clock of this process. */
-    MonotonicClock SYSTEM = () -> System.nanoTime() / 1_000_000;
+    MonotonicClock SYSTEM =
+            new SuspensionAwareClock(() -> System.nanoTime() / 1_000_000, System::currentTimeMillis, BootTime::millis);
 
     /** Returns the time in milliseconds. */
     long millis();
