The load limit counts endpoints that get nothing new; waits of routers that need not wait at the store end

(2) After a loss of contact of 1.3 s each router waits at the store for configurations, and goes on to do so; each further version of 500 KB then comes to it whole, half a second of its link, though its peers give it packed. In a storm of configurations on an eighth of a core half of the routers took them from the store. Change: the limit is the lower one of that against the candidates and that against all endpoints in working order; where none has room, routers of large fleets compare two of them. A wait that is not this router's duty any more ends, but for the first after a start. Exchange keeps what was sent where in SendHistory, and its send is split into looking and sending.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -40,6 +40,7 @@
     private long revision = UNKNOWN;
     private long wholeBytes;
     private boolean readsWhole = true;
+    private boolean firstWait = true;
     private int lastCall;
 
     ConfigurationFollower(ControlThread thread, ControlSource source, Listener listener) {
@@ -64,13 +65,29 @@
         thread.run(this::ask);
     }
 
-    /** Waits for a newer configuration, if that is this router's duty and it does not yet. */
+    /** Waits for a newer configuration while that is this router's duty, and no longer. */
     void followIfDue() {
-        if (state == State.IDLE && listener.readsConfiguration()) {
+        boolean due = listener.readsConfiguration();
+        if (state == State.IDLE && due) {
             ask();
+        } else if (state == State.WAITING && !due && !firstWait) {
+            stopWaiting();
         }
     }
 
+    /**
+     * Ends a wait that was begun because others had not been heard of for a while. The first one after a start goes on, since the fleet may
+     * not have met.
+     *
+     * <p>A wait that is left open brings the next document, which peers give packed, a second time and whole: 0.5 s of a link of 10 Mbit/s for
+     * 1,500 routes, in which callers' requests wait.
+     */
+    private void stopWaiting() {
+        lastCall++;
+        call.update(Disposables.disposed());
+        state = State.IDLE;
+    }
+
     /**
      * Asks for a newer configuration apart if the store's revision has risen beyond what is known of it: the wait may hang on a connection
      * that nobody serves any more.
@@ -135,6 +152,7 @@
             return;
         }
         pause.reset();
+        firstWait = readsWhole;
         readsWhole = false;
         take(result);
         followIfDue();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/LoadLimit.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/LoadLimit.java
@@ -17,6 +17,12 @@
      */
     public static final LoadLimit CHATS = new LoadLimit(1.6, 2);
 
+    /**
+     * The limit against the mean of all endpoints of a service while some of them get nothing new, because their data centre is drained or
+     * they have just started: the mean that deployments require counts these too. It binds once an eighth of them get nothing.
+     */
+    public static final LoadLimit WHOLE_SERVICE = new LoadLimit(1.8, 2);
+
     /**
      * Returns the most requests that an endpoint may hold before it is given another one.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/placement/EndpointChooser.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/placement/EndpointChooser.java
@@ -62,10 +62,12 @@
 
     private PlacementChoice byPrompt(PlacementQuery query, PromptShape prompt) {
         long key = prompt.chainHash(prompt.sharedParts());
-        double limit = LoadLimit.CHATS.requests(query.candidates(), book);
+        double limit = Math.min(
+                LoadLimit.CHATS.requests(query.candidates(), book),
+                LoadLimit.WHOLE_SERVICE.requests(query.wholeService(), book));
         ServiceEndpoint chosen = firstWithRoom(query.candidates(), key, limit);
         if (chosen == null) {
-            chosen = leastLoaded(query.candidates());
+            chosen = leastLoaded(compared(query));
         }
         int rank = passedOver(query.candidates(), key, chosen);
         ServiceEndpoint holder = memory.holds(key, chosen, query.nowMillis()) ? null : holder(query, key, chosen);
@@ -139,8 +141,7 @@
     }
 
     private PlacementChoice byLoad(PlacementQuery query) {
-        List<ServiceEndpoint> compared =
-                query.routers() > SURE_ROUTERS ? drawn(query.candidates(), query.requestHash()) : query.candidates();
+        List<ServiceEndpoint> compared = compared(query);
         ServiceEndpoint best = compared.get(0);
         double bestCost = Double.MAX_VALUE;
         for (ServiceEndpoint endpoint : compared) {
@@ -154,6 +155,10 @@
                 best, 0, requests(best), best.slots(), query.candidates().size(), null);
     }
 
+    private static List<ServiceEndpoint> compared(PlacementQuery query) {
+        return query.routers() > SURE_ROUTERS ? drawn(query.candidates(), query.requestHash()) : query.candidates();
+    }
+
     /** Draws two by chance: in a large fleet all would send to the least loaded before they hear that the others did. */
     private static List<ServiceEndpoint> drawn(List<ServiceEndpoint> candidates, long requestHash) {
         int size = candidates.size();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/placement/PlacementQuery.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/placement/PlacementQuery.java
@@ -9,6 +9,7 @@
  * What a request's endpoint is chosen by.
  *
  * @param candidates the endpoints that may be given the request
+ * @param wholeService the endpoints in working order, those included that get nothing new for now
  * @param cacheSources the endpoints whose caches can be fetched from, those that leave included
  * @param prompt what the request says of its prompt, if anything
  * @param requestHash a well mixed hash of the request, which breaks ties
@@ -18,6 +19,7 @@
  */
 public record PlacementQuery(
         List<ServiceEndpoint> candidates,
+        List<ServiceEndpoint> wholeService,
         List<ServiceEndpoint> cacheSources,
         Optional<PromptShape> prompt,
         long requestHash,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -4,14 +4,13 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.ForwardingHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -29,15 +28,11 @@
     private final ByteBuf body;
     private final ExchangeRecord record;
     private EndpointRisk risk;
-    private final List<String> triedEndpoints = new ArrayList<>();
+    private final SendHistory history = new SendHistory();
     private Terms terms = Terms.UNKNOWN;
     private @Nullable AnswerRelay relay;
     private @Nullable Attempt attempt;
     private @Nullable Future<?> timer;
-    private Verdict verdict = Verdict.NOT_RUN;
-    private Verdict verdictBeforeAttempt = Verdict.NOT_RUN;
-    private int sends;
-    private long sentAtMillis;
     private boolean ended;
 
     Exchange(TrafficTools tools, CallerConnection caller, RequestAssembly assembly) {
@@ -89,7 +84,7 @@
             giveUpQuarantined();
             return;
         }
-        Optional<PlacementChoice> choice = tools.placer().place(terms, triedEndpoints, sends > 0);
+        Optional<PlacementChoice> choice = tools.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
         if (choice.isEmpty()) {
             giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
             return;
@@ -111,7 +106,7 @@
         Attempt next = new Attempt(tools, this, caller, relay(), record, choice, terms.tokens());
         attempt = next;
         EndpointPool pool = tools.connections().pool(next.endpoint());
-        if (sends > 0) {
+        if (history.sends() > 0) {
             pool.open(next);
         } else {
             pool.acquire(terms.kind().mayRunAgain(), next);
@@ -140,7 +135,7 @@
     }
 
     private boolean mayRetry() {
-        return sends < terms.maxAttempts()
+        return history.sends() < terms.maxAttempts()
                 && terms.leftMillis(tools.nowMillis()) > 0
                 && tools.takeRetry(terms.service());
     }
@@ -152,7 +147,7 @@
             caller.abort();
             return;
         }
-        if (verdict == Verdict.NOT_RUN) {
+        if (history.notRun()) {
             RefusalCode truthful = code == RefusalCode.ENDPOINT_FAILED ? RefusalCode.NO_ENDPOINT : code;
             refuse(truthful, detail, RetryDelay.of(truthful));
             return;
@@ -161,7 +156,7 @@
     }
 
     private void refuse(RefusalCode code, String detail, RetryDelay delay) {
-        record.finished(verdict, code.status(), detail);
+        record.finished(history.verdict(), code.status(), detail);
         end();
         caller.answer(
                 HttpResponseStatus.valueOf(code.status()),
@@ -174,7 +169,7 @@
             return;
         }
         stopAttempt();
-        RefusalCode code = verdict == Verdict.NOT_RUN ? RefusalCode.OVERLOADED : RefusalCode.DEADLINE;
+        RefusalCode code = history.notRun() ? RefusalCode.OVERLOADED : RefusalCode.DEADLINE;
         giveUp(code, "the time for an answer is over");
     }
 
@@ -184,7 +179,7 @@
             return;
         }
         stopAttempt();
-        record.finished(verdict, 0, "the caller left");
+        record.finished(history.verdict(), 0, "the caller left");
         end();
     }
 
@@ -202,7 +197,7 @@
 
     /** Tells whether its endpoint has been waited for so long. */
     boolean waitsLonger(String endpointId, long millis, long nowMillis) {
-        return waitsFor(endpointId) && nowMillis - sentAtMillis > millis;
+        return waitsFor(endpointId) && history.sentMillisAgo(nowMillis) > millis;
     }
 
     /** The endpoint can no longer be reached: what may run again is tried elsewhere, the rest waits on. */
@@ -211,7 +206,7 @@
             return;
         }
         ServiceEndpoint endpoint = attempt.endpoint();
-        tools.ends().broke(endpoint, record.fingerprint(), tools.nowMillis() - sentAtMillis, tools.nowMillis());
+        tools.ends().broke(endpoint, record.fingerprint(), history.sentMillisAgo(tools.nowMillis()), tools.nowMillis());
         stopAttempt();
         risk.brokeAt(endpoint);
         failedAtEndpoint("the endpoint cannot be reached any more");
@@ -229,7 +224,7 @@
         Attempt current = attempt;
         attempt = null;
         if (current != null) {
-            triedEndpoints.add(current.endpoint().id());
+            history.tried(current.endpoint());
             current.stop();
         }
     }
@@ -250,43 +245,41 @@
 
     @Override
     public void connected(Attempt current, EndpointConnection connection) {
+        if (maySend(current.endpoint())) {
+            send(current, connection);
+        }
+    }
+
+    /** Looks once more whether the request is still wanted, in time and welcome; what is to become of it if not has been seen to. */
+    private boolean maySend(ServiceEndpoint endpoint) {
         if (caller.hasLeft()) {
             withdrawAttempt();
             callerLeft();
-            return;
-        }
-        long left = terms.leftMillis(tools.nowMillis());
-        if (left <= 0) {
+        } else if (terms.leftMillis(tools.nowMillis()) <= 0) {
             withdrawAttempt();
             expired();
-            return;
-        }
-        if (!risk.admitted()) {
+        } else if (!risk.admitted()) {
             withdrawAttempt();
             giveUpQuarantined();
-            return;
-        }
-        if (!tools.placer().stillOpen(terms, current.endpoint())) {
+        } else if (!tools.placer().stillOpen(terms, endpoint)) {
             withdrawAttempt();
             record.attemptEnded("the endpoint takes nothing new");
             attempt();
-            return;
+        } else {
+            return true;
         }
-        sends++;
-        sentAtMillis = tools.nowMillis();
-        verdictBeforeAttempt = verdict;
-        verdict = verdict.and(Verdict.MAY_HAVE_RUN);
-        record.sent(tools.nowMillis());
+        return false;
+    }
+
+    private void send(Attempt current, EndpointConnection connection) {
+        long nowMillis = tools.nowMillis();
+        history.sent(nowMillis);
+        record.sent(nowMillis);
         risk.sent();
-        terms.prompt().ifPresent(prompt -> tools.chooser().sent(prompt, current.endpoint(), sentAtMillis));
-        connection.send(
-                OnwardRequest.of(
-                        request,
-                        body,
-                        tools.dialect(),
-                        terms.forwarding(current.endpoint(), left, relay().lastEventId(), current.cacheHolder())),
-                terms.requestId(),
-                current);
+        terms.prompt().ifPresent(prompt -> tools.chooser().sent(prompt, current.endpoint(), nowMillis));
+        ForwardingHead forwarding = terms.forwarding(
+                current.endpoint(), terms.leftMillis(nowMillis), relay().lastEventId(), current.cacheHolder());
+        connection.send(OnwardRequest.of(request, body, tools.dialect(), forwarding), terms.requestId(), current);
     }
 
     /**
@@ -297,9 +290,9 @@
         if (late != attempt || relay().started() || !terms.kind().mayRunAgain() || !risk.mayBeRepeated()) {
             return;
         }
-        Optional<PlacementChoice> other = tools.placer().another(terms, triedEndpoints, late.endpoint());
+        Optional<PlacementChoice> other = tools.placer().another(terms, history.triedEndpoints(), late.endpoint());
         if (other.isPresent() && !terms.full(other.get()) && mayRetry()) {
-            record.attemptEnded("no answer within " + (tools.nowMillis() - sentAtMillis) + " ms");
+            record.attemptEnded("no answer within " + history.sentMillisAgo(tools.nowMillis()) + " ms");
             stopAttempt();
             attempt(other.get());
         }
@@ -308,7 +301,7 @@
     @Override
     public void unreachable(Attempt failed) {
         attempt = null;
-        triedEndpoints.add(failed.endpoint().id());
+        history.tried(failed.endpoint());
         attempt();
     }
 
@@ -317,7 +310,7 @@
         if (terms.kind().mayRunAgain() && mayRetry()) {
             attempt = null;
             failed.stop();
-            triedEndpoints.add(failed.endpoint().id());
+            history.tried(failed.endpoint());
             record.attemptEnded("status " + status);
             attempt();
             return true;
@@ -334,8 +327,8 @@
     @Override
     public void notRun(Attempt refused, int status) {
         attempt = null;
-        triedEndpoints.add(refused.endpoint().id());
-        verdict = verdictBeforeAttempt;
+        history.tried(refused.endpoint());
+        history.lastNotRun();
         record.attemptEnded("not run, status " + status);
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             tools.reportGone(refused.endpoint());
@@ -350,7 +343,7 @@
     @Override
     public void answered(Attempt whole, int status) {
         attempt = null;
-        triedEndpoints.add(whole.endpoint().id());
+        history.tried(whole.endpoint());
         record.finished(Verdict.RAN, status, "answered");
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
             risk.answered();
@@ -367,7 +360,7 @@
         attempt = null;
         risk.brokeAt(failed.endpoint());
         if (!failed.keptConnectionWasClosed()) {
-            triedEndpoints.add(failed.endpoint().id());
+            history.tried(failed.endpoint());
         }
         failedAtEndpoint(cause);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -91,6 +91,7 @@
         return tools.chooser()
                 .choose(new PlacementQuery(
                         candidates,
+                        tools.health().usable(tools.view().directory().open(terms.service()), nowMillis),
                         sources,
                         terms.prompt(),
                         Rendezvous.hash(terms.requestId()),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -55,6 +55,37 @@
         assertThat(source.next().whole).isTrue();
     }
 
+    @Test
+    void aWaitThatIsNotThisRoutersDutyAnyMoreEnds() {
+        startAndReadWhole();
+        Call first = source.next();
+        readsConfiguration = false;
+        follower.followIfDue();
+        assertThat(first.cancelled).isFalse();
+        readsConfiguration = true;
+        answers(first, 8, "2");
+        Call wait = source.next();
+
+        readsConfiguration = false;
+        follower.followIfDue();
+        assertThat(wait.cancelled).isTrue();
+
+        readsConfiguration = true;
+        follower.followIfDue();
+        assertThat(source.next().whole).isFalse();
+    }
+
+    @Test
+    void anAnswerThatComesIsTakenAlthoughItIsNotThisRoutersDutyAnyMore() {
+        startAndReadWhole();
+        Call wait = source.next();
+        begins(wait, WHOLE_BYTES);
+
+        readsConfiguration = false;
+        follower.followIfDue();
+        assertThat(wait.cancelled).isFalse();
+    }
+
     @Test
     void anAnswerOfOneVersionIsTaken() {
         startAndReadWhole();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/placement/EndpointChooserTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/placement/EndpointChooserTest.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.core.placement.Rendezvous;
@@ -60,6 +62,20 @@
         }
     }
 
+    /** The pattern: data centres are drained, and a hot subject among many comes to what is left; the limit counts all endpoints. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 6, 7})
+    void whileSomeEndpointsGetNothingTheOthersStayBelowTheLimitOfAll(int open) {
+        List<ServiceEndpoint> candidates = endpoints.subList(0, open);
+        for (int request = 1; request <= 400; request++) {
+            PromptShape prompt = prompt(request % 3 == 0 ? "hot" : "subject-" + request % 20, request);
+            PlacementChoice choice = choose(candidates, prompt);
+            double mean = (double) request / endpoints.size();
+            assertThat((double) choice.load()).isAtMost(2 * mean + 3);
+            book.started(choice.endpoint().id(), 10);
+        }
+    }
+
     @Test
     void aHotSubjectNeverTakesAnEndpointAboveTheLimit() {
         for (int request = 0; request < 400; request++) {
@@ -105,7 +121,7 @@
 
     @Test
     void withoutCandidatesThereIsNoChoice() {
-        assertThat(chooser.choose(new PlacementQuery(List.of(), List.of(), Optional.empty(), 1, 1, 0)))
+        assertThat(chooser.choose(new PlacementQuery(List.of(), List.of(), List.of(), Optional.empty(), 1, 1, 0)))
                 .isEqualTo(Optional.empty());
     }
 
@@ -128,18 +144,19 @@
     }
 
     private PlacementChoice choose(List<ServiceEndpoint> candidates, PromptShape prompt) {
-        PlacementChoice choice = chooser.choose(new PlacementQuery(candidates, endpoints, Optional.of(prompt), 1, 1, 0))
+        PlacementChoice choice = chooser.choose(
+                        new PlacementQuery(candidates, endpoints, endpoints, Optional.of(prompt), 1, 1, 0))
                 .orElseThrow();
         chooser.sent(prompt, choice.endpoint(), 0);
         return choice;
     }
 
     private PlacementQuery plain(long hash) {
-        return new PlacementQuery(endpoints, endpoints, Optional.empty(), hash, 1, 0);
+        return new PlacementQuery(endpoints, endpoints, endpoints, Optional.empty(), hash, 1, 0);
     }
 
     private PlacementQuery plainInLargeFleet(long hash) {
-        return new PlacementQuery(endpoints, endpoints, Optional.empty(), hash, 60, 0);
+        return new PlacementQuery(endpoints, endpoints, endpoints, Optional.empty(), hash, 60, 0);
     }
 
     private static PromptShape prompt(String subject, int request) {
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedExchange.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedExchange.java
@@ -82,6 +82,7 @@
         Optional<PromptShape> prompt = request.prompt();
         return router.chooser()
                 .choose(new PlacementQuery(
+                        candidates,
                         candidates,
                         router.healthBook().reachable(router.fleet().all(service), now),
                         prompt,
