A look before each send costs less; a kept connection that was not used proves nothing

Cause: the list of usable endpoints was made before each send although it is asked for only where an endpoint is cold, and the times at which data centres were given back were collected anew for each endpoint. A kept connection that was given back unused counted as seen to work just then. Change: both are made once, or only when asked for; only a connection that was made just now counts as proved.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ColdEndpoints.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ColdEndpoints.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.config.ColdStart;
 import org.radishpass.routing.config.RoutingConfiguration;
 import org.radishpass.routing.config.ServiceSpec;
@@ -37,11 +39,13 @@
      */
     Map<String, Long> untilMillis(RoutingConfiguration configuration, long nowMillis) {
         Map<String, Long> until = new HashMap<>();
+        Map<DataCentre, Long> returnedAtMillis = drains.returnedAtMillis();
         for (ServiceEndpoint endpoint : directory.directory().all()) {
             Optional<ColdStart> coldStart =
                     configuration.service(endpoint.service()).flatMap(ServiceSpec::coldStart);
             if (coldStart.isPresent()) {
-                long millis = Math.max(byEntry(endpoint, nowMillis), byReturn(endpoint, coldStart.get()));
+                long byReturn = byReturn(returnedAtMillis.get(endpoint.dataCentre()), coldStart.get());
+                long millis = Math.max(byEntry(endpoint, nowMillis), byReturn);
                 if (millis > nowMillis) {
                     until.put(endpoint.id(), millis);
                 }
@@ -62,8 +66,7 @@
                 : latest;
     }
 
-    private long byReturn(ServiceEndpoint endpoint, ColdStart coldStart) {
-        Long returnedAtMillis = drains.returnedAtMillis().get(endpoint.dataCentre());
+    private long byReturn(@Nullable Long returnedAtMillis, ColdStart coldStart) {
         if (returnedAtMillis == null || directory.readAtMillis() >= returnedAtMillis + ENTRY_LAG_MILLIS) {
             return StoreClock.NEVER;
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ColdEndpointGuard.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ColdEndpointGuard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.radishpass.routing.config.ColdStart;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.ColdStartShares;
@@ -56,16 +57,16 @@
      * Tells whether a request may be sent now to an endpoint that was chosen a while ago, and counts it if so.
      *
      * @param endpoint the endpoint
-     * @param usable the endpoints among which it would be chosen now
+     * @param usable gives the endpoints among which it would be chosen now
      * @param terms the request's terms
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    boolean takes(ServiceEndpoint endpoint, List<ServiceEndpoint> usable, Terms terms, long nowMillis) {
+    boolean takes(ServiceEndpoint endpoint, Supplier<List<ServiceEndpoint>> usable, Terms terms, long nowMillis) {
         ColdStart coldStart = terms.coldStart();
         if (coldStart == null || !cold(endpoint, coldStart, nowMillis)) {
             return true;
         }
-        if (warm(usable, coldStart, nowMillis).contains(endpoint)) {
+        if (warm(usable.get(), coldStart, nowMillis).contains(endpoint)) {
             return true;
         }
         if (!admits(endpoint, coldStart, nowMillis)) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -89,7 +89,10 @@
 
     /** Gives back a connection on which nothing was sent. */
     void release() {
-        becomesIdle();
+        if (!usedBefore) {
+            becomesIdle(); // that it was made just now is the proof that it works; one that was kept has given none
+            // since
+        }
         pool.idle(this);
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -64,7 +64,7 @@
         EndpointFilter filter = new EndpointFilter(tools.view());
         long nowMillis = tools.nowMillis();
         return filter.stillOpen(terms, chosen)
-                && tools.coldGuard().takes(chosen, usable(filter, terms, nowMillis), terms, nowMillis);
+                && tools.coldGuard().takes(chosen, () -> usable(filter, terms, nowMillis), terms, nowMillis);
     }
 
     private List<ServiceEndpoint> usable(EndpointFilter filter, Terms terms, long nowMillis) {
