--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationDecoder.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationDecoder.java
@@ -12,7 +12,7 @@
     /**
      * Reads it.
      *
-     * @param content the document
+     * @param content the document; it is not changed any more, by anyone
      * @throws MalformedDocumentException if it cannot be read
      */
     RoutingConfiguration decode(byte[] content);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.LongConsumer;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,6 +22,9 @@
 
     private static final long UNKNOWN = -1;
 
+    /** Milliseconds that the whole document takes to come from which on peers are waited for: half of what a change may take in all. */
+    private static final long SLOW_MILLIS = 400;
+
     /**
      * How many times as large as the last whole configuration an answer may be: one version with some more routes. A larger one holds
      * several versions, of which one is wanted. After 25 changes of 500 KB within 2 s it took 10 s on 14 Mbit/s.
@@ -31,6 +35,7 @@
     private static final long SMALL_BYTES = 16_384;
 
     private final ControlThread thread;
+    private final MonotonicClock clock;
     private final ControlSource source;
     private final Listener listener;
     private final RetryPause pause = new RetryPause();
@@ -39,12 +44,15 @@
     private boolean checking;
     private long revision = UNKNOWN;
     private long wholeBytes;
+    private long wholeBegunAtMillis;
+    private long wholeMillis;
     private boolean readsWhole = true;
     private boolean firstWait = true;
     private int lastCall;
 
-    ConfigurationFollower(ControlThread thread, ControlSource source, Listener listener) {
+    ConfigurationFollower(ControlThread thread, MonotonicClock clock, ControlSource source, Listener listener) {
         this.thread = thread;
+        this.clock = clock;
         this.source = source;
         this.listener = listener;
     }
@@ -70,16 +78,21 @@
         boolean due = listener.readsConfiguration();
         if (state == State.IDLE && due) {
             ask();
-        } else if (state == State.WAITING && !due && !firstWait) {
+        } else if (state == State.WAITING && !due && !firstWait()) {
             stopWaiting();
         }
     }
 
     /**
-     * Ends a wait that was begun because others had not been heard of for a while. The first one after a start goes on, since the fleet may
-     * not have met.
-     *
-     * <p>A wait that is left open brings the next document, which peers give packed, a second time and whole: 0.5 s of a link of 10 Mbit/s for
+     * Tells whether this is the first wait after a start, in which the fleet may not have met; not where the document came so slowly that
+     * peers, who give it packed, are the sooner ones.
+     */
+    private boolean firstWait() {
+        return firstWait && wholeMillis < SLOW_MILLIS;
+    }
+
+    /**
+     * Ends a wait that was begun because others had not been heard of for a while. A wait that is left open brings the next document, which peers give packed, a second time and whole: 0.5 s of a link of 10 Mbit/s for
      * 1,500 routes, in which callers' requests wait.
      */
     private void stopWaiting() {
@@ -127,6 +140,7 @@
         }
         if (readsWhole) {
             wholeBytes = bytes;
+            wholeBegunAtMillis = clock.millis();
         } else if (bytes > Math.max(SMALL_BYTES, MOST_TIMES * wholeBytes)) {
             readsWhole = true;
             ask();
@@ -153,7 +167,10 @@
         }
         pause.reset();
         firstWait = readsWhole;
-        readsWhole = false;
+        if (readsWhole) {
+            wholeMillis = clock.millis() - wholeBegunAtMillis;
+            readsWhole = false;
+        }
         take(result);
         followIfDue();
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
@@ -52,7 +52,7 @@
         if (current != null && document.hash().equals(documents.newest().hash())) {
             return false; // several peers give the same; decoding it takes 10 ms and more for 1,500 routes
         }
-        RoutingConfiguration configuration = decoder.decode(offered);
+        RoutingConfiguration configuration = decoder.decode(document.bytes());
         if (configuration.version() <= version()) {
             return false;
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -46,7 +46,7 @@
         this.storeClock = beliefs.storeClock();
         this.unusable = unusable;
         this.listener = listener;
-        this.configurations = new ConfigurationFollower(thread, source, new ConfigurationNews());
+        this.configurations = new ConfigurationFollower(thread, clock, source, new ConfigurationNews());
         this.list = new ListFollower(thread, clock, source, new ListNews());
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -33,7 +33,7 @@
     private final Source source = new Source();
     private final List<String> published = new ArrayList<>();
     private final ConfigurationFollower follower =
-            new ConfigurationFollower(new ControlThread(time), source, new Listener());
+            new ConfigurationFollower(new ControlThread(time), time::millis, source, new Listener());
     private boolean readsConfiguration = true;
 
     @Test
@@ -75,6 +75,21 @@
         assertThat(source.next().whole).isFalse();
     }
 
+    @Test
+    void whereTheWholeDocumentCameSlowlyTheFirstWaitEndsToo() {
+        follower.start();
+        time.pass(MOMENT);
+        Call whole = source.next();
+        begins(whole, WHOLE_BYTES);
+        time.pass(Duration.ofMillis(500));
+        answers(whole, 7, "1");
+        Call first = source.next();
+
+        readsConfiguration = false;
+        follower.followIfDue();
+        assertThat(first.cancelled).isTrue();
+    }
+
     @Test
     void anAnswerThatComesIsTakenAlthoughItIsNotThisRoutersDutyAnyMore() {
         startAndReadWhole();
