--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ColdEndpointsTest.java
@@ -0,0 +1,107 @@
+package org.radishpass.routing.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.config.ColdStart;
+import org.radishpass.routing.config.RoutingConfiguration;
+import org.radishpass.routing.config.ServiceSpec;
+import org.radishpass.routing.fleet.DataCentreDrain;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/** Checks which endpoints are taken to be cold, and until when. The store's clock is ahead of the router's by a fixed time. */
+final class ColdEndpointsTest {
+    private static final DataCentre HERE = new DataCentre("here");
+    private static final long COLD_MILLIS = 3_000;
+    private static final long STORE_AHEAD_MILLIS = 50_000;
+    private static final RoutingConfiguration CONFIGURATION = RoutingConfiguration.builder(1)
+            .service(new ServiceSpec("s", "/health", 100, null, new ColdStart(COLD_MILLIS, 13)))
+            .service(new ServiceSpec("plain", "/health", 100, null))
+            .build();
+
+    private final DirectoryTracker directory = new DirectoryTracker();
+    private final DrainTracker drains = new DrainTracker();
+    private final StoreClock storeClock = new StoreClock();
+    private final ColdEndpoints cold = new ColdEndpoints(directory, drains, storeClock);
+    private long revision;
+
+    @Test
+    void anEntryThatSaysHowLongIsBelieved() {
+        read(1_000, endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 3_500), endpoint("warm", "s"));
+        assertThat(cold.untilMillis(CONFIGURATION, 1_000)).containsExactly("e", 3_500L);
+        assertThat(cold.untilMillis(CONFIGURATION, 3_502)).isEmpty(); // clocks drift apart by 0.5 ms in 2.5 s
+    }
+
+    @Test
+    void endpointsOfServicesThatBearTheSameFromTheirStartOnAreNotCold() {
+        read(1_000, endpoint("e", "plain").coldUntil(STORE_AHEAD_MILLIS + 3_500));
+        assertThat(cold.untilMillis(CONFIGURATION, 1_000)).isEmpty();
+    }
+
+    /** An entry holds what was left when it was renewed last, so that the end seems to move by up to a renewal. */
+    @Test
+    void theEndOfAColdSpellDoesNotMoveWithEachReading() {
+        read(1_000, endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 3_500));
+        long hash = directory.hash();
+        read(1_850, endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 4_350));
+        assertThat(cold.untilMillis(CONFIGURATION, 1_850)).containsExactly("e", 3_500L);
+        assertThat(directory.hash()).isEqualTo(hash);
+    }
+
+    @Test
+    void anEndpointThatBecomesColdAgainIsNoticedAndTold() {
+        read(1_000, endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 3_500));
+        read(5_000, endpoint("e", "s"));
+        long warm = directory.hash();
+        read(9_000, endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 11_000));
+        assertThat(cold.untilMillis(CONFIGURATION, 9_000)).containsExactly("e", 11_000L);
+        assertThat(directory.hash()).isNotEqualTo(warm);
+    }
+
+    @Test
+    void afterADrainEndpointsAreColdUntilAReadingHadTheTimeToTell() {
+        read(1_000, endpoint("e", "s"));
+        drains.offer(new DataCentreDrain(HERE, 5, true), 1_000);
+        drains.offer(new DataCentreDrain(HERE, 6, false), 2_000);
+        assertThat(cold.untilMillis(CONFIGURATION, 2_000)).containsKey("e");
+        read(3_400, endpoint("e", "s"));
+        assertThat(cold.untilMillis(CONFIGURATION, 3_400)).containsKey("e");
+        read(2_000 + ColdEndpoints.ENTRY_LAG_MILLIS, endpoint("e", "s"));
+        assertThat(cold.untilMillis(CONFIGURATION, 3_600)).isEmpty();
+    }
+
+    @Test
+    void withoutReadingsEndpointsOfADrainAreColdForAWholeSpell() {
+        read(1_000, endpoint("e", "s"));
+        drains.offer(new DataCentreDrain(HERE, 6, false), 2_000);
+        long until = 2_000 + ColdEndpoints.ENTRY_LAG_MILLIS + COLD_MILLIS;
+        assertThat(cold.untilMillis(CONFIGURATION, 5_000)).isEqualTo(Map.of("e", until));
+        assertThat(cold.untilMillis(CONFIGURATION, until)).isEmpty();
+    }
+
+    @Test
+    void peersAreToldHowLongEndpointsAreCold() throws IOException {
+        ServiceEndpoint told = endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 3_500);
+        EndpointSnapshot list = new EndpointSnapshot(new ListReading(3, 51_000, true), List.of(told), Set.of());
+        assertThat(EndpointListCodec.decode(EndpointListCodec.encode(list)).endpoints())
+                .containsExactly(told);
+    }
+
+    private void read(long nowMillis, ServiceEndpoint... endpoints) {
+        long storeMillis = nowMillis + STORE_AHEAD_MILLIS;
+        storeClock.observed(nowMillis, nowMillis, storeMillis);
+        directory.listed(
+                new DirectoryReading.Listed(++revision, storeMillis, Arrays.asList(endpoints), List.of()), nowMillis);
+    }
+
+    private static ServiceEndpoint endpoint(String id, String service) {
+        return new ServiceEndpoint(id, service, new Address("10.0.0.9", 80), HERE, 6, false);
+    }
+}
