--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -228,25 +228,14 @@
         Peer peer = found.get();
         long nowMillis = clock.millis();
         heard(peer, peer.told(state, nowMillis));
-        drainsTold(peer, state.drains(), nowMillis);
+        if (PeerStates.takeDrains(state.drains(), beliefs.drains(), nowMillis)) {
+            listener.drainsChanged("router " + peer.id());
+        }
         if (documents.compare(links(), peer, state, duty().readsConfiguration())) {
             confirmed(nowMillis);
         }
     }
 
-    private void drainsTold(Peer peer, List<RoutingMessage.DrainEntry> entries, long nowMillis) {
-        boolean news = false;
-        for (RoutingMessage.DrainEntry entry : entries) {
-            long sinceMillis = nowMillis - Math.max(0, entry.forMillis());
-            news |= PeerStates.drain(entry)
-                    .filter(drain -> beliefs.drains().offer(drain, sinceMillis))
-                    .isPresent();
-        }
-        if (news) {
-            listener.drainsChanged("router " + peer.id());
-        }
-    }
-
     /** A later reading of the same list: placements count its age from then on, and members are told. */
     private void confirmed(long nowMillis) {
         listener.endpointsChanged();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
@@ -76,8 +76,19 @@
                 .toList();
     }
 
-    /** Returns what an entry says of a data centre, if it names one. */
-    static Optional<DataCentreDrain> drain(RoutingMessage.DrainEntry entry) {
+    /** Takes what a peer tells of data centres that are to get nothing new; returns whether any of it was news. */
+    static boolean takeDrains(List<RoutingMessage.DrainEntry> entries, DrainTracker tracker, long nowMillis) {
+        boolean news = false;
+        for (RoutingMessage.DrainEntry entry : entries) {
+            long sinceMillis = nowMillis - Math.max(0, entry.forMillis());
+            news |= drain(entry)
+                    .filter(drain -> tracker.offer(drain, sinceMillis))
+                    .isPresent();
+        }
+        return news;
+    }
+
+    private static Optional<DataCentreDrain> drain(RoutingMessage.DrainEntry entry) {
         return entry.dataCentre().isBlank()
                 ? Optional.empty()
                 : Optional.of(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
@@ -3,15 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -35,11 +31,11 @@
 
     private final TrafficTools tools;
     private final Deque<HttpObject> ahead = new ArrayDeque<>();
+    private final AnswerWriter answers;
     private @Nullable ChannelHandlerContext context;
     private @Nullable RequestAssembly assembly;
     private @Nullable RequestAssembly whole;
     private @Nullable Exchange exchange;
-    private boolean closeAfterAnswer;
     private boolean closing;
     private boolean reading;
     private boolean arrivalDue;
@@ -47,12 +43,14 @@
 
     CallerConnection(TrafficTools tools) {
         this.tools = tools;
+        this.answers = new AnswerWriter(tools);
         this.quietSinceMillis = tools.nowMillis();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         this.context = ctx;
+        answers.added(ctx);
         tools.callers().add(this);
     }
 
@@ -152,13 +150,12 @@
 
     /** Sends the head of an answer whose body follows. */
     void startAnswer(HttpResponse head) {
-        prepare(head);
-        var unused = ctx().write(head, ctx().voidPromise());
+        answers.start(head);
     }
 
     /** Sends a part of the body and releases it. */
     void answerContent(ByteBuf part) {
-        var unused = ctx().write(new DefaultHttpContent(part), ctx().voidPromise());
+        answers.content(part);
     }
 
     void flush() {
@@ -168,32 +165,21 @@
     /** Ends the answer whose head was sent. */
     void finishAnswer() {
         done();
-        var last = ctx().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        if (closeAfterAnswer) {
-            closing = true;
-            last.addListener(ChannelFutureListener.CLOSE);
-            return;
-        }
-        next();
+        goOn(answers.finish());
     }
 
     /** Sends a whole answer of the router's own. */
     void answer(HttpResponseStatus status, ByteBuf body, @Nullable String retryAfter) {
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        if (retryAfter != null) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter);
-        }
-        prepare(response);
         done();
-        var written = ctx().writeAndFlush(response);
-        if (closeAfterAnswer) {
+        goOn(answers.whole(status, body, retryAfter));
+    }
+
+    private void goOn(boolean open) {
+        if (open) {
+            next();
+        } else {
             closing = true;
-            written.addListener(ChannelFutureListener.CLOSE);
-            return;
         }
-        next();
     }
 
     /** Breaks off an answer in a way that cannot be taken for its end. */
@@ -207,15 +193,6 @@
         return Objects.requireNonNull(context, "not yet added to a channel");
     }
 
-    private void prepare(HttpResponse head) {
-        if (tools.stopping()) {
-            closeAfterAnswer = true;
-        }
-        if (closeAfterAnswer) {
-            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-    }
-
     private void done() {
         exchange = null;
         quietSinceMillis = tools.nowMillis();
@@ -255,7 +232,7 @@
     }
 
     private void begin(HttpRequest request) {
-        closeAfterAnswer = !HttpUtil.isKeepAlive(request);
+        answers.endsConnection(!HttpUtil.isKeepAlive(request));
         assembly = new RequestAssembly(
                 request, tools.nowMillis(), tools.view().limits().maxBodyBytes(), allocator());
         if (assembly.announcedTooLarge()) {
@@ -320,7 +297,7 @@
 
     /** Answers before the request is whole; what still comes in of it cannot be told from a next request. */
     private void refuseEarly(HttpResponseStatus status, String detail) {
-        closeAfterAnswer = true;
+        answers.endsConnection(true);
         dropInput();
         tools.log().refusedEarly(status.code(), detail);
         answer(status, Refusals.body(allocator(), status.code(), detail), null);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
@@ -37,8 +36,6 @@
 import org.radishpass.routing.quarantine.SuspectSource;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Takes callers' requests and serves them. All of its state belongs to one event loop, the traffic thread; its methods
@@ -47,8 +44,6 @@
  * @since 0.2.0
  */
 public final class TrafficServer implements WorkSource, SuspectSource {
-    private static final Logger LOG = LoggerFactory.getLogger(TrafficServer.class);
-
     /** Milliseconds between looks at endpoints: a fraction of the silence that is looked into. */
     private static final long LOOK_MILLIS = 100;
 
@@ -143,8 +138,8 @@
                         serving.completeExceptionally(registered.cause());
                     }
                 });
-        every(LOOK_MILLIS, tools.watch()::look);
-        every(TIDY_MILLIS, this::tidy);
+        tools.every(LOOK_MILLIS, tools.watch()::look);
+        tools.every(TIDY_MILLIS, this::tidy);
         return serving;
     }
 
@@ -258,20 +253,6 @@
         });
     }
 
-    private void every(long millis, Runnable task) {
-        var unused = loop.scheduleWithFixedDelay(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException e) {
-                        LOG.error("a task of the traffic thread failed; it runs again", e);
-                    }
-                },
-                millis,
-                millis,
-                TimeUnit.MILLISECONDS);
-    }
-
     private void closeIdle() {
         for (CallerConnection caller : new ArrayList<>(tools.callers())) {
             if (caller.idle()) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -16,12 +16,16 @@
 import org.radishpass.routing.quarantine.AtWork;
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.retry.SharedRetryBudget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What the connections and requests of the traffic thread share. All of it belongs to that thread. */
 final class TrafficTools {
     /** Milliseconds between looks at requests that wait for the configuration: small beside an answer. */
     private static final long HELD_LOOK_MILLIS = 20;
 
+    private static final Logger LOG = LoggerFactory.getLogger(TrafficTools.class);
+
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final Supplier<RoutingView> views;
@@ -87,6 +91,21 @@
         return loop;
     }
 
+    /** Runs a task on the traffic thread again and again, with a pause between. */
+    void every(long millis, Runnable task) {
+        var unused = loop.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        LOG.error("a task of the traffic thread failed; it runs again", e);
+                    }
+                },
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
     long nowMillis() {
         return clock.millis();
     }
