A router that knows of a newer configuration does not deny what that may allow

They had heard of the newer version from peers, and had not had the processor to read it. Callers do not come back after a denial. Figures: NewerConfigurationTest (404 before, 503 while a newer version is expected, 404 again once it has not come). Requests that an older version allows and a newer one does not are still run until that is in force.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
@@ -12,7 +12,12 @@
  * @since 0.2.0
  */
 public final class ConfigurationTracker {
+    /** Milliseconds within which a version comes that a router has heard of; one that has not cannot be read here. */
+    private static final long COMES_WITHIN_MILLIS = 10_000;
+
     private final ConfigurationDecoder decoder;
+    private long newestHeardOf = -1;
+    private long newerExpectedUntilMillis = Long.MIN_VALUE;
     private @Nullable RoutingConfiguration current;
     private final DocumentHistory documents = new DocumentHistory();
 
@@ -25,6 +30,30 @@
         this.decoder = decoder;
     }
 
+    /**
+     * Notes that a version exists.
+     *
+     * @param existing the version
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @return whether that is news, and the version is newer than the one in force
+     */
+    boolean heardOf(long existing, long nowMillis) {
+        if (current == null || existing <= Math.max(newestHeardOf, version())) {
+            return false;
+        }
+        newestHeardOf = existing;
+        newerExpectedUntilMillis = nowMillis + COMES_WITHIN_MILLIS;
+        return true;
+    }
+
+    /**
+     * Returns until when a newer configuration is expected to come, on the monotonic clock in milliseconds; long ago if there is none that
+     * this router has heard of.
+     */
+    long newerExpectedUntilMillis() {
+        return newestHeardOf > version() ? newerExpectedUntilMillis : Long.MIN_VALUE;
+    }
+
     /** Returns the version in force; -1 before the first. */
     public long version() {
         return current == null ? -1 : current.version();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -163,6 +163,7 @@
         view = new RoutingView(
                 configuration.current().orElse(null),
                 configurationSinceMillis,
+                configuration.newerExpectedUntilMillis(),
                 directory.directory(),
                 directory.known(),
                 follower.arriving(),
@@ -260,6 +261,11 @@
 
     /** Hears what peers brought. */
     private final class PeerNews implements PeerExchange.Listener {
+        @Override
+        public void newerConfigurationExists() {
+            publish();
+        }
+
         @Override
         public void configurationOffered(byte[] content, String origin) {
             follower.offer(content, origin);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -63,6 +63,9 @@
      * @return whether this router's list is confirmed as of a later reading
      */
     boolean compare(PeerLinks links, Peer peer, RoutingMessage.RoutingState state, boolean storeTells) {
+        if (configuration.heardOf(state.configuration(), clock.millis())) {
+            listener.newerConfigurationExists();
+        }
         if (state.configuration() > configuration.version()) {
             Duration wait = storeTells && configuration.version() >= 0 ? STORE_FIRST : Duration.ZERO;
             fetch(links, peer, CONFIGURATION, wait, () -> state.configuration() > configuration.version());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -279,6 +279,9 @@
 
     /** Hears of what peers brought; called on the control thread. */
     interface Listener {
+        /** A peer has a newer configuration, which is not here yet. */
+        void newerConfigurationExists();
+
         /** A peer offers a configuration. */
         void configurationOffered(byte[] content, String origin);
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -47,7 +47,7 @@
 
     /** Finds out what is to become of the request, and starts its first attempt. */
     void begin() {
-        Resolution resolution = tools.resolver().resolve(request, tools.view(), record);
+        Resolution resolution = tools.resolver().resolve(request, tools.view(), record, tools.nowMillis());
         if (resolution instanceof Resolution.Refused refused) {
             refuse(refused.code(), refused.detail(), refused.delay());
         } else if (resolution instanceof Resolution.Resolved resolved) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
@@ -25,8 +25,9 @@
      * @param request its head
      * @param view what is believed now
      * @param record the account of the request; learns its id and the configuration
+     * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    Resolution resolve(HttpRequest request, RoutingView view, ExchangeRecord record) {
+    Resolution resolve(HttpRequest request, RoutingView view, ExchangeRecord record, long nowMillis) {
         Optional<RoutingConfiguration> known = view.configuration();
         if (known.isEmpty() || !view.complete()) {
             return new Resolution.Refused(
@@ -39,7 +40,18 @@
             return refused(RefusalCode.BAD_REQUEST, String.valueOf(e.getMessage()));
         }
         record.request(head.id(), known.get().version(), view.inForceSinceMillis());
-        return resolve(head, known.get(), record.receivedAtMillis());
+        Resolution resolution = resolve(head, known.get(), record.receivedAtMillis());
+        boolean denied = resolution instanceof Resolution.Refused;
+        return denied && nowMillis < view.newerExpectedUntilMillis() ? notYet() : resolution;
+    }
+
+    /**
+     * What the configuration in force denies, a newer one may allow that other routers have already. Callers do not come back after a
+     * denial, but do when a router says that it is not ready.
+     */
+    private static Resolution notYet() {
+        return new Resolution.Refused(
+                RefusalCode.NOT_READY, "a newer configuration is on its way", RetryDelay.NOT_READY);
     }
 
     private static Resolution resolve(RequestHead head, RoutingConfiguration configuration, long receivedAtMillis) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RoutingView.java
@@ -14,6 +14,8 @@
  *
  * @param published the configuration in force, or null before the first is known
  * @param inForceSinceMillis since when it is in force here, on the monotonic clock in milliseconds
+ * @param newerExpectedUntilMillis until when a newer one is expected that is known to exist, on the monotonic clock in milliseconds; long
+ *     ago if there is none
  * @param directory the endpoints
  * @param directoryKnown whether a list of endpoints has been read at all
  * @param arriving whether what is still missing is on its way: something of it has come lately
@@ -26,6 +28,7 @@
 public record RoutingView(
         @Nullable RoutingConfiguration published,
         long inForceSinceMillis,
+        long newerExpectedUntilMillis,
         EndpointDirectory directory,
         boolean directoryKnown,
         boolean arriving,
@@ -52,6 +55,7 @@
         this(
                 published,
                 inForceSinceMillis,
+                Long.MIN_VALUE,
                 directory,
                 directoryKnown,
                 arriving,
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationTrackerTest.java
@@ -29,6 +29,22 @@
         assertThat(tracker.version()).isEqualTo(7);
     }
 
+    @Test
+    void aNewerOneThatWasHeardOfIsExpectedUntilItIsInForce() {
+        tracker.offer(document("7"));
+        assertThat(tracker.heardOf(7, 1_000)).isFalse();
+        assertThat(tracker.newerExpectedUntilMillis()).isEqualTo(Long.MIN_VALUE);
+        assertThat(tracker.heardOf(9, 1_000)).isTrue();
+        long until = tracker.newerExpectedUntilMillis();
+        assertThat(until).isGreaterThan(1_000);
+        assertThat(tracker.heardOf(9, 5_000)).isFalse();
+        assertThat(tracker.newerExpectedUntilMillis()).isEqualTo(until);
+        tracker.offer(document("8"));
+        assertThat(tracker.newerExpectedUntilMillis()).isEqualTo(until);
+        tracker.offer(document("9"));
+        assertThat(tracker.newerExpectedUntilMillis()).isEqualTo(Long.MIN_VALUE);
+    }
+
     private static byte[] document(String version) {
         return version.getBytes(StandardCharsets.UTF_8);
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -80,6 +80,7 @@
         view = new RoutingView(
                 known.published(),
                 known.inForceSinceMillis(),
+                known.newerExpectedUntilMillis(),
                 known.directory(),
                 known.directoryKnown(),
                 known.arriving(),
@@ -90,6 +91,23 @@
         return this;
     }
 
+    /** Lets it hear that there is a newer configuration, which comes within a while. */
+    public TrafficBed hearsOfNewer(long withinMillis) {
+        RoutingView known = view;
+        view = new RoutingView(
+                known.published(),
+                known.inForceSinceMillis(),
+                nowMillis() + withinMillis,
+                known.directory(),
+                known.directoryKnown(),
+                known.arriving(),
+                known.origin(),
+                known.routers(),
+                known.eligibility(),
+                known.members());
+        return this;
+    }
+
     /** Returns the time on the router's clock, in milliseconds. */
     public long nowMillis() {
         return MonotonicClock.SYSTEM.millis() + skippedMillis.get();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointFilterTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointFilterTest.java
@@ -107,6 +107,7 @@
         return new RoutingView(
                 null,
                 0,
+                Long.MIN_VALUE,
                 new EndpointDirectory(endpoints),
                 true,
                 false,
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/NewerConfigurationTest.java
@@ -0,0 +1,64 @@
+package org.radishpass.routing.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.Answers.whole;
+import static org.radishpass.routing.testing.Answers.write;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.radishpass.routing.testing.FakeEndpoint;
+import org.radishpass.routing.testing.TestCaller;
+import org.radishpass.routing.testing.TrafficBed;
+
+/**
+ * The pattern: routers on an eighth of a core that have all started anew, and a configuration each second. One of them had version 49 in
+ * force while 52 had been acknowledged 4 s before; it denied routes and keys that 52 has, and callers do not come back after that.
+ */
+final class NewerConfigurationTest {
+    private static final long TIMEOUT_MILLIS = 20_000;
+    private static final long EXPECTED_MILLIS = 5_000;
+
+    private final TrafficBed bed;
+
+    NewerConfigurationTest() throws Exception {
+        bed = new TrafficBed();
+    }
+
+    @AfterEach
+    void close() {
+        bed.close();
+    }
+
+    @Test
+    void whatANewerConfigurationMayAllowIsNotDenied() throws Exception {
+        try (FakeEndpoint endpoint = endpoint();
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, endpoint).caller()) {
+            assertThat(status(caller, "/new/x")).isEqualTo("HTTP/1.1 404");
+            bed.hearsOfNewer(EXPECTED_MILLIS);
+            assertThat(status(caller, "/new/x")).isEqualTo("HTTP/1.1 503");
+            assertThat(status(caller, "/again/x")).isEqualTo("HTTP/1.1 200");
+        }
+    }
+
+    @Test
+    void oneThatDoesNotComeIsNotWaitedForForEver() throws Exception {
+        try (FakeEndpoint endpoint = endpoint();
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, endpoint)
+                        .hearsOfNewer(EXPECTED_MILLIS)
+                        .caller()) {
+            bed.skip(EXPECTED_MILLIS + 1);
+            assertThat(status(caller, "/new/x")).isEqualTo("HTTP/1.1 404");
+        }
+    }
+
+    private static String status(TestCaller caller, String path) throws IOException {
+        String head = caller.request("GET", path, "r", "").readUntil("\r\n\r\n");
+        caller.readBody(head);
+        return head.substring(0, head.indexOf(' ', head.indexOf(' ') + 1));
+    }
+
+    private static FakeEndpoint endpoint() throws IOException {
+        return new FakeEndpoint("a", (request, out) -> write(out, whole(request, 200, "ok")));
+    }
+}
