--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
@@ -18,6 +18,20 @@
             return says(request, "no configuration") || says(request, "is stopping");
         }
     },
+    /** The router knew that there was a newer configuration, which may allow the request, and did not have it yet. */
+    NEWER_CONFIGURATION("router behind its configuration") {
+        @Override
+        boolean fits(LoggedRequest request) {
+            return says(request, "newer configuration");
+        }
+    },
+    /** Endpoints had ended whenever they ran it. */
+    HELD_BACK("held back: it ends its endpoints") {
+        @Override
+        boolean fits(LoggedRequest request) {
+            return says(request, "endpoints end when they run");
+        }
+    },
     /** Nothing of the service took requests. */
     NO_ENDPOINT("no endpoint was left") {
         @Override
--- a/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
+++ b/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
@@ -21,6 +21,8 @@
     @CsvSource({
         "NOT_ALLOWED, 401, -1, the key is missing or unknown, ''",
         "ROUTER_NOT_READY, 503, -1, no configuration or endpoint list is known yet, ''",
+        "NEWER_CONFIGURATION, 503, -1, a newer configuration is on its way, ''",
+        "HELD_BACK, 503, -1, endpoints end when they run this request, ''",
         "NO_ENDPOINT, 503, -1, no endpoint of the service is left to try, ''",
         "FULL, 503, -1, every endpoint of the service is full, chosen 0 sent -1 head -1",
         "WAITED_TO_BE_SENT, 503, -1, the time for an answer is over, chosen 0 sent -1 head -1",
