--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ColdEndpointGuard.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ColdEndpointGuard.java
@@ -84,28 +84,30 @@
         List<ServiceEndpoint> warm = new ArrayList<>(candidates.size());
         List<ServiceEndpoint> suspected = new ArrayList<>();
         for (ServiceEndpoint endpoint : candidates) {
-            if (suspected(endpoint, coldStart, nowMillis)) {
+            if (mayHaveBecomeCold(endpoint, coldStart, nowMillis)) {
                 suspected.add(endpoint);
-            } else if (!told(endpoint, nowMillis)) {
+            } else if (!saysCold(endpoint, nowMillis)) {
                 warm.add(endpoint);
             }
         }
         if (suspected.size() > MOST_SUSPECTED * candidates.size()) {
-            suspected.stream().filter(endpoint -> !told(endpoint, nowMillis)).forEach(warm::add);
+            suspected.stream()
+                    .filter(endpoint -> !saysCold(endpoint, nowMillis))
+                    .forEach(warm::add);
         }
         return warm;
     }
 
     private boolean cold(ServiceEndpoint endpoint, ColdStart coldStart, long nowMillis) {
-        return told(endpoint, nowMillis) || suspected(endpoint, coldStart, nowMillis);
+        return saysCold(endpoint, nowMillis) || mayHaveBecomeCold(endpoint, coldStart, nowMillis);
     }
 
-    private boolean told(ServiceEndpoint endpoint, long nowMillis) {
+    private boolean saysCold(ServiceEndpoint endpoint, long nowMillis) {
         return tools.view().eligibility().cold(endpoint, nowMillis);
     }
 
     /** Who could not be connected to may have started anew, or come back cold, since its entry was read. */
-    private boolean suspected(ServiceEndpoint endpoint, ColdStart coldStart, long nowMillis) {
+    private boolean mayHaveBecomeCold(ServiceEndpoint endpoint, ColdStart coldStart, long nowMillis) {
         long failedAtMillis = tools.health().of(endpoint.id(), nowMillis).unreachableAtMillis();
         boolean lately = nowMillis - failedAtMillis < ENTRY_LAG_MILLIS + coldStart.millis();
         return lately && tools.view().origin().readAtMillis() < failedAtMillis + ENTRY_LAG_MILLIS;
