Observability: what answers state of their endpoint, and what is sent there after that

Cause: logs and metrics could not tell whether a router had been told in an answer that an endpoint drains, or to back off. Nothing acts on either yet.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -42,6 +42,14 @@
             "endpoint-ended",
             "an endpoint's answers broke off and it refuses connections: its process has ended; `atWork` names the requests"),
     /** See {@link #meaning}. */
+    ENDPOINT_LEAVING(
+            "endpoint-leaving",
+            "an endpoint is draining, as an answer stated; `source` is this router or who reported it"),
+    /** See {@link #meaning}. */
+    ENDPOINT_BACKOFF(
+            "endpoint-backoff",
+            "an endpoint rejected a request with Retry-After; `millis` is for how long it gets nothing"),
+    /** See {@link #meaning}. */
     ENDPOINT_BACK("endpoint-back", "a connection to an endpoint that was down succeeded"),
     /** See {@link #meaning}. */
     ENDPOINT_FAILING(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -136,7 +136,7 @@
     @Override
     public void head(HttpResponse response, AnswerHead head) {
         status = head.status();
-        record.headCame(tools.nowMillis(), status);
+        record.headCame(tools.nowMillis(), head);
         refused = head.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
         if (refused) {
             return;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -147,6 +147,7 @@
             return;
         }
         AnswerHead head = pool.dialect().decodeAnswer(response);
+        pool.answered(head);
         if (!head.answers(requestId)) {
             pool.foreignAnswer(requestId, head);
             skipping = true;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import jdk.net.ExtendedSocketOptions;
+import org.radishpass.routing.dialect.AnswerHead;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
@@ -45,6 +46,7 @@
     private final Bootstrap bootstrap;
     private final RequestDialect dialect;
     private final HealthBook health;
+    private final EndpointSignals signals;
     private final MonotonicClock clock;
     private final Counter opened;
     private final Counter foreignAnswers;
@@ -52,9 +54,15 @@
     private final Set<String> retired = new HashSet<>();
 
     EndpointConnections(
-            EventLoop loop, RequestDialect dialect, HealthBook health, MonotonicClock clock, MeterRegistry metrics) {
+            EventLoop loop,
+            RequestDialect dialect,
+            HealthBook health,
+            EndpointSignals signals,
+            MonotonicClock clock,
+            MeterRegistry metrics) {
         this.dialect = dialect;
         this.health = health;
+        this.signals = signals;
         this.clock = clock;
         this.opened = Counter.builder("radishpass.endpoint.connections.opened")
                 .description("connections made to endpoints")
@@ -131,6 +139,10 @@
         return retired.contains(endpointId) || !pools.containsKey(endpointId);
     }
 
+    void answered(ServiceEndpoint endpoint, AnswerHead head) {
+        signals.head(endpoint, head);
+    }
+
     void countForeignAnswer() {
         foreignAnswers.increment();
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -112,6 +112,10 @@
         }
     }
 
+    void answered(AnswerHead head) {
+        connections.answered(endpoint, head);
+    }
+
     void foreignAnswer(String waitingFor, AnswerHead head) {
         connections.countForeignAnswer();
         LOG.warn(
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
@@ -0,0 +1,104 @@
+package org.radishpass.routing.traffic;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.radishpass.routing.dialect.AnswerHead;
+import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.EndpointBackoffs;
+import org.radishpass.routing.health.LeavingEndpoints;
+
+/** Takes what endpoints state of themselves in the heads of their answers. Belongs to the traffic thread. */
+final class EndpointSignals {
+    private final MonotonicClock clock;
+    private final RequestLog log;
+    private final LeavingEndpoints leaving = new LeavingEndpoints();
+    private final EndpointBackoffs backoffs = new EndpointBackoffs();
+    private final Counter rejections;
+    private final Counter sendsWhileLeaving;
+    private final Counter sendsInBackoff;
+
+    EndpointSignals(
+            MonotonicClock clock, Supplier<EndpointDirectory> directory, RequestLog log, MeterRegistry metrics) {
+        this.clock = clock;
+        this.log = log;
+        this.rejections = Counter.builder("radishpass.endpoint.rejections")
+                .description("requests that endpoints rejected with Retry-After")
+                .register(metrics);
+        this.sendsWhileLeaving = sends("radishpass.endpoint.sends.leaving", "that had stated that they drain", metrics);
+        this.sendsInBackoff = sends("radishpass.endpoint.sends.backoff", "that were in backoff", metrics);
+        Gauge.builder("radishpass.endpoints.leaving", leaving, LeavingEndpoints::size)
+                .tag("source", "answer")
+                .description("listed endpoints that are draining, by where that is known from")
+                .register(metrics);
+        Gauge.builder("radishpass.endpoints.leaving", directory, listed -> leavingByList(listed.get()))
+                .tag("source", "list")
+                .description("listed endpoints that are draining, by where that is known from")
+                .register(metrics);
+        Gauge.builder("radishpass.endpoints.backoff", backoffs, all -> all.count(clock.millis()))
+                .description("endpoints that are sent nothing because they rejected a request with Retry-After")
+                .register(metrics);
+    }
+
+    private static Counter sends(String name, String to, MeterRegistry metrics) {
+        return Counter.builder(name)
+                .description("requests that were sent to endpoints " + to)
+                .register(metrics);
+    }
+
+    private static long leavingByList(EndpointDirectory directory) {
+        return directory.all().stream().filter(ServiceEndpoint::leaving).count();
+    }
+
+    LeavingEndpoints leaving() {
+        return leaving;
+    }
+
+    EndpointBackoffs backoffs() {
+        return backoffs;
+    }
+
+    /** Takes the head of an answer, whatever request it belongs to. */
+    void head(ServiceEndpoint endpoint, AnswerHead head) {
+        long nowMillis = clock.millis();
+        if (head.leaving() && leaving.note(endpoint.id(), nowMillis)) {
+            log.endpointLeaving(endpoint);
+        }
+        head.backoffMillis().ifPresent(millis -> rejected(endpoint, millis, nowMillis));
+    }
+
+    private void rejected(ServiceEndpoint endpoint, long backoffMillis, long nowMillis) {
+        rejections.increment();
+        if (backoffs.rejected(endpoint.id(), backoffMillis, nowMillis)) {
+            log.endpointBackoff(endpoint, backoffMillis);
+        }
+    }
+
+    /**
+     * Notes that a request is sent.
+     *
+     * @return what the endpoint has stated against it, for the request's account; empty if nothing
+     */
+    String sending(ServiceEndpoint endpoint) {
+        long nowMillis = clock.millis();
+        OptionalLong leavingSince = leaving.sinceMillis(endpoint.id());
+        if (leavingSince.isPresent()) {
+            sendsWhileLeaving.increment();
+            return " leavingFor " + (nowMillis - leavingSince.getAsLong());
+        }
+        if (backoffs.inForce(endpoint.id(), nowMillis)) {
+            sendsInBackoff.increment();
+            return " backoffLeft " + (backoffs.untilMillis(endpoint.id()) - nowMillis);
+        }
+        return "";
+    }
+
+    /** Forgets endpoints that are no longer listed. */
+    void retain(EndpointDirectory directory) {
+        leaving.retain(directory);
+        backoffs.retain(directory);
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -274,7 +274,7 @@
     private void send(Attempt current, EndpointConnection connection) {
         long nowMillis = tools.nowMillis();
         history.sent(nowMillis);
-        record.sent(nowMillis);
+        record.sent(nowMillis, tools.signals().sending(current.endpoint()));
         risk.sent();
         terms.prompt().ifPresent(prompt -> tools.chooser().sent(prompt, current.endpoint(), nowMillis));
         ForwardingHead forwarding = terms.forwarding(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.dialect.AnswerHead;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -89,14 +91,21 @@
         steps.add(new Step(choice, view.origin(), receivedAtMillis, nowMillis));
     }
 
-    void sent(long nowMillis) {
+    /**
+     * Notes that it was sent.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @param stated what the endpoint had stated against it; empty if nothing
+     */
+    void sent(long nowMillis, String stated) {
         last().sentAfterMillis = nowMillis - receivedAtMillis;
+        last().stated = stated;
     }
 
-    void headCame(long nowMillis, int newStatus) {
+    void headCame(long nowMillis, AnswerHead head) {
         last().headAfterMillis = nowMillis - receivedAtMillis;
-        last().status = newStatus;
-        if (beganAfterMillis < 0 && newStatus < FIRST_ERROR_STATUS) {
+        last().head = head;
+        if (beganAfterMillis < 0 && head.status() < FIRST_ERROR_STATUS) {
             beganAfterMillis = last().headAfterMillis;
         }
     }
@@ -125,7 +134,8 @@
         private final long directoryAgeMillis;
         private long sentAfterMillis = -1;
         private long headAfterMillis = -1;
-        private int status;
+        private String stated = "";
+        private @Nullable AnswerHead head;
         private @Nullable String end;
 
         private Step(PlacementChoice choice, DirectoryOrigin origin, long receivedAtMillis, long nowMillis) {
@@ -141,9 +151,15 @@
                     + Math.round(choice.limit()) + " of " + choice.candidates() + " list " + origin.revision()
                     + " from "
                     + origin.source() + (origin.settled() ? "" : " unsettled") + " listAge " + directoryAgeMillis
-                    + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis
+                    + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + stated + " head " + headAfterMillis
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
-                    + (status == 0 ? "" : " status " + status) + (end == null ? "" : ": " + end);
+                    + (head == null ? "" : answer(head)) + (end == null ? "" : ": " + end);
+        }
+
+        private static String answer(AnswerHead head) {
+            OptionalLong backoffMillis = head.backoffMillis();
+            return " status " + head.status() + (head.leaving() ? " leaving" : "")
+                    + (backoffMillis.isPresent() ? " retryAfter " + backoffMillis.getAsLong() : "");
         }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -158,6 +158,24 @@
                 kv("ends", count));
     }
 
+    void endpointLeaving(ServiceEndpoint endpoint) {
+        LOG.info(
+                "endpoint {} at {} is draining, as its answer states",
+                endpoint.id(),
+                endpoint.address(),
+                LogEvent.ENDPOINT_LEAVING.field(),
+                kv("source", "answer"));
+    }
+
+    void endpointBackoff(ServiceEndpoint endpoint, long backoffMillis) {
+        LOG.info(
+                "endpoint {} at {} rejected a request with Retry-After",
+                endpoint.id(),
+                endpoint.address(),
+                LogEvent.ENDPOINT_BACKOFF.field(),
+                kv("millis", backoffMillis));
+    }
+
     void endpointFailing(ServiceEndpoint endpoint) {
         LOG.info(
                 "endpoint {} at {} fails too many requests and is left out",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -59,6 +59,7 @@
     private final InFlightBook book = new InFlightBook();
     private final HealthBook health = new HealthBook();
     private final SharedRetryBudget budget;
+    private final EndpointSignals signals;
     private final EndpointConnections connections;
     private final TrafficTools tools;
     private final List<Channel> listening = new ArrayList<>();
@@ -86,18 +87,21 @@
         this.clock = clock;
         this.views = views;
         this.budget = new SharedRetryBudget(RetryAllowance.DEFAULT, clock.millis());
-        this.connections = new EndpointConnections(loop, dialect, health, clock, metrics);
+        RequestLog log = new RequestLog(metrics);
+        this.signals = new EndpointSignals(clock, () -> views.get().directory(), log, metrics);
+        this.connections = new EndpointConnections(loop, dialect, health, signals, clock, metrics);
         this.tools = new TrafficTools(
                 loop,
                 clock,
                 views,
                 dialect,
                 connections,
+                signals,
                 new EndpointChooser(book, home),
                 book,
                 health,
                 budget,
-                new RequestLog(metrics),
+                log,
                 goneReports);
         Gauge.builder("radishpass.requests.active", tools.exchanges(), java.util.Set::size)
                 .description("requests in progress")
@@ -267,6 +271,7 @@
         book.forgetSilentPeers(nowMillis);
         connections.tidy(view.directory());
         health.retain(view.directory());
+        signals.retain(view.directory());
         tools.ends().tidy(nowMillis);
         tools.quarantine().tidy(nowMillis);
         tools.coldGuard().shares().tidy(nowMillis);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -31,6 +31,7 @@
     private final Supplier<RoutingView> views;
     private final RequestDialect dialect;
     private final EndpointConnections connections;
+    private final EndpointSignals signals;
     private final EndpointChooser chooser;
     private final InFlightBook book;
     private final HealthBook health;
@@ -58,6 +59,7 @@
             Supplier<RoutingView> views,
             RequestDialect dialect,
             EndpointConnections connections,
+            EndpointSignals signals,
             EndpointChooser chooser,
             InFlightBook book,
             HealthBook health,
@@ -70,6 +72,7 @@
         this.dialect = dialect;
         this.resolver = new RequestResolver(dialect);
         this.connections = connections;
+        this.signals = signals;
         this.chooser = chooser;
         this.book = book;
         this.health = health;
@@ -135,6 +138,11 @@
         return connections;
     }
 
+    /** Returns what endpoints have stated of themselves in their answers. */
+    EndpointSignals signals() {
+        return signals;
+    }
+
     EndpointChooser chooser() {
         return chooser;
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -31,6 +31,12 @@
     /** Marks an answer whose signature was lost. */
     public static final String UNSIGNED = "X-Unsigned";
 
+    /** States that the endpoint is draining. */
+    public static final String LEAVING = "X-Leaving";
+
+    /** Holds the milliseconds for which the endpoint is to be sent nothing. */
+    public static final String BACKOFF = "X-Backoff";
+
     /** Names the workspace. */
     public static final String WORKSPACE = "X-Workspace";
 
@@ -61,13 +67,14 @@
 
     @Override
     public AnswerHead decodeAnswer(HttpResponse response) {
-        return new AnswerHead(
-                response.status().code(),
-                response.headers().contains(NOT_RUN),
-                response.headers().get(ID),
-                null,
-                OptionalLong.empty(),
-                !response.headers().contains(UNSIGNED),
-                response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true));
+        String backoff = response.headers().get(BACKOFF);
+        return AnswerHead.builder(response.status().code())
+                .notRun(response.headers().contains(NOT_RUN))
+                .requestId(response.headers().get(ID))
+                .signed(!response.headers().contains(UNSIGNED))
+                .closing(response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true))
+                .leaving(response.headers().contains(LEAVING))
+                .retryAfterMillis(backoff == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(backoff)))
+                .build();
     }
 }
