--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementBed.java
@@ -0,0 +1,134 @@
+package org.radishpass.routing.traffic;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.radishpass.core.fleet.Address;
+import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.ServiceSpec;
+import org.radishpass.routing.config.TrafficSplit;
+import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.AnswerHead;
+import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.fleet.DirectoryOrigin;
+import org.radishpass.routing.fleet.EndpointDirectory;
+import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.FleetMembers;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.HealthBook;
+import org.radishpass.routing.load.InFlightBook;
+import org.radishpass.routing.placement.EndpointChooser;
+import org.radishpass.routing.retry.RetryAllowance;
+import org.radishpass.routing.retry.SharedRetryBudget;
+import org.radishpass.routing.testing.PlainDialect;
+
+/** Where requests may go, without a network: the endpoints, the clock and the answers are given by the test. */
+final class PlacementBed implements AutoCloseable {
+    static final String SERVICE = "s";
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final HealthBook health = new HealthBook();
+    private final InFlightBook book = new InFlightBook();
+    private final TrafficTools tools;
+    private RoutingView view = RoutingView.UNKNOWN;
+    private long nowMillis = 1_000_000;
+
+    PlacementBed() {
+        EventLoop loop = loops.next();
+        SimpleMeterRegistry metrics = new SimpleMeterRegistry();
+        RequestLog log = new RequestLog(metrics);
+        MonotonicClock clock = () -> nowMillis;
+        PlainDialect dialect = new PlainDialect();
+        EndpointSignals signals = new EndpointSignals(clock, () -> view.directory(), log, metrics);
+        this.tools = new TrafficTools(
+                loop,
+                clock,
+                () -> view,
+                dialect,
+                new EndpointConnections(loop, dialect, health, signals, clock, metrics),
+                signals,
+                new EndpointChooser(book, new DataCentre("here")),
+                book,
+                health,
+                new SharedRetryBudget(RetryAllowance.DEFAULT, nowMillis),
+                log,
+                gone -> {});
+    }
+
+    static ServiceEndpoint endpoint(int number) {
+        return new ServiceEndpoint(
+                "e" + number, SERVICE, new Address("10.0.0." + (1 + number), 80), new DataCentre("here"), 6, false);
+    }
+
+    PlacementBed knows(List<ServiceEndpoint> endpoints) {
+        view = new RoutingView(
+                null,
+                0,
+                Long.MIN_VALUE,
+                new EndpointDirectory(endpoints),
+                true,
+                false,
+                DirectoryOrigin.UNKNOWN,
+                1,
+                EndpointEligibility.ALL,
+                FleetMembers.UNKNOWN);
+        return this;
+    }
+
+    void pass(long millis) {
+        nowMillis += millis;
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    /** An endpoint answers with a head. */
+    void answers(ServiceEndpoint endpoint, AnswerHead head) {
+        tools.signals().head(endpoint, head);
+    }
+
+    /** An endpoint rejects a request with Retry-After. */
+    void rejects(ServiceEndpoint endpoint, long backoffMillis) {
+        answers(
+                endpoint,
+                AnswerHead.builder(503)
+                        .notRun(true)
+                        .retryAfterMillis(OptionalLong.of(backoffMillis))
+                        .build());
+    }
+
+    HealthBook health() {
+        return health;
+    }
+
+    InFlightBook book() {
+        return book;
+    }
+
+    RequestPlacer placer() {
+        return tools.placer();
+    }
+
+    Terms terms() {
+        Route route = Route.builder("r").split(TrafficSplit.all(SERVICE)).build();
+        return Terms.of(
+                new RequestHead("id", "h", "/", OptionalLong.empty(), null, null, null),
+                route,
+                Optional.of(new Workspace("w", OptionalInt.empty(), Set.of())),
+                Optional.of(new ServiceSpec(SERVICE, "/health", 100, null)),
+                SERVICE,
+                nowMillis);
+    }
+
+    @Override
+    public void close() {
+        var unused = loops.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
@@ -0,0 +1,90 @@
+package org.radishpass.routing.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.Answers.whole;
+import static org.radishpass.routing.testing.Answers.write;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.radishpass.routing.testing.FakeEndpoint;
+import org.radishpass.routing.testing.PlainDialect;
+import org.radishpass.routing.testing.TestCaller;
+import org.radishpass.routing.testing.TrafficBed;
+
+/** Checks on loopback what reaches an endpoint after one of its answers has stated that it wants nothing. */
+final class StatedInAnswersTest {
+    private static final long TIMEOUT_MILLIS = 20_000;
+    private static final long BACKOFF_MILLIS = 3_000;
+    private static final int REQUESTS = 30;
+
+    private final TrafficBed bed;
+
+    StatedInAnswersTest() throws Exception {
+        bed = new TrafficBed();
+    }
+
+    @AfterEach
+    void close() {
+        bed.close();
+    }
+
+    /** Guards against requests that reach an endpoint seconds after its answers stated that it is leaving. */
+    @Test
+    void nothingMoreReachesAnEndpointWhoseAnswerStatedThatItIsLeaving() throws Exception {
+        AtomicBoolean stated = new AtomicBoolean();
+        AtomicInteger later = new AtomicInteger();
+        try (FakeEndpoint leaving = new FakeEndpoint("a", (request, out) -> {
+                    later.addAndGet(stated.getAndSet(true) ? 1 : 0);
+                    write(out, with(PlainDialect.LEAVING + ": 1", whole(request, 200, "ok")));
+                });
+                FakeEndpoint other = sound("b");
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, leaving, other).caller()) {
+            for (int request = 0; request < REQUESTS; request++) {
+                assertThat(status(caller)).isEqualTo("HTTP/1.1 200");
+            }
+            assertThat(stated.get()).isTrue();
+            assertThat(later.get()).isEqualTo(0);
+        }
+    }
+
+    /** Guards against requests that pile up at an endpoint that has rejected one with Retry-After. */
+    @Test
+    void nothingReachesAnEndpointUntilItsRetryAfterIsOver() throws Exception {
+        AtomicInteger rejected = new AtomicInteger();
+        try (FakeEndpoint full = new FakeEndpoint("a", (request, out) -> {
+                    rejected.incrementAndGet();
+                    write(out, rejection(request, BACKOFF_MILLIS));
+                });
+                FakeEndpoint other = sound("b");
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, full, other).caller()) {
+            for (int request = 0; request < REQUESTS; request++) {
+                assertThat(status(caller)).isEqualTo("HTTP/1.1 200");
+            }
+            assertThat(rejected.get()).isEqualTo(1);
+        }
+    }
+
+    private static FakeEndpoint sound(String id) throws IOException {
+        return new FakeEndpoint(id, (request, out) -> write(out, whole(request, 200, "ok")));
+    }
+
+    private static String rejection(FakeEndpoint.Seen request, long backoffMillis) {
+        return with(
+                PlainDialect.NOT_RUN + ": 1\r\n" + PlainDialect.BACKOFF + ": " + backoffMillis,
+                whole(request, 503, ""));
+    }
+
+    private static String with(String headers, String answer) {
+        int end = answer.indexOf("\r\n") + 2;
+        return answer.substring(0, end) + headers + "\r\n" + answer.substring(end);
+    }
+
+    private static String status(TestCaller caller) throws IOException {
+        String head = caller.request("GET", "/again/x", "r", "").readUntil("\r\n\r\n");
+        caller.readBody(head);
+        return head.substring(0, head.indexOf(' ', head.indexOf(' ') + 1));
+    }
+}
