Endpoints whose answers state that they are leaving get nothing new

Callers saw: nothing; their requests were answered. The endpoint got new requests 2.4 s and more after it had stated that it drains, and ends while they run if its stop is a little later. Cause: a router learned of a draining endpoint from the list alone, which says what the store has accepted. While the store is unavailable that may be 13 s later. Class: a statement of an endpoint that is read by nobody. Change: the traffic thread keeps it from the moment that the head is read, and EndpointFilter, through which every placement goes, lets such an endpoint through to nothing but cache fetches; the mean of the load limit leaves it out as it does one that is leaving by the list. The directory keeps it for that start of the endpoint whatever lists, peers or the store say later (LeavingStarts).

--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -76,6 +76,8 @@
      * @param scope whose work this is
      * @param ownReadMillis when the sender itself read the store last, on the store's clock in milliseconds
      * @param drains the data centres of which the operator has said whether their endpoints are to get nothing new
+     * @param leaving endpoints whose own answers stated that they are leaving, which the store has not confirmed yet; a part of them if
+     *     they are many
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -89,15 +91,17 @@
             List<String> failing,
             @JsonFormat(shape = JsonFormat.Shape.NUMBER) WorkScope scope,
             long ownReadMillis,
-            List<DrainEntry> drains)
+            List<DrainEntry> drains,
+            List<String> leaving)
             implements RoutingMessage {
-        /** Refuses a message that lacks a component; earlier releases do not tell of drained data centres. */
+        /** Refuses a message that lacks a component; earlier releases do not tell of drained data centres, or of leaving endpoints. */
         @SuppressWarnings("NullAway") // a decoder leaves out what a message lacks
         public RoutingState {
             work = List.copyOf(work);
             failing = List.copyOf(failing);
             Objects.requireNonNull(scope, "scope");
             drains = List.copyOf(Objects.requireNonNullElse(drains, List.of()));
+            leaving = List.copyOf(Objects.requireNonNullElse(leaving, List.of()));
         }
     }
 
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -28,7 +28,8 @@
             List.of("f"),
             WorkScope.GROUP,
             17,
-            List.of(new RoutingMessage.DrainEntry("there", 19, true, 23)));
+            List.of(new RoutingMessage.DrainEntry("there", 19, true, 23)),
+            List.of("g"));
 
     static Stream<RoutingMessage> messages() {
         return Stream.of(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -159,6 +159,16 @@
         });
     }
 
+    /** Learns from an answer of an endpoint that it is leaving. */
+    void leaving(String endpointId) {
+        thread.run(() -> {
+            if (directory.statedLeaving(endpointId)) {
+                publish();
+                peers.tellNow();
+            }
+        });
+    }
+
     private void publish() {
         view = new RoutingView(
                 configuration.current().orElse(null),
@@ -276,6 +286,17 @@
             ControlPlane.this.drainsChanged(origin);
         }
 
+        @Override
+        public void endpointsLeaving(List<String> endpointIds, String origin) {
+            endpointIds.forEach(id -> LOG.info(
+                    "endpoint {} is draining, as its answer to another router stated",
+                    id,
+                    LogEvent.ENDPOINT_LEAVING.field(),
+                    kv("source", origin)));
+            publish();
+            peers.tellNow();
+        }
+
         @Override
         public void endpointsChanged() {
             publish();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -17,8 +17,8 @@
  * without a clock; it belongs to the control thread.
  *
  * <ul>
- *   <li>A start of an endpoint that has said that it leaves never serves again; another start under the same name may. A start that
- *       another one has replaced never comes back, whoever lists it.
+ *   <li>A start of an endpoint that is leaving, by its entry or by one of its answers, never serves again; another start under the same
+ *       name may. A start that another one has replaced never comes back, whoever lists it.
  *   <li>Absence from a reading means that an endpoint is gone, but not after a time in which nobody read the store: registrations
  *       lapse while it is away, and are renewed once it is back. A peer that read all the while knows better.
  *   <li>An entry that turns unusable names no endpoint from then on.
@@ -41,7 +41,7 @@
     static final long CONTINUITY_MILLIS = 1_900;
 
     private final Map<String, ServiceEndpoint> known = new LinkedHashMap<>();
-    private final Map<String, Boolean> left = new RecentNames<>();
+    private final LeavingStarts leaving = new LeavingStarts();
     private final Set<String> kept = new HashSet<>();
     private final ReplacedStarts starts = new ReplacedStarts();
     private ListReading reading = ListReading.NONE;
@@ -130,6 +130,9 @@
         ownReadStoreMillis = listed.storeMillis();
         source = DirectoryOrigin.STORE;
         listed.unusable().forEach(entry -> forget(entry.name()));
+        listed.endpoints().stream()
+                .filter(ServiceEndpoint::leaving)
+                .forEach(endpoint -> leaving.confirmed(endpoint.id()));
         return replace(listed.endpoints(), Set.of(), keepsMissing) || first;
     }
 
@@ -209,12 +212,36 @@
         if (endpoint == null || endpoint.leaving()) {
             return false;
         }
-        left.put(id, true);
+        leaving.add(id);
         known.put(id, endpoint.asLeaving());
         changed();
         return true;
     }
 
+    /**
+     * Notes an endpoint whose own answer stated that it is leaving, to this router or to a peer. The endpoint need not be listed yet.
+     *
+     * @param id the endpoint
+     * @return whether this was news
+     * @since 0.6.0
+     */
+    public boolean statedLeaving(String id) {
+        if (!leaving.stated(id)) {
+            return false;
+        }
+        ServiceEndpoint endpoint = known.get(id);
+        if (endpoint != null) {
+            known.put(id, endpoint.asLeaving());
+            changed();
+        }
+        return true;
+    }
+
+    /** Returns endpoints whose own answers stated that they are leaving and of which peers are to be told now. */
+    List<String> leavingToTell() {
+        return leaving.toTell();
+    }
+
     private boolean replace(Collection<ServiceEndpoint> endpoints, Set<String> keptThere, boolean keepMissing) {
         Map<String, ServiceEndpoint> before = new LinkedHashMap<>(known);
         if (!keepMissing) {
@@ -232,13 +259,14 @@
             }
             starts.replacing(endpoint).ifPresent(known::remove);
             if (endpoint.leaving()) {
-                left.put(endpoint.id(), true);
+                leaving.add(endpoint.id());
             }
             ServiceEndpoint steady = sameColdSpell(endpoint, before.get(endpoint.id()));
-            known.put(endpoint.id(), left.containsKey(endpoint.id()) ? steady.asLeaving() : steady);
+            known.put(endpoint.id(), leaving.contains(endpoint.id()) ? steady.asLeaving() : steady);
         }
         kept.addAll(keptThere);
         kept.retainAll(known.keySet());
+        leaving.retain(known.keySet());
         changed();
         return !before.equals(known);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -231,6 +231,12 @@
         if (PeerStates.takeDrains(state.drains(), beliefs.drains(), nowMillis)) {
             listener.drainsChanged("router " + peer.id());
         }
+        List<String> leaving = state.leaving().stream()
+                .filter(beliefs.directory()::statedLeaving)
+                .toList();
+        if (!leaving.isEmpty()) {
+            listener.endpointsLeaving(leaving, "router " + peer.id());
+        }
         if (documents.compare(links(), peer, state, duty().readsConfiguration())) {
             confirmed(nowMillis);
         }
@@ -288,6 +294,9 @@
         /** A peer has told which data centres are to get nothing new, or are to be used again. */
         void drainsChanged(String origin);
 
+        /** A peer has told of endpoints that are leaving, as their answers stated. */
+        void endpointsLeaving(List<String> endpointIds, String origin);
+
         /** A peer's list of endpoints has been taken over, or has confirmed this router's. */
         void endpointsChanged();
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -15,8 +15,10 @@
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.RegionMap;
+import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.traffic.CallerSocket;
+import org.radishpass.routing.traffic.EndpointListener;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.routing.traffic.TrafficServer;
@@ -53,13 +55,7 @@
         this.metrics = builder.metrics;
         EventLoop loop = loops.onServer(false).next();
         this.traffic = new TrafficServer(
-                loop,
-                MonotonicClock.SYSTEM,
-                this::view,
-                builder.dialect,
-                builder.home,
-                gone -> endpointGone(gone.id()),
-                metrics);
+                loop, MonotonicClock.SYSTEM, this::view, builder.dialect, builder.home, new AnswerNews(), metrics);
         this.start = new StartSequence(thread, traffic);
         this.control = new ControlPlane(
                 thread,
@@ -149,8 +145,17 @@
         return control.view();
     }
 
-    private void endpointGone(String endpointId) {
-        control.gone(endpointId);
+    /** Tells the control side what answers tell of endpoints. */
+    private final class AnswerNews implements EndpointListener {
+        @Override
+        public void gone(ServiceEndpoint endpoint) {
+            control.gone(endpoint.id());
+        }
+
+        @Override
+        public void leaving(ServiceEndpoint endpoint) {
+            control.leaving(endpoint.id());
+        }
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -180,6 +180,7 @@
                 failing,
                 scope,
                 directory.ownReadStoreMillis(),
-                PeerStates.drains(beliefs.drains(), clock.millis()));
+                PeerStates.drains(beliefs.drains(), clock.millis()),
+                directory.leavingToTell());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
@@ -7,24 +7,43 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
- * Which endpoints a request may go to, by what the operator wants: the one place that knows. First tries, second tries, answers that go on
- * elsewhere and the fetching of caches all choose among what it lets through.
+ * Which endpoints a request may go to, by what the operator wants and the endpoints themselves state: the one place that knows. First tries,
+ * second tries, answers that go on elsewhere and the fetching of caches all choose among what it lets through.
  */
 final class EndpointFilter {
     private final RoutingView view;
+    private final EndpointSignals signals;
 
-    EndpointFilter(RoutingView view) {
+    EndpointFilter(RoutingView view, EndpointSignals signals) {
         this.view = view;
+        this.signals = signals;
+    }
+
+    /** Returns the endpoints of a service that are not leaving, also where the operator wants nothing new to be sent to them. */
+    List<ServiceEndpoint> staying(String service) {
+        return those(view.directory().open(service), endpoint -> !leaving(endpoint));
+    }
+
+    /**
+     * Tells whether an endpoint is leaving, by the list or by its own answers: the list learns it later, and not at all while the store is
+     * unavailable.
+     */
+    boolean leaving(ServiceEndpoint endpoint) {
+        boolean listed = view.directory()
+                .find(endpoint.id())
+                .map(ServiceEndpoint::leaving)
+                .orElse(false);
+        return listed || signals.leaving().contains(endpoint.id());
     }
 
     /** Returns the endpoints of a service that take new work of anyone. */
     List<ServiceEndpoint> open(String service) {
-        return those(view.directory().open(service), this::notDrained);
+        return those(staying(service), this::notDrained);
     }
 
     /** Returns the endpoints that a request may be sent to. */
     List<ServiceEndpoint> open(Terms terms) {
-        return those(view.directory().open(terms.service()), endpoint -> mayRun(terms, endpoint));
+        return those(staying(terms.service()), endpoint -> mayRun(terms, endpoint));
     }
 
     /** Returns the endpoints whose caches may be read for a request; those that take nothing new are among them. */
@@ -36,7 +55,7 @@
     boolean stillOpen(Terms terms, ServiceEndpoint chosen) {
         return view.directory()
                 .find(chosen.id())
-                .filter(endpoint -> !endpoint.leaving() && mayRun(terms, endpoint))
+                .filter(endpoint -> !leaving(endpoint) && mayRun(terms, endpoint))
                 .isPresent();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
@@ -15,6 +15,7 @@
 final class EndpointSignals {
     private final MonotonicClock clock;
     private final RequestLog log;
+    private final EndpointListener listener;
     private final LeavingEndpoints leaving = new LeavingEndpoints();
     private final EndpointBackoffs backoffs = new EndpointBackoffs();
     private final Counter rejections;
@@ -22,9 +23,14 @@
     private final Counter sendsInBackoff;
 
     EndpointSignals(
-            MonotonicClock clock, Supplier<EndpointDirectory> directory, RequestLog log, MeterRegistry metrics) {
+            MonotonicClock clock,
+            Supplier<EndpointDirectory> directory,
+            RequestLog log,
+            EndpointListener listener,
+            MeterRegistry metrics) {
         this.clock = clock;
         this.log = log;
+        this.listener = listener;
         this.rejections = Counter.builder("radishpass.endpoint.rejections")
                 .description("requests that endpoints rejected with Retry-After")
                 .register(metrics);
@@ -66,6 +72,7 @@
         long nowMillis = clock.millis();
         if (head.leaving() && leaving.note(endpoint.id(), nowMillis)) {
             log.endpointLeaving(endpoint);
+            listener.leaving(endpoint);
         }
         head.backoffMillis().ifPresent(millis -> rejected(endpoint, millis, nowMillis));
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -47,7 +47,7 @@
      */
     boolean othersHaveRoom(ServiceEndpoint endpoint) {
         long nowMillis = tools.nowMillis();
-        List<ServiceEndpoint> open = new EndpointFilter(tools.view()).open(endpoint.service());
+        List<ServiceEndpoint> open = tools.filter().open(endpoint.service());
         List<ServiceEndpoint> others = new ArrayList<>(tools.health().usable(open, nowMillis));
         others.removeIf(other -> other.id().equals(endpoint.id()));
         return !tools.health().doubtful(open, nowMillis) && SpareRoom.at(others, tools.book());
@@ -61,7 +61,7 @@
      * @param chosen where it was placed
      */
     boolean stillOpen(Terms terms, ServiceEndpoint chosen) {
-        EndpointFilter filter = new EndpointFilter(tools.view());
+        EndpointFilter filter = tools.filter();
         long nowMillis = tools.nowMillis();
         return filter.stillOpen(terms, chosen)
                 && tools.coldGuard().takes(chosen, () -> usable(filter, terms, nowMillis), terms, nowMillis);
@@ -80,7 +80,7 @@
      */
     Optional<PlacementChoice> place(Terms terms, List<String> tried, boolean sentBefore) {
         long nowMillis = tools.nowMillis();
-        EndpointFilter filter = new EndpointFilter(tools.view());
+        EndpointFilter filter = tools.filter();
         List<ServiceEndpoint> candidates =
                 new ArrayList<>(tools.coldGuard().admitted(usable(filter, terms, nowMillis), terms, nowMillis));
         candidates.removeIf(endpoint -> tried.contains(endpoint.id()));
@@ -91,7 +91,7 @@
         return tools.chooser()
                 .choose(new PlacementQuery(
                         candidates,
-                        tools.health().usable(tools.view().directory().open(terms.service()), nowMillis),
+                        tools.health().usable(filter.staying(terms.service()), nowMillis),
                         sources,
                         terms.prompt(),
                         Rendezvous.hash(terms.requestId()),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -21,7 +21,6 @@
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.dialect.RequestDialect;
-import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.HealthBook;
 import org.radishpass.routing.load.ColdStartAllowance;
 import org.radishpass.routing.load.InFlight;
@@ -72,7 +71,7 @@
      * @param views gives what the control side believes
      * @param dialect translates heads
      * @param home where this router stands
-     * @param goneReports hears of endpoints whose address another start has taken; called on the traffic thread
+     * @param listener hears what answers tell of endpoints; called on the traffic thread
      * @param metrics where counters are kept
      */
     public TrafficServer(
@@ -81,14 +80,14 @@
             Supplier<RoutingView> views,
             RequestDialect dialect,
             DataCentre home,
-            Consumer<ServiceEndpoint> goneReports,
+            EndpointListener listener,
             MeterRegistry metrics) {
         this.loop = loop;
         this.clock = clock;
         this.views = views;
         this.budget = new SharedRetryBudget(RetryAllowance.DEFAULT, clock.millis());
         RequestLog log = new RequestLog(metrics);
-        this.signals = new EndpointSignals(clock, () -> views.get().directory(), log, metrics);
+        this.signals = new EndpointSignals(clock, () -> views.get().directory(), log, listener, metrics);
         this.connections = new EndpointConnections(loop, dialect, health, signals, clock, metrics);
         this.tools = new TrafficTools(
                 loop,
@@ -102,7 +101,7 @@
                 health,
                 budget,
                 log,
-                goneReports);
+                listener);
         Gauge.builder("radishpass.requests.active", tools.exchanges(), java.util.Set::size)
                 .description("requests in progress")
                 .register(metrics);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
@@ -37,7 +36,7 @@
     private final HealthBook health;
     private final SharedRetryBudget budget;
     private final RequestLog log;
-    private final Consumer<ServiceEndpoint> goneReports;
+    private final EndpointListener listener;
     private final Set<CallerConnection> callers = new LinkedHashSet<>();
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final RequestResolver resolver;
@@ -65,7 +64,7 @@
             HealthBook health,
             SharedRetryBudget budget,
             RequestLog log,
-            Consumer<ServiceEndpoint> goneReports) {
+            EndpointListener listener) {
         this.loop = loop;
         this.clock = clock;
         this.views = views;
@@ -79,7 +78,7 @@
         this.budget = budget;
         this.log = log;
         this.quarantine = new Quarantine(log);
-        this.goneReports = goneReports;
+        this.listener = listener;
         this.arrivals = new ArrivalQueue(
                 pass -> {
                     var unused = loop.schedule(pass, 0, TimeUnit.MILLISECONDS);
@@ -138,6 +137,11 @@
         return connections;
     }
 
+    /** Returns which endpoints requests may go to now. */
+    EndpointFilter filter() {
+        return new EndpointFilter(view(), signals);
+    }
+
     /** Returns what endpoints have stated of themselves in their answers. */
     EndpointSignals signals() {
         return signals;
@@ -175,11 +179,7 @@
     /** An endpoint that had said that it leaves has ended by itself, which says nothing of the requests at work there. */
     private void endpointEnded(ServiceEndpoint endpoint, List<AtWork> atWork) {
         log.endpointEnded(endpoint, atWork);
-        boolean leaving = view().directory()
-                .find(endpoint.id())
-                .map(ServiceEndpoint::leaving)
-                .orElse(false);
-        if (!leaving) {
+        if (!filter().leaving(endpoint)) {
             quarantine.ended(endpoint.service(), endpoint.hash(), atWork, nowMillis());
         }
     }
@@ -214,7 +214,7 @@
 
     /** Tells the control side that another start has taken an endpoint's address. */
     void reportGone(ServiceEndpoint endpoint) {
-        goneReports.accept(endpoint);
+        listener.gone(endpoint);
     }
 
     Set<CallerConnection> callers() {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -112,6 +112,11 @@
             tracker.failed();
         }
 
+        /** Is told by an endpoint, in an answer, that it leaves. */
+        void answeredLeaving(String endpointId) {
+            tracker.statedLeaving(endpointId);
+        }
+
         /** Writes a message to its peers. */
         News tells() {
             ListReading reading = tracker.reading();
@@ -127,7 +132,8 @@
                             List.of(),
                             WorkScope.GROUP,
                             tracker.ownReadStoreMillis(),
-                            List.of()));
+                            List.of(),
+                            tracker.leavingToTell()));
         }
 
         /** Takes a message, and the sender's list where it has a newer one. */
@@ -135,6 +141,7 @@
             peers.learn(List.of(news.from().router), nowMillis);
             Peer peer = peers.find(news.from().router.id()).orElseThrow();
             peer.told(news.state(), nowMillis);
+            news.state().leaving().forEach(tracker::statedLeaving);
             ListReading told = peer.listReading();
             if (news.state().directoryHash() == tracker.hash()) {
                 tracker.confirmed(told, storeClock.earliest(told.storeMillis(), nowMillis), peer.id());
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ReadingDutyTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ReadingDutyTest.java
@@ -31,7 +31,7 @@
         Peer refused = new Peer(FleetRouter.unlocated(new Address("10.0.0.1", 7_340)), 0);
         refused.told(
                 new RoutingMessage.RoutingState(
-                        1, 1, List.of(), 0, 9_900, true, List.of(), WorkScope.GROUP, 1_000, List.of()),
+                        1, 1, List.of(), 0, 9_900, true, List.of(), WorkScope.GROUP, 1_000, List.of(), List.of()),
                 10_000);
         assertThat(refused.listReading().storeMillis()).isEqualTo(9_900);
         assertThat(refused.ownReadStoreMillis()).isEqualTo(1_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -96,6 +96,20 @@
         return control.view().eligibility().drained();
     }
 
+    /** An endpoint states to it, in an answer, that it is leaving. */
+    void answeredLeaving(String endpointId) {
+        control.leaving(endpointId);
+    }
+
+    /** Tells whether requests may be placed at an endpoint. */
+    boolean sendsTo(String endpointId) {
+        return control.view()
+                .directory()
+                .find(endpointId)
+                .map(endpoint -> !endpoint.leaving())
+                .orElse(false);
+    }
+
     /** Returns the routers that it knows by name. */
     FleetMembers members() {
         return control.view().members();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/event/OperationsTablesTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/event/OperationsTablesTest.java
@@ -16,6 +16,7 @@
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.control.EntryFault;
 import org.radishpass.routing.testing.PlainDialect;
+import org.radishpass.routing.traffic.EndpointListener;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.routing.traffic.TrafficServer;
@@ -61,7 +62,7 @@
                 () -> RoutingView.UNKNOWN,
                 new PlainDialect(),
                 new DataCentre("here"),
-                gone -> {},
+                EndpointListener.NONE,
                 registry);
         for (Meter meter : registry.getMeters()) {
             String name = meter.getId().getName().replace('.', '_').toLowerCase(Locale.ROOT);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -24,6 +24,7 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.traffic.CallerSocket;
+import org.radishpass.routing.traffic.EndpointListener;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.routing.traffic.TrafficServer;
@@ -51,7 +52,7 @@
                 () -> view,
                 new PlainDialect(),
                 new DataCentre("here"),
-                gone -> {},
+                EndpointListener.NONE,
                 new SimpleMeterRegistry());
         server.retryAllowance(new RetryAllowance(1, 100, 10_000));
         CallerSocket socket = CallerSocket.open(new InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 0));
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointFilterTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointFilterTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +22,7 @@
 import org.radishpass.routing.config.ServiceSpec;
 import org.radishpass.routing.config.TrafficSplit;
 import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.AnswerHead;
 import org.radishpass.routing.dialect.RequestHead;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
@@ -29,11 +32,13 @@
 import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
-/** Checks that nothing leads round the operator's word on where requests may go. */
+/** Checks that only endpoints are let through that the operator allows and that have not stated that they are leaving. */
 final class EndpointFilterTest {
     private static final List<Region> REGIONS = List.of(new Region("north"), new Region("south"), new Region("west"));
     private static final int DATA_CENTRES = 6;
 
+    private final MeterRegistry metrics = new SimpleMeterRegistry();
+
     @Property(tries = 2_000, seed = "71")
     void onlyEndpointsThatMayRunTheRequestAreLetThrough(@ForAll long seed) {
         Random random = new Random(seed);
@@ -54,8 +59,14 @@
         }
         Set<Region> byRoute = some(random);
         Set<Region> byWorkspace = some(random);
+        EndpointSignals signals = new EndpointSignals(
+                () -> 0, () -> EndpointDirectory.EMPTY, new RequestLog(metrics), EndpointListener.NONE, metrics);
+        Set<ServiceEndpoint> stated = new HashSet<>();
+        endpoints.stream().filter(endpoint -> random.nextInt(4) == 0).forEach(stated::add);
+        stated.forEach(endpoint ->
+                signals.head(endpoint, AnswerHead.builder(200).leaving(true).build()));
         RoutingView view = view(endpoints, new EndpointEligibility(drained, Map.of(), new RegionMap(placed)));
-        EndpointFilter filter = new EndpointFilter(view);
+        EndpointFilter filter = new EndpointFilter(view, signals);
         Terms terms = terms(byRoute, byWorkspace);
 
         List<ServiceEndpoint> open = filter.open(terms);
@@ -63,7 +74,9 @@
         for (ServiceEndpoint endpoint : endpoints) {
             Optional<Region> region = Optional.ofNullable(placed.get(endpoint.dataCentre()));
             boolean allowed = allows(byRoute, region) && allows(byWorkspace, region);
-            boolean mayRun = allowed && !endpoint.leaving() && !drained.contains(endpoint.dataCentre());
+            boolean leaving = endpoint.leaving() || stated.contains(endpoint);
+            boolean mayRun = allowed && !leaving && !drained.contains(endpoint.dataCentre());
+            assertThat(filter.staying("s").contains(endpoint)).isEqualTo(!leaving);
             assertThat(open.contains(endpoint)).isEqualTo(mayRun);
             assertThat(filter.stillOpen(terms, endpoint)).isEqualTo(mayRun);
             assertThat(sources.contains(endpoint)).isEqualTo(allowed);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementBed.java
@@ -45,7 +45,8 @@
         RequestLog log = new RequestLog(metrics);
         MonotonicClock clock = () -> nowMillis;
         PlainDialect dialect = new PlainDialect();
-        EndpointSignals signals = new EndpointSignals(clock, () -> view.directory(), log, metrics);
+        EndpointSignals signals =
+                new EndpointSignals(clock, () -> view.directory(), log, EndpointListener.NONE, metrics);
         this.tools = new TrafficTools(
                 loop,
                 clock,
@@ -58,7 +59,7 @@
                 health,
                 new SharedRetryBudget(RetryAllowance.DEFAULT, nowMillis),
                 log,
-                gone -> {});
+                EndpointListener.NONE);
     }
 
     static ServiceEndpoint endpoint(int number) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishpass.routing.testing.FakeEndpoint;
 import org.radishpass.routing.testing.PlainDialect;
 import org.radishpass.routing.testing.TestCaller;
@@ -50,6 +52,40 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/again/x", "/once/x", "/stream/x", "/resume/x"})
+    void whereAllAreLeavingARequestIsRefusedAtOnceAsNotRun(String path) throws Exception {
+        AtomicInteger reached = new AtomicInteger();
+        try (FakeEndpoint leaving = new FakeEndpoint("a", (request, out) -> {
+                    reached.incrementAndGet();
+                    write(out, with(PlainDialect.LEAVING + ": 1", whole(request, 200, "ok")));
+                });
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, leaving).caller()) {
+            assertThat(status(caller)).isEqualTo("HTTP/1.1 200");
+            String head = caller.request("GET", path, "r", "").readUntil("\r\n\r\n");
+            assertThat(head).startsWith("HTTP/1.1 503");
+            assertThat(head).contains("retry-after");
+            assertThat(reached.get()).isEqualTo(1);
+        }
+    }
+
+    /** Guards against a second attempt at an endpoint that stated that it is leaving while the first was under way. */
+    @Test
+    void anAttemptAfterAFailureGoesToNoneThatIsLeaving() throws Exception {
+        AtomicInteger atLeaving = new AtomicInteger();
+        try (FakeEndpoint leaving = new FakeEndpoint("a", (request, out) -> {
+                    atLeaving.incrementAndGet();
+                    write(out, with(PlainDialect.LEAVING + ": 1", whole(request, 500, "")));
+                });
+                FakeEndpoint failing = new FakeEndpoint("b", (request, out) -> write(out, whole(request, 500, "")));
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, leaving, failing).caller()) {
+            for (int request = 0; request < REQUESTS; request++) {
+                assertThat(status(caller)).startsWith("HTTP/1.1 50");
+            }
+            assertThat(atLeaving.get()).isEqualTo(1);
+        }
+    }
+
     /** Guards against requests that pile up at an endpoint that has rejected one with Retry-After. */
     @Test
     void nothingReachesAnEndpointUntilItsRetryAfterIsOver() throws Exception {
