--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementAfterAnswersTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementAfterAnswersTest.java
@@ -40,6 +40,22 @@
         }
     }
 
+    /** Guards against a backoff that is given up because many endpoints are in backoff, or look bad, at the same time. */
+    @Test
+    void anEndpointInBackoffIsNeverChosen() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Random random = new Random(seed);
+            List<ServiceEndpoint> endpoints = someEndpoints(seed, random);
+            List<ServiceEndpoint> rejecting = some(random, endpoints);
+            for (ServiceEndpoint endpoint : rejecting) {
+                bed.rejects(endpoint, 1_000 + random.nextInt(9_000));
+                bed.answers(endpoint, AnswerHead.builder(200).build());
+            }
+            bed.pass(random.nextInt(1_000));
+            assertNeverChosen(seed, endpoints, rejecting);
+        }
+    }
+
     private void assertNeverChosen(long seed, List<ServiceEndpoint> endpoints, List<ServiceEndpoint> unwanted) {
         Terms terms = bed.terms();
         List<PlacementChoice> choices = new ArrayList<>();
