Endpoints that reject a request with Retry-After are sent nothing until it is over

Callers saw: up to 9 of 28 requests of a class answered 503 in a second, sent to engines that had asked for 3 s without requests; the engines got up to 11 requests each from one router in that time. Cause: Retry-After of a rejection was read by nobody; the endpoint stayed a candidate, and the emptier it was the better a one. Class: a statement of an endpoint that is read by nobody. Change: EndpointBackoffs keeps the end as a deadline on the clock that counts suspensions; of overlapping ones the last counts, success does not end it, 300 s bound it. EndpointFilter lets nothing through to the endpoint but cache fetches. It is no suspicion: the widening of HealthBook.usable chooses among what the filter lets through. Background connections carry no request and go on. Where all endpoints that could run a request are in backoff it is refused at once as not run, with the soonest end as Retry-After, spread by half and 1 s at most.

--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
@@ -39,6 +39,13 @@
             return says(request, "no endpoint");
         }
     },
+    /** The endpoints had rejected requests with Retry-After. */
+    BACKOFF("endpoints in backoff") {
+        @Override
+        boolean fits(LoggedRequest request) {
+            return says(request, "in backoff");
+        }
+    },
     /** The endpoints had more than they should wait for. */
     FULL("endpoints full") {
         @Override
--- a/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
+++ b/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
@@ -24,6 +24,7 @@
         "NEWER_CONFIGURATION, 503, -1, a newer configuration is on its way, ''",
         "HELD_BACK, 503, -1, endpoints end when they run this request, ''",
         "NO_ENDPOINT, 503, -1, no endpoint of the service is left to try, ''",
+        "BACKOFF, 503, -1, every endpoint that could run it is in backoff, ''",
         "FULL, 503, -1, every endpoint of the service is full, chosen 0 sent -1 head -1",
         "WAITED_TO_BE_SENT, 503, -1, the time for an answer is over, chosen 0 sent -1 head -1",
         "SILENT_ENDPOINT, 504, -1, the time for an answer is over, chosen 0 sent 1 head -1",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointBackoffs.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointBackoffs.java
@@ -11,12 +11,29 @@
  * @since 0.6.0
  */
 public final class EndpointBackoffs {
+    /**
+     * Milliseconds for which an endpoint is sent nothing at most, unless it is set otherwise: an endpoint that asks for more is asked again
+     * after that, so that a wrong value does not take it out of use for good.
+     */
+    public static final long DEFAULT_LONGEST_MILLIS = 300_000;
+
     private static final long NONE = Long.MIN_VALUE;
 
     private final Map<String, Long> untilMillis = new HashMap<>();
+    private long longestMillis = DEFAULT_LONGEST_MILLIS;
+
+    /**
+     * Sets for how long an endpoint is sent nothing at most; backoffs that are in force keep their ends.
+     *
+     * @param millis the time, in milliseconds
+     */
+    public void longestMillis(long millis) {
+        longestMillis = millis;
+    }
 
     /**
-     * Notes that an endpoint has rejected a request. Of overlapping backoffs the one that ends last counts.
+     * Notes that an endpoint has rejected a request. Of overlapping backoffs the one that ends last counts; an answer to a request that it
+     * had taken before does not end them.
      *
      * @param endpointId the endpoint
      * @param backoffMillis for how long it is to be sent nothing, in milliseconds
@@ -25,7 +42,7 @@
      */
     public boolean rejected(String endpointId, long backoffMillis, long nowMillis) {
         boolean begins = !inForce(endpointId, nowMillis);
-        untilMillis.merge(endpointId, nowMillis + backoffMillis, Math::max);
+        untilMillis.merge(endpointId, nowMillis + Math.min(backoffMillis, longestMillis), Math::max);
         return begins;
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
@@ -19,7 +19,7 @@
         this.signals = signals;
     }
 
-    /** Returns the endpoints of a service that are not leaving, also where the operator wants nothing new to be sent to them. */
+    /** Returns the endpoints of a service that are not leaving, also those that are sent nothing now for another reason. */
     List<ServiceEndpoint> staying(String service) {
         return those(view.directory().open(service), endpoint -> !leaving(endpoint));
     }
@@ -38,12 +38,17 @@
 
     /** Returns the endpoints of a service that take new work of anyone. */
     List<ServiceEndpoint> open(String service) {
-        return those(staying(service), this::notDrained);
+        return those(staying(service), endpoint -> notDrained(endpoint) && signals.admits(endpoint));
     }
 
     /** Returns the endpoints that a request may be sent to. */
     List<ServiceEndpoint> open(Terms terms) {
-        return those(staying(terms.service()), endpoint -> mayRun(terms, endpoint));
+        return those(staying(terms.service()), endpoint -> mayRun(terms, endpoint) && signals.admits(endpoint));
+    }
+
+    /** Returns the endpoints that a request could be sent to, but that are in backoff. */
+    List<ServiceEndpoint> inBackoff(Terms terms) {
+        return those(staying(terms.service()), endpoint -> mayRun(terms, endpoint) && !signals.admits(endpoint));
     }
 
     /** Returns the endpoints whose caches may be read for a request; those that take nothing new are among them. */
@@ -55,7 +60,7 @@
     boolean stillOpen(Terms terms, ServiceEndpoint chosen) {
         return view.directory()
                 .find(chosen.id())
-                .filter(endpoint -> !leaving(endpoint) && mayRun(terms, endpoint))
+                .filter(endpoint -> !leaving(endpoint) && mayRun(terms, endpoint) && signals.admits(endpoint))
                 .isPresent();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
@@ -84,6 +84,11 @@
         }
     }
 
+    /** Tells whether an endpoint takes new requests of this router, as far as its rejections tell. */
+    boolean admits(ServiceEndpoint endpoint) {
+        return !backoffs.inForce(endpoint.id(), clock.millis());
+    }
+
     /**
      * Notes that a request is sent.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
@@ -49,7 +50,7 @@
     void begin() {
         Resolution resolution = tools.resolver().resolve(request, tools.view(), record, tools.nowMillis());
         if (resolution instanceof Resolution.Refused refused) {
-            refuse(refused.code(), refused.detail(), refused.delay());
+            refuse(refused.code(), refused.detail(), refused.delay().header());
         } else if (resolution instanceof Resolution.Resolved resolved) {
             start(resolved.terms());
         }
@@ -60,7 +61,7 @@
         relay = new AnswerRelay(caller, terms.kind());
         record.terms(terms, fingerprint());
         if (tools.ended() || (tools.refusing() && terms.kind().streams())) {
-            refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE);
+            refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE.header());
             return;
         }
         risk = new EndpointRisk(tools, record.fingerprint(), terms.service());
@@ -86,7 +87,7 @@
         }
         Optional<PlacementChoice> choice = tools.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
         if (choice.isEmpty()) {
-            giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
+            giveUpWithoutEndpoint();
             return;
         }
         if (terms.full(choice.get())) {
@@ -97,6 +98,19 @@
         attempt(choice.get());
     }
 
+    private void giveUpWithoutEndpoint() {
+        long nowMillis = tools.nowMillis();
+        OptionalLong end = tools.placer().soonestBackoffEnd(terms, history.triedEndpoints());
+        if (end.isPresent() && !relay().started() && history.notRun()) {
+            refuse(
+                    RefusalCode.OVERLOADED,
+                    "every endpoint that could run it is in backoff",
+                    RetryDelay.header(end.getAsLong() - nowMillis));
+        } else {
+            giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
+        }
+    }
+
     private void giveUpQuarantined() {
         giveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
     }
@@ -149,19 +163,19 @@
         }
         if (history.notRun()) {
             RefusalCode truthful = code == RefusalCode.ENDPOINT_FAILED ? RefusalCode.NO_ENDPOINT : code;
-            refuse(truthful, detail, RetryDelay.of(truthful));
+            refuse(truthful, detail, RetryDelay.of(truthful).header());
             return;
         }
-        refuse(code == RefusalCode.DEADLINE ? code : RefusalCode.ENDPOINT_FAILED, detail, RetryDelay.NONE);
+        refuse(code == RefusalCode.DEADLINE ? code : RefusalCode.ENDPOINT_FAILED, detail, null);
     }
 
-    private void refuse(RefusalCode code, String detail, RetryDelay delay) {
+    private void refuse(RefusalCode code, String detail, @Nullable String retryAfter) {
         record.finished(history.verdict(), code.status(), detail);
         end();
         caller.answer(
                 HttpResponseStatus.valueOf(code.status()),
                 Refusals.body(caller.allocator(), code.status(), detail),
-                delay.header(tools.loop()));
+                retryAfter);
     }
 
     private void expired() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -151,7 +151,7 @@
                     + Math.round(choice.limit()) + " of " + choice.candidates() + " list " + origin.revision()
                     + " from "
                     + origin.source() + (origin.settled() ? "" : " unsettled") + " listAge " + directoryAgeMillis
-                    + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + stated + " head " + headAfterMillis
+                    + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis + stated
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
                     + (head == null ? "" : answer(head)) + (end == null ? "" : ": " + end);
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.SpareRoom;
@@ -67,6 +68,21 @@
                 && tools.coldGuard().takes(chosen, () -> usable(filter, terms, nowMillis), terms, nowMillis);
     }
 
+    /**
+     * Returns when the first endpoint takes requests again that could run a request but is in backoff, on the monotonic clock in
+     * milliseconds; empty if there is none.
+     *
+     * @param terms its terms
+     * @param tried the endpoints that it was given to before
+     */
+    OptionalLong soonestBackoffEnd(Terms terms, List<String> tried) {
+        return tools.filter().inBackoff(terms).stream()
+                .map(ServiceEndpoint::id)
+                .filter(id -> !tried.contains(id))
+                .mapToLong(tools.signals().backoffs()::untilMillis)
+                .min();
+    }
+
     private List<ServiceEndpoint> usable(EndpointFilter filter, Terms terms, long nowMillis) {
         return tools.health().usable(filter.open(terms), nowMillis);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
@@ -1,6 +1,5 @@
 package org.radishpass.routing.traffic;
 
-import io.netty.channel.EventLoop;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
@@ -20,6 +19,9 @@
     /** A place becomes free within a few turns of a plain service. */
     OVERLOADED(100);
 
+    /** Milliseconds over which callers come back at most; more would only make them wait. */
+    private static final long LONGEST_SPREAD_MILLIS = 1_000;
+
     private final long millis;
 
     RetryDelay(long millis) {
@@ -38,10 +40,21 @@
 
     /** Returns the header's value, spread by half so that callers do not come back together; null for none. */
     @Nullable
-    String header(EventLoop loop) {
-        if (this == NONE) {
-            return null;
-        }
-        return Refusals.seconds(millis + ThreadLocalRandom.current().nextLong(millis / 2 + 1));
+    String header() {
+        return this == NONE ? null : spread(millis);
+    }
+
+    /**
+     * Returns the header's value where it is known when an endpoint takes requests again.
+     *
+     * @param untilMillis the milliseconds until then
+     */
+    static String header(long untilMillis) {
+        return spread(Math.max(untilMillis, OVERLOADED.millis));
+    }
+
+    private static String spread(long millis) {
+        long most = Math.min(millis / 2, LONGEST_SPREAD_MILLIS);
+        return Refusals.seconds(millis + ThreadLocalRandom.current().nextLong(most + 1));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -165,6 +165,16 @@
         loop.execute(() -> tools.coldGuard().shares().allowance(allowance));
     }
 
+    /**
+     * Takes over for how long an endpoint that rejects requests is sent nothing at most, however much longer its Retry-After is.
+     *
+     * @param millis the time, in milliseconds
+     * @since 0.6.0
+     */
+    public void longestBackoffMillis(long millis) {
+        loop.execute(() -> signals.backoffs().longestMillis(millis));
+    }
+
     @Override
     public void peerTold(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
         loop.execute(() -> {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
@@ -5,6 +5,7 @@
 import static org.radishpass.routing.testing.Answers.write;
 
 import java.io.IOException;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -103,6 +104,54 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/again/x", "/once/x", "/stream/x", "/resume/x"})
+    void whereAllAreInBackoffARequestIsRefusedAtOnceUntilTheFirstEnds(String path) throws Exception {
+        AtomicInteger reached = new AtomicInteger();
+        try (FakeEndpoint full = new FakeEndpoint("a", (request, out) -> {
+                    reached.incrementAndGet();
+                    write(out, rejection(request, BACKOFF_MILLIS));
+                });
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, full).caller()) {
+            caller.readBody(caller.request("GET", path, "r", "").readUntil("\r\n\r\n"));
+            String head = caller.request("GET", path, "r", "").readUntil("\r\n\r\n");
+            caller.readBody(head);
+            assertThat(head).startsWith("HTTP/1.1 503");
+            assertThat(retryAfterSeconds(head)).isAtLeast(BACKOFF_MILLIS / 2_000.0);
+            assertThat(retryAfterSeconds(head)).isAtMost(BACKOFF_MILLIS / 1_000.0 + 1);
+            assertThat(reached.get()).isEqualTo(1);
+
+            bed.skip(BACKOFF_MILLIS);
+            caller.readBody(caller.request("GET", path, "r", "").readUntil("\r\n\r\n"));
+            assertThat(reached.get()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void aBackoffIsNoLongerThanTheLongest() throws Exception {
+        AtomicInteger reached = new AtomicInteger();
+        bed.server().longestBackoffMillis(1_000);
+        try (FakeEndpoint full = new FakeEndpoint("a", (request, out) -> {
+                    reached.incrementAndGet();
+                    write(out, rejection(request, 1_000_000_000_000L));
+                });
+                TestCaller caller = bed.knows(TIMEOUT_MILLIS, full).caller()) {
+            status(caller);
+            bed.skip(1_000);
+            status(caller);
+            assertThat(reached.get()).isEqualTo(2);
+        }
+    }
+
+    private static double retryAfterSeconds(String head) {
+        return head.lines()
+                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("retry-after:"))
+                .mapToDouble(line ->
+                        Double.parseDouble(line.substring(line.indexOf(':') + 1).strip()))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private static FakeEndpoint sound(String id) throws IOException {
         return new FakeEndpoint(id, (request, out) -> write(out, whole(request, 200, "ok")));
     }
