After a backoff requests come back to an endpoint one at a time first

Cause: at the end of a Retry-After each of 7 to 370 routers would send all that placement prefers the emptied endpoint for. Change: a router begins with one request and doubles the number of those that wait for the head of their answer with each that is taken, to eight; one more rejection begins anew. The simulation has engines that reject with Retry-After, and the policies to compare.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -27,6 +27,7 @@
     private boolean refused;
     private int status;
     private long sentAtMillis;
+    private boolean tests;
     private boolean over;
 
     /**
@@ -70,6 +71,11 @@
         return cacheHolder;
     }
 
+    /** Notes that the request is sent now. */
+    void sent() {
+        tests = tools.signals().sent(endpoint);
+    }
+
     /** Tells whether the request was sent and its answer is waited for. */
     boolean atWork() {
         return connection != null && !over;
@@ -137,6 +143,7 @@
     public void head(HttpResponse response, AnswerHead head) {
         status = head.status();
         record.headCame(tools.nowMillis(), head);
+        accepted(!head.notRun() && head.backoffMillis().isEmpty());
         refused = head.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
         if (refused) {
             return;
@@ -199,6 +206,13 @@
         }
     }
 
+    private void accepted(boolean taken) {
+        if (tests) {
+            tests = false;
+            tools.signals().answered(endpoint, taken);
+        }
+    }
+
     private EndpointHealth health() {
         return tools.health().of(endpoint.id(), tools.nowMillis());
     }
@@ -207,6 +221,7 @@
         if (!over) {
             over = true;
             clock.stop();
+            accepted(false);
             tools.book().ended(endpoint.id(), tokens);
         }
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
@@ -86,15 +86,29 @@
 
     /** Tells whether an endpoint takes new requests of this router, as far as its rejections tell. */
     boolean admits(ServiceEndpoint endpoint) {
-        return !backoffs.inForce(endpoint.id(), clock.millis());
+        return backoffs.admits(endpoint.id(), clock.millis());
     }
 
     /**
-     * Notes that a request is sent.
+     * Counts a request that is sent now.
      *
-     * @return what the endpoint has stated against it, for the request's account; empty if nothing
+     * @return whether {@link #answered} is to be called for it
      */
-    String sending(ServiceEndpoint endpoint) {
+    boolean sent(ServiceEndpoint endpoint) {
+        return backoffs.sent(endpoint.id());
+    }
+
+    /** Notes whether an endpoint that has been in backoff took a request. */
+    void answered(ServiceEndpoint endpoint, boolean accepted) {
+        backoffs.answered(endpoint.id(), accepted, clock.millis());
+    }
+
+    /**
+     * Counts a request that is sent although its endpoint has stated that it wants none.
+     *
+     * @return what it has stated, for the request's account; empty if nothing
+     */
+    String statedAgainst(ServiceEndpoint endpoint) {
         long nowMillis = clock.millis();
         OptionalLong leavingSince = leaving.sinceMillis(endpoint.id());
         if (leavingSince.isPresent()) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -288,8 +288,9 @@
     private void send(Attempt current, EndpointConnection connection) {
         long nowMillis = tools.nowMillis();
         history.sent(nowMillis);
-        record.sent(nowMillis, tools.signals().sending(current.endpoint()));
+        record.sent(nowMillis, tools.signals().statedAgainst(current.endpoint()));
         risk.sent();
+        current.sent();
         terms.prompt().ifPresent(prompt -> tools.chooser().sent(prompt, current.endpoint(), nowMillis));
         ForwardingHead forwarding = terms.forwarding(
                 current.endpoint(), terms.leftMillis(nowMillis), relay().lastEventId(), current.cacheHolder());
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/PlainService.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/PlainService.java
@@ -13,6 +13,8 @@
     private int running;
     private double slowFactor = 1;
     private boolean silent;
+    private int shedsFrom;
+    private long backoffMillis;
 
     /**
      * Creates an idle endpoint.
@@ -29,8 +31,12 @@
 
     @Override
     public void submit(Run run) {
+        if (backoffMillis > 0 && load() > shedsFrom) {
+            run.refuse(backoffMillis);
+            return;
+        }
         if (waiting.size() >= queue) {
-            run.refuse();
+            run.refuse(0);
             return;
         }
         waiting.add(run);
@@ -51,6 +57,12 @@
         startWaiting();
     }
 
+    @Override
+    public void shed(int most, long newBackoffMillis) {
+        shedsFrom = most;
+        backoffMillis = newBackoffMillis;
+    }
+
     @Override
     public boolean isSilent() {
         return silent;
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/Report.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/Report.java
@@ -21,6 +21,7 @@
     private final CacheCounts cache;
     private final Map<String, Counts> byClass = new TreeMap<>();
     private int secondTries;
+    private int rejections;
     private int reached;
     private int aboveBound;
 
@@ -86,6 +87,16 @@
         secondTries++;
     }
 
+    /** An endpoint has rejected a request. */
+    void rejected() {
+        rejections++;
+    }
+
+    /** Returns how many requests endpoints have rejected. */
+    int rejections() {
+        return rejections;
+    }
+
     private boolean counted(double startedAtMillis) {
         return startedAtMillis >= fromMillis && startedAtMillis < untilMillis;
     }
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/Run.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/Run.java
@@ -100,9 +100,14 @@
         }
     }
 
-    void refuse() {
+    /**
+     * The endpoint has rejected it.
+     *
+     * @param backoffMillis its Retry-After, in milliseconds; 0 without one
+     */
+    void refuse(long backoffMillis) {
         over = true;
-        listener.notRun();
+        listener.notRun(backoffMillis);
     }
 
     /** The router has closed the connection. */
@@ -131,7 +136,11 @@
         /** The answer is whole. */
         void ended();
 
-        /** It has not run and never will. */
-        void notRun();
+        /**
+         * It has not run and never will.
+         *
+         * @param backoffMillis the endpoint's Retry-After, in milliseconds; 0 without one
+         */
+        void notRun(long backoffMillis);
     }
 }
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedEndpoint.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedEndpoint.java
@@ -15,6 +15,14 @@
     /** From now on it is silent, or it works again. Connections to a silent one are not made. */
     void silent(boolean isSilent);
 
+    /**
+     * From now on it takes few new runs and rejects the others, or it takes all that it has room for.
+     *
+     * @param most the runs that it has at most when it takes another one
+     * @param backoffMillis its Retry-After, in milliseconds; 0 if it rejects none
+     */
+    void shed(int most, long backoffMillis);
+
     /** Tells whether it is silent. */
     boolean isSilent();
 
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedEngine.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedEngine.java
@@ -26,6 +26,8 @@
     private long cachedTokens;
     private double slowFactor = 1;
     private boolean silent;
+    private int shedsFrom;
+    private long backoffMillis;
     private boolean stepping;
     private int starting;
 
@@ -46,6 +48,10 @@
 
     @Override
     public void submit(Run run) {
+        if (backoffMillis > 0 && load() > shedsFrom) {
+            run.refuse(backoffMillis);
+            return;
+        }
         waiting.add(run);
         step();
     }
@@ -61,6 +67,12 @@
         step();
     }
 
+    @Override
+    public void shed(int most, long newBackoffMillis) {
+        shedsFrom = most;
+        backoffMillis = newBackoffMillis;
+    }
+
     @Override
     public boolean isSilent() {
         return silent;
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedExchange.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedExchange.java
@@ -26,6 +26,9 @@
     /** Milliseconds since an endpoint was heard of up to which an idle connection to it is used, as the product's. */
     private static final long LIKELY_MILLIS = 1_000;
 
+    /** Rejections after which a request is refused, as the product's. */
+    private static final int MOST_REJECTIONS = 3;
+
     private final SimulatedRouter router;
     private final Timeline timeline;
     private final SimulatedRequest request;
@@ -34,6 +37,7 @@
     private final double startedAtMillis;
     private @Nullable Attempt attempt;
     private int sends;
+    private int rejections;
     private double firstByteMillis;
     private boolean over;
 
@@ -73,8 +77,7 @@
     private Optional<PlacementChoice> place(List<String> without) {
         long now = timeline.millis();
         String service = requestClass().service();
-        List<ServiceEndpoint> candidates =
-                new ArrayList<>(router.healthBook().usable(router.fleet().open(service), now));
+        List<ServiceEndpoint> candidates = new ArrayList<>(router.healthBook().usable(router.open(service), now));
         candidates.removeIf(endpoint -> without.contains(endpoint.id()));
         if (sends > 0) {
             candidates = router.healthBook().heardLately(candidates, SURELY_ALIVE_MILLIS, now);
@@ -97,7 +100,7 @@
     }
 
     private boolean mayRetry() {
-        return sends < requestClass().attempts()
+        return sends - rejections < requestClass().attempts()
                 && requestClass().kind().mayRunAgain()
                 && router.budget().trySpend(requestClass().service(), timeline.millis());
     }
@@ -126,6 +129,7 @@
         private double sentAtMillis;
         private boolean began;
         private boolean overdue;
+        private boolean tests;
         private boolean ended;
 
         private Attempt(PlacementChoice choice) {
@@ -153,6 +157,7 @@
                 return;
             }
             sends++;
+            tests = router.backoffs().sent(endpoint.id());
             sentAtMillis = timeline.exactMillis();
             request.prompt().ifPresent(prompt -> router.chooser().sent(prompt, endpoint, timeline.millis()));
             timeline.after(SimulatedRouter.NETWORK_MILLIS, this::reach);
@@ -208,7 +213,7 @@
 
         private boolean othersHaveRoom() {
             long now = timeline.millis();
-            List<ServiceEndpoint> open = router.fleet().open(requestClass().service());
+            List<ServiceEndpoint> open = router.open(requestClass().service());
             List<ServiceEndpoint> others = new ArrayList<>(router.healthBook().usable(open, now));
             others.removeIf(other -> other.id().equals(endpoint.id()));
             return !router.healthBook().doubtful(open, now) && SpareRoom.at(others, router.book());
@@ -248,16 +253,25 @@
         private void finish() {
             if (!ended) {
                 ended = true;
+                accepted(false);
                 router.book().ended(endpoint.id(), run.memoryTokens());
             }
         }
 
+        private void accepted(boolean taken) {
+            if (tests) {
+                tests = false;
+                router.backoffs().answered(endpoint.id(), taken, timeline.millis());
+            }
+        }
+
         @Override
         public void begun() {
             if (ended) {
                 return;
             }
             began = true;
+            accepted(true);
             router.health(endpoint).heard(timeline.millis());
             router.patience().note(requestClass().name(), timeline.exactMillis() - sentAtMillis);
             if (!overdue) {
@@ -278,12 +292,18 @@
         }
 
         @Override
-        public void notRun() {
+        public void notRun(long backoffMillis) {
             if (ended) {
                 return;
             }
+            report.rejected();
+            if (backoffMillis > 0) {
+                router.rejected(endpoint, backoffMillis);
+            }
             stopAttempt();
-            if (sends < requestClass().attempts()
+            rejections++;
+            if (sends - rejections < requestClass().attempts()
+                    && rejections <= MOST_REJECTIONS
                     && router.budget().trySpend(requestClass().service(), timeline.millis())) {
                 SimulatedExchange.this.attempt();
             } else {
--- a/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedRouter.java
+++ b/radishpass-simulation/src/main/java/org/radishpass/simulation/SimulatedRouter.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Set;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.AnswerPatience;
+import org.radishpass.routing.health.EndpointBackoffs;
 import org.radishpass.routing.health.EndpointHealth;
 import org.radishpass.routing.health.HealthBook;
 import org.radishpass.routing.load.InFlightBook;
@@ -28,6 +30,11 @@
     /** Milliseconds between looks at endpoints, as the product's. */
     static final double LOOK_MILLIS = 100;
 
+    /** The part of a backoff over which routers come back, where that is spread. */
+    private static final double SPREAD = 0.25;
+
+    private static final int SHARES = 1_000;
+
     private final Timeline timeline;
     private final Fleet fleet;
     private final Set<Policy> policies;
@@ -35,6 +42,7 @@
     private final int routers;
     private final InFlightBook book = new InFlightBook();
     private final HealthBook health = new HealthBook();
+    private final EndpointBackoffs backoffs = new EndpointBackoffs();
     private final AnswerPatience patience = new AnswerPatience();
     private final EndpointChooser chooser;
     private final SharedRetryBudget budget;
@@ -95,6 +103,35 @@
         return policies.contains(policy);
     }
 
+    /** Returns the endpoints of a service that take new work, as far as their rejections tell. */
+    List<ServiceEndpoint> open(String service) {
+        return fleet.open(service).stream().filter(this::admits).toList();
+    }
+
+    private boolean admits(ServiceEndpoint endpoint) {
+        long now = timeline.millis();
+        return does(Policy.GRADUAL_RETURN)
+                ? backoffs.admits(endpoint.id(), now)
+                : !backoffs.inForce(endpoint.id(), now);
+    }
+
+    /** Notes that an endpoint has rejected a request with Retry-After. */
+    void rejected(ServiceEndpoint endpoint, long backoffMillis) {
+        if (does(Policy.BACKOFF)) {
+            double share = does(Policy.SPREAD_RETURN) ? share(endpoint) : 0;
+            backoffs.rejected(endpoint.id(), Math.round(backoffMillis * (1 + share)), timeline.millis());
+        }
+    }
+
+    /** This router's part of the time over which routers come back to an endpoint. */
+    private double share(ServiceEndpoint endpoint) {
+        return SPREAD * Math.floorMod(Rendezvous.mix(endpoint.hash(), Rendezvous.hash(id)), SHARES) / SHARES;
+    }
+
+    EndpointBackoffs backoffs() {
+        return backoffs;
+    }
+
     EndpointHealth health(ServiceEndpoint endpoint) {
         return health.of(endpoint.id(), timeline.millis());
     }
--- a/radishpass-simulation/src/test/java/org/radishpass/simulation/SimulatedEngineTest.java
+++ b/radishpass-simulation/src/test/java/org/radishpass/simulation/SimulatedEngineTest.java
@@ -103,7 +103,7 @@
             }
 
             @Override
-            public void notRun() {
+            public void notRun(long backoffMillis) {
                 heard.add(name + " not run");
             }
         };
