A rejected send does not count against the attempts of a route

Callers saw: 503 on routes with one attempt although most engines took requests: the rejection was counted as the attempt. Cause: max_attempts bounds the endpoints that may run a request; sends were counted instead, also those that were proved not to have run. Tests: StatedInAnswersTest (three endpoints of four reject, one attempt: all served), SheddingTest.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -149,7 +149,7 @@
     }
 
     private boolean mayRetry() {
-        return history.sends() < terms.maxAttempts()
+        return history.maySendAgain(terms.maxAttempts())
                 && terms.leftMillis(tools.nowMillis()) > 0
                 && tools.takeRetry(terms.service());
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -43,6 +43,7 @@
     private final TrafficServer server;
     private final Channel listening;
     private volatile RoutingView view = RoutingView.UNKNOWN;
+    private int maxAttempts = 3;
 
     /** Starts a router that knows nothing yet. */
     public TrafficBed() throws Exception {
@@ -59,6 +60,12 @@
         listening = server.serve(socket).get(20, TimeUnit.SECONDS);
     }
 
+    /** Sets how many endpoints may run a request; before {@link #knows}. */
+    public TrafficBed attempts(int most) {
+        maxAttempts = most;
+        return this;
+    }
+
     /** Lets it know endpoints, and the routes /once/, /again/, /stream/ and /resume/ with a timeout. */
     public TrafficBed knows(long timeoutMillis, FakeEndpoint... endpoints) {
         List<ServiceEndpoint> known = new ArrayList<>();
@@ -167,14 +174,14 @@
         loops.dispose();
     }
 
-    private static void route(
+    private void route(
             RoutingConfiguration.Builder configuration, String prefix, RequestKind kind, long timeoutMillis) {
         configuration.route(Route.builder(prefix)
                 .match("api", prefix)
                 .kind(kind)
                 .split(TrafficSplit.all(SERVICE))
                 .timeoutMillis(timeoutMillis)
-                .maxAttempts(3)
+                .maxAttempts(maxAttempts)
                 .build());
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
@@ -127,6 +127,32 @@
         }
     }
 
+    /** Guards against a caller that is refused although other endpoints take requests: a rejected send is no attempt. */
+    @Test
+    void aRejectedRequestGoesElsewhereAlsoWhereItsRouteAllowsOneAttempt() throws Exception {
+        AtomicInteger ran = new AtomicInteger();
+        try (FakeEndpoint first = full("a");
+                FakeEndpoint second = full("b");
+                FakeEndpoint third = full("c");
+                FakeEndpoint sound = new FakeEndpoint("d", (request, out) -> {
+                    ran.incrementAndGet();
+                    write(out, whole(request, 200, "ok"));
+                });
+                TestCaller caller = bed.attempts(1)
+                        .knows(TIMEOUT_MILLIS, first, second, third, sound)
+                        .caller()) {
+            for (int request = 0; request < REQUESTS; request++) {
+                assertThat(status(caller)).isEqualTo("HTTP/1.1 200");
+            }
+            assertThat(ran.get()).isEqualTo(REQUESTS);
+            assertThat(first.unseen() + second.unseen() + third.unseen()).isAtMost(3);
+        }
+    }
+
+    private static FakeEndpoint full(String id) throws IOException {
+        return new FakeEndpoint(id, (request, out) -> write(out, rejection(request, BACKOFF_MILLIS)));
+    }
+
     @Test
     void aBackoffIsNoLongerThanTheLongest() throws Exception {
         AtomicInteger reached = new AtomicInteger();
