Requests wait for a backoff that ends early enough for an answer in time

Cause: where all endpoints that could run a request are in backoff it was refused at once, also where the first would take it some milliseconds later. The most urgent goes first, and none is overtaken by a less urgent one at an endpoint that has just come out of backoff.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/AnswerPatience.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/AnswerPatience.java
@@ -74,6 +74,17 @@
         return Math.max(LEAST_MILLIS, Math.round(Math.max(FACTOR * usual.median, TAIL_FACTOR * usual.tail)));
     }
 
+    /**
+     * Returns how long an answer usually takes to begin, in milliseconds; {@link #UNKNOWN} while too little is known.
+     *
+     * @param route the name of its route
+     * @since 0.6.0
+     */
+    public long usualMillis(String route) {
+        Usual usual = byRoute.get(route);
+        return usual == null || usual.count < ENOUGH ? UNKNOWN : Math.round(usual.median);
+    }
+
     /**
      * Returns how long to wait for an answer to begin until it is tried elsewhere, in milliseconds: until the endpoint is taken to
      * be slow, and at least until half of the latency target is over. Most answers that are late come by then, and a try
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointBackoffs.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointBackoffs.java
@@ -77,6 +77,15 @@
         return backoff == null || (nowMillis >= backoff.untilMillis && backoff.unanswered < backoff.window);
     }
 
+    /**
+     * Tells whether an endpoint has been in backoff and is not used like any other yet.
+     *
+     * @param endpointId the endpoint
+     */
+    public boolean recovering(String endpointId) {
+        return byEndpoint.containsKey(endpointId);
+    }
+
     /**
      * Counts a request that is sent now.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
@@ -22,7 +21,7 @@
  * <p>It is at one endpoint at a time. What may be said of it in the end is kept as a {@link Verdict}: a refusal that
  * promises that it has not run goes out only while the verdict is {@link Verdict#NOT_RUN}.
  */
-final class Exchange implements Attempt.Owner {
+final class Exchange implements Attempt.Owner, BackoffWait.Owner {
     private final TrafficTools tools;
     private final CallerConnection caller;
     private final HttpRequest request;
@@ -33,6 +32,7 @@
     private Terms terms = Terms.UNKNOWN;
     private @Nullable AnswerRelay relay;
     private @Nullable Attempt attempt;
+    private @Nullable BackoffWait wait;
     private @Nullable Future<?> timer;
     private boolean ended;
 
@@ -86,8 +86,8 @@
             return;
         }
         Optional<PlacementChoice> choice = tools.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
-        if (choice.isEmpty()) {
-            giveUpWithoutEndpoint();
+        if (choice.isEmpty() || backoffWait().overtakes(choice.get())) {
+            waitOrGiveUp();
             return;
         }
         if (terms.full(choice.get())) {
@@ -98,19 +98,38 @@
         attempt(choice.get());
     }
 
-    private void giveUpWithoutEndpoint() {
-        long nowMillis = tools.nowMillis();
-        OptionalLong end = tools.placer().soonestBackoffEnd(terms, history.triedEndpoints());
-        if (end.isPresent() && !relay().started() && history.notRun()) {
-            refuse(
-                    RefusalCode.OVERLOADED,
-                    "every endpoint that could run it is in backoff",
-                    RetryDelay.header(end.getAsLong() - nowMillis));
-        } else {
+    private BackoffWait backoffWait() {
+        BackoffWait current = wait;
+        if (current == null) {
+            current = new BackoffWait(tools, terms, history, record.receivedAtMillis(), this);
+            wait = current;
+        }
+        return current;
+    }
+
+    private void waitOrGiveUp() {
+        BackoffWait current = backoffWait();
+        boolean promised = !relay().started() && history.notRun();
+        if (!promised || !current.inBackoff()) {
             giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
+        } else if (!current.begin()) {
+            refuseInBackoff(current.endMillis());
         }
     }
 
+    @Override
+    public void place(PlacementChoice choice) {
+        attempt(choice);
+    }
+
+    @Override
+    public void refuseInBackoff(long endMillis) {
+        refuse(
+                RefusalCode.OVERLOADED,
+                "every endpoint that could run it is in backoff",
+                RetryDelay.header(endMillis - tools.nowMillis()));
+    }
+
     private void giveUpQuarantined() {
         giveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
     }
@@ -250,6 +269,9 @@
             running.cancel(false);
         }
         body.release();
+        if (wait != null) {
+            wait.cancel();
+        }
         if (relay != null) {
             relay.dropPending();
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -105,6 +105,10 @@
         Gauge.builder("radishpass.requests.active", tools.exchanges(), java.util.Set::size)
                 .description("requests in progress")
                 .register(metrics);
+        Gauge.builder("radishpass.requests.waiting", tools.backoffQueue(), BackoffQueue::size)
+                .description(
+                        "requests that wait for the end of a backoff because an endpoint is expected to take them in time")
+                .register(metrics);
         Gauge.builder("radishpass.requests.quarantined", tools.quarantine(), Quarantine::held)
                 .description("different requests that are refused because endpoints end when they run them")
                 .register(metrics);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficTools.java
@@ -20,7 +20,7 @@
 
 /** What the connections and requests of the traffic thread share. All of it belongs to that thread. */
 final class TrafficTools {
-    /** Milliseconds between looks at requests that wait for the configuration: small beside an answer. */
+    /** Milliseconds between looks at requests that wait for the configuration, or for an endpoint: small beside an answer. */
     private static final long HELD_LOOK_MILLIS = 20;
 
     private static final Logger LOG = LoggerFactory.getLogger(TrafficTools.class);
@@ -48,6 +48,7 @@
     private final AnswerPatience patience = new AnswerPatience();
     private final ArrivalQueue arrivals;
     private final HeldArrivals held;
+    private final BackoffQueue backoffQueue;
     private boolean stopping;
     private boolean refusing;
     private boolean ended;
@@ -87,6 +88,9 @@
         this.held = new HeldArrivals(clock::millis, this::awaitsConfiguration, arrivals::addAll, look -> {
             var unused = loop.schedule(look, HELD_LOOK_MILLIS, TimeUnit.MILLISECONDS);
         });
+        this.backoffQueue = new BackoffQueue(clock::millis, look -> {
+            var unused = loop.schedule(look, HELD_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        });
     }
 
     EventLoop loop() {
@@ -203,6 +207,11 @@
         return held;
     }
 
+    /** Returns the requests that wait for the end of a backoff. */
+    BackoffQueue backoffQueue() {
+        return backoffQueue;
+    }
+
     private boolean awaitsConfiguration() {
         RoutingView view = view();
         return !view.complete() && view.arriving() && !ended;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficBed.java
@@ -44,6 +44,7 @@
     private final Channel listening;
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private int maxAttempts = 3;
+    private long targetMillis = 1_000;
 
     /** Starts a router that knows nothing yet. */
     public TrafficBed() throws Exception {
@@ -60,6 +61,12 @@
         listening = server.serve(socket).get(20, TimeUnit.SECONDS);
     }
 
+    /** Sets the time within which answers should begin; before {@link #knows}. */
+    public TrafficBed target(long millis) {
+        targetMillis = millis;
+        return this;
+    }
+
     /** Sets how many endpoints may run a request; before {@link #knows}. */
     public TrafficBed attempts(int most) {
         maxAttempts = most;
@@ -182,6 +189,7 @@
                 .split(TrafficSplit.all(SERVICE))
                 .timeoutMillis(timeoutMillis)
                 .maxAttempts(maxAttempts)
+                .targetLatencyMillis(targetMillis)
                 .build());
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StatedInAnswersTest.java
@@ -20,7 +20,8 @@
 /** Checks on loopback what reaches an endpoint after one of its answers has stated that it wants nothing. */
 final class StatedInAnswersTest {
     private static final long TIMEOUT_MILLIS = 20_000;
-    private static final long BACKOFF_MILLIS = 3_000;
+    private static final long BACKOFF_MILLIS = 60_000;
+    private static final long SHORT_BACKOFF_MILLIS = 200;
     private static final int REQUESTS = 30;
 
     private final TrafficBed bed;
@@ -149,6 +150,23 @@
         }
     }
 
+    /** Guards against a refusal where the backoff ends early enough for an answer within the latency target. */
+    @Test
+    void aRequestWaitsForABackoffThatEndsSoon() throws Exception {
+        AtomicInteger rejected = new AtomicInteger();
+        try (FakeEndpoint shortOfRoom = new FakeEndpoint("a", (request, out) -> {
+                    boolean first = rejected.getAndIncrement() == 0;
+                    write(out, first ? rejection(request, SHORT_BACKOFF_MILLIS) : whole(request, 200, "ok"));
+                });
+                TestCaller caller = bed.target(TIMEOUT_MILLIS)
+                        .knows(TIMEOUT_MILLIS, shortOfRoom)
+                        .caller()) {
+            assertThat(status(caller)).isEqualTo("HTTP/1.1 503");
+            assertThat(status(caller)).isEqualTo("HTTP/1.1 200");
+            assertThat(rejected.get()).isEqualTo(2);
+        }
+    }
+
     private static FakeEndpoint full(String id) throws IOException {
         return new FakeEndpoint(id, (request, out) -> write(out, rejection(request, BACKOFF_MILLIS)));
     }
