--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -4,8 +4,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -29,8 +27,9 @@
     private final HttpRequest request;
     private final ByteBuf body;
     private final ExchangeRecord record;
-    private EndpointRisk risk;
     private final SendHistory history = new SendHistory();
+    private final ExchangeRefusal refusal;
+    private EndpointRisk risk;
     private Terms terms = Terms.UNKNOWN;
     private @Nullable AnswerRelay relay;
     private @Nullable Attempt attempt;
@@ -44,6 +43,7 @@
         this.request = assembly.request();
         this.body = assembly.body();
         this.record = new ExchangeRecord(assembly.receivedAtMillis());
+        this.refusal = new ExchangeRefusal(tools, caller, record, history, this::end);
         this.risk = new EndpointRisk(tools, RequestFingerprint.UNKNOWN, terms.service());
         tools.exchanges().add(this);
     }
@@ -52,7 +52,7 @@
     void begin() {
         Resolution resolution = tools.resolver().resolve(request, tools.view(), record, tools.nowMillis());
         if (resolution instanceof Resolution.Refused refused) {
-            refuse(refused.code(), refused.detail(), refused.delay().header());
+            refusal.refuse(refused.code(), refused.detail(), refused.delay().header());
         } else if (resolution instanceof Resolution.Resolved resolved) {
             start(resolved.terms());
         }
@@ -63,7 +63,7 @@
         relay = new AnswerRelay(caller, terms.kind());
         record.terms(terms, fingerprint());
         if (tools.ended() || (tools.refusing() && terms.kind().streams())) {
-            refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE.header());
+            refusal.refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.ELSEWHERE.header());
             return;
         }
         risk = new EndpointRisk(tools, record.fingerprint(), terms.service());
@@ -126,10 +126,7 @@
 
     @Override
     public void refuseInBackoff(long endMillis) {
-        refuse(
-                RefusalCode.OVERLOADED,
-                "every endpoint that could run it is in backoff",
-                RetryDelay.header(endMillis - tools.nowMillis()));
+        refusal.refuseInBackoff(endMillis);
     }
 
     private void giveUpQuarantined() {
@@ -176,27 +173,7 @@
     }
 
     private void giveUp(RefusalCode code, String detail) {
-        if (relay().started()) {
-            record.finished(Verdict.RAN, 0, "broken off: " + detail);
-            end();
-            caller.abort();
-            return;
-        }
-        if (history.notRun()) {
-            RefusalCode truthful = code == RefusalCode.ENDPOINT_FAILED ? RefusalCode.NO_ENDPOINT : code;
-            refuse(truthful, detail, RetryDelay.of(truthful).header());
-            return;
-        }
-        refuse(code == RefusalCode.DEADLINE ? code : RefusalCode.ENDPOINT_FAILED, detail, null);
-    }
-
-    private void refuse(RefusalCode code, String detail, @Nullable String retryAfter) {
-        record.finished(history.verdict(), code.status(), detail);
-        end();
-        caller.answer(
-                HttpResponseStatus.valueOf(code.status()),
-                Refusals.body(caller.allocator(), code.status(), detail),
-                retryAfter);
+        refusal.giveUp(code, detail, relay().started());
     }
 
     private void expired() {
@@ -346,7 +323,9 @@
 
     @Override
     public boolean takesError(Attempt failed, int status) {
-        if (terms.kind().mayRunAgain() && anotherTakes(failed) && mayRetry()) {
+        boolean anotherTakes =
+                terms.kind().mayRunAgain() && tools.placer().anotherTakes(terms, history, failed.endpoint());
+        if (anotherTakes && mayRetry()) {
             attempt = null;
             failed.stop();
             history.tried(failed.endpoint());
@@ -363,16 +342,6 @@
         return false;
     }
 
-    /** Tells whether another endpoint would take the request: if none does, the answer that there is goes to the caller. */
-    private boolean anotherTakes(Attempt failed) {
-        List<String> tried = new ArrayList<>(history.triedEndpoints());
-        tried.add(failed.endpoint().id());
-        return tools.placer()
-                .place(terms, tried, true)
-                .filter(choice -> !terms.full(choice))
-                .isPresent();
-    }
-
     @Override
     public void notRun(Attempt refused, int status) {
         attempt = null;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -83,6 +83,19 @@
                 .min();
     }
 
+    /**
+     * Tells whether an endpoint would take a request that has failed at another one: if none does, the answer that there is goes to the caller.
+     *
+     * @param terms its terms
+     * @param history where it was sent before
+     * @param failed the endpoint at which it has failed
+     */
+    boolean anotherTakes(Terms terms, SendHistory history, ServiceEndpoint failed) {
+        List<String> tried = new ArrayList<>(history.triedEndpoints());
+        tried.add(failed.id());
+        return place(terms, tried, true).filter(choice -> !terms.full(choice)).isPresent();
+    }
+
     private List<ServiceEndpoint> usable(EndpointFilter filter, Terms terms, long nowMillis) {
         return tools.health().usable(filter.open(terms), nowMillis);
     }
