A control task that fails again and again is logged less and less often; tests end the routers they start

Change: RoutedRouter can be closed, the tests close theirs; of equal failures the first, second, fourth and so on are logged, with their number.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -34,7 +34,7 @@
  *
  * @since 0.2.0
  */
-public final class RoutedRouter {
+public final class RoutedRouter implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(RoutedRouter.class);
 
     /** How long until an address that is taken is tried again: a process that ends gives it back within that. */
@@ -141,6 +141,12 @@
         control.leave();
     }
 
+    /** Ends its control side, which would otherwise go on without the event loops that its caller closes. */
+    @Override
+    public void close() {
+        thread.close();
+    }
+
     private RoutingView view() {
         return control.view();
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/LoopbackFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/LoopbackFleet.java
@@ -37,6 +37,7 @@
     private final LoopResources loops = LoopResources.create("fleet", 2, 2, true, false);
     private final FakeStore store = new FakeStore();
     private final List<Started> routers = new ArrayList<>();
+    private final List<RoutedRouter> toClose = new ArrayList<>();
 
     LoopbackFleet() {
         store.publish("1");
@@ -64,6 +65,7 @@
                 .peerAddress(peers)
                 .home(new DataCentre("here"))
                 .build();
+        toClose.add(router);
         router.start(
                 callers,
                 new RetryAllowance(1, 100, 10_000),
@@ -87,6 +89,7 @@
 
     @Override
     public void close() {
+        toClose.forEach(RoutedRouter::close);
         loops.dispose();
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/PeerDisconnectTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/PeerDisconnectTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -45,9 +46,11 @@
 
     private final LoopResources loops = LoopResources.create("test", 2, 2, true, false);
     private final FakeStore store = new FakeStore();
+    private final List<RoutedRouter> routers = new ArrayList<>();
 
     @AfterEach
     void close() {
+        routers.forEach(RoutedRouter::close);
         loops.dispose();
     }
 
@@ -101,7 +104,7 @@
 
     private void start(Address peers, List<Address> seeds, SimpleMeterRegistry metrics) throws IOException {
         CallerSocket callers = CallerSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        RoutedRouter.builder(
+        RoutedRouter router = RoutedRouter.builder(
                         loops,
                         store.link(),
                         content -> RoutingConfiguration.builder(1).build(),
@@ -109,8 +112,9 @@
                 .metrics(metrics)
                 .peerAddress(peers)
                 .home(HOME)
-                .build()
-                .start(callers, RetryAllowance.DEFAULT, seeds);
+                .build();
+        routers.add(router);
+        router.start(callers, RetryAllowance.DEFAULT, seeds);
     }
 
     private static void awaitStates(SimpleMeterRegistry metrics, int messages) throws InterruptedException {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
@@ -36,9 +36,11 @@
 
     private final FakeStore store = new FakeStore();
     private final LoopResources loops = LoopResources.create("test", 2, 2, true, false);
+    private final List<RoutedRouter> routers = new ArrayList<>();
 
     @AfterEach
     void close() {
+        routers.forEach(RoutedRouter::close);
         loops.dispose();
     }
 
@@ -129,11 +131,12 @@
     private Started start(ControlSource source, List<Address> seeds) throws IOException {
         Address peers = freeAddress();
         CallerSocket callers = CallerSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        RoutedRouter.builder(loops, source, RoutedRouterTest::decode, new PlainDialect())
+        RoutedRouter router = RoutedRouter.builder(loops, source, RoutedRouterTest::decode, new PlainDialect())
                 .peerAddress(peers)
                 .home(new DataCentre("here"))
-                .build()
-                .start(callers, RetryAllowance.DEFAULT, seeds);
+                .build();
+        routers.add(router);
+        router.start(callers, RetryAllowance.DEFAULT, seeds);
         return new Started(callers.port(), peers);
     }
 
--- a/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
@@ -20,6 +20,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ControlThread.class);
 
     private final Scheduler scheduler;
+    private final TaskFailures failures = new TaskFailures(LOG);
 
     /**
      * Starts the thread.
@@ -97,12 +98,12 @@
         scheduler.dispose();
     }
 
-    private static Runnable guarded(Runnable task) {
+    private Runnable guarded(Runnable task) {
         return () -> {
             try {
                 task.run();
             } catch (RuntimeException e) {
-                LOG.error("a control task failed", e);
+                failures.failed(e);
             }
         };
     }
