Test endpoints refuse connections from the moment that they are closed

Closing a listening socket does not close it for a thread that waits in accept, and the kernel goes on taking connections until that thread wakes up; the router then takes the endpoint to live. Change: FakeEndpoint.close waits for its accepting thread.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
@@ -28,6 +28,7 @@
     private final String id;
     private final Script script;
     private final List<Socket> sockets = new ArrayList<>();
+    private final Thread accepting;
     private final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
 
     /**
@@ -40,7 +41,7 @@
         this.id = id;
         this.script = script;
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        daemon(this::accept);
+        this.accepting = daemon(this::accept);
     }
 
     /** Returns it as routers know it. */
@@ -68,9 +69,15 @@
         return server.isClosed();
     }
 
+    /** While a thread still waits in accept, the kernel goes on taking connections: they are refused from its end on. */
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         synchronized (sockets) {
             for (Socket socket : sockets) {
                 socket.close();
@@ -85,7 +92,7 @@
                 synchronized (sockets) {
                     sockets.add(socket);
                 }
-                daemon(() -> serve(socket));
+                var unused = daemon(() -> serve(socket));
             }
         } catch (IOException e) {
             // closed by the test
@@ -139,10 +146,11 @@
         return "";
     }
 
-    private static void daemon(Runnable task) {
+    private static Thread daemon(Runnable task) {
         Thread thread = new Thread(task, "fake-endpoint");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** Answers a request with bytes. */
