Observability: the store's era and revision of each reading, and what became of it

What could not be told: at which revision the store had answered a reading that was not used, that it was not used, and that the store's revisions went back (timeline of the requests to endpoints that left after a restore). Change: StorePosition, era and revision together, decoded once in the adapter from the head of every answer (pages, changes, transactions, refusals), in place of bare revisions in readings, drains, registrations and the origin of a placement's list. Decisions compare revisions as before. Events store-restored, reading-ignored, reading-used and list-source; gauge radishpass_store_era, counter radishpass_store_readings_total by use; a request's line names its list as era/revision. An era that is missing, cannot be read or is told twice differently: the answer is taken to be of the latest era, logged once.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.LongConsumer;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
@@ -20,8 +21,6 @@
     /** How long the store may hold a question for a newer configuration; most end earlier. */
     static final Duration WAIT = Duration.ofSeconds(20);
 
-    private static final long UNKNOWN = -1;
-
     /** Milliseconds that the whole document takes to come from which on peers are waited for: half of what a change may take in all. */
     private static final long SLOW_MILLIS = 400;
 
@@ -42,7 +41,7 @@
     private final Disposable.Swap call = Disposables.swap();
     private State state = State.IDLE;
     private boolean checking;
-    private long revision = UNKNOWN;
+    private StorePosition position = StorePosition.NONE;
     private long wholeBytes;
     private long wholeBegunAtMillis;
     private long wholeMillis;
@@ -105,12 +104,12 @@
      * Asks for a newer configuration apart if the store's revision has risen beyond what is known of it: the wait may hang on a connection
      * that nobody serves any more.
      */
-    void check(long storeRevision) {
-        if (state != State.WAITING || checking || storeRevision <= revision || readsWhole) {
+    void check(StorePosition newest) {
+        if (state != State.WAITING || checking || newest.revision() <= position.revision() || readsWhole) {
             return;
         }
         checking = true;
-        source.configurationAfter(revision, Duration.ZERO, bytes -> {})
+        source.configurationAfter(position, Duration.ZERO, bytes -> {})
                 .publishOn(thread.scheduler())
                 .subscribe(result -> {
                     checking = false;
@@ -129,7 +128,7 @@
         state = State.WAITING;
         int number = ++lastCall;
         LongConsumer begun = bytes -> thread.run(() -> begun(number, bytes));
-        call.update((readsWhole ? source.configuration(begun) : source.configurationAfter(revision, WAIT, begun))
+        call.update((readsWhole ? source.configuration(begun) : source.configurationAfter(position, WAIT, begun))
                 .publishOn(thread.scheduler())
                 .subscribe(this::answered));
     }
@@ -184,11 +183,11 @@
 
     private void take(ConfigurationReading result) {
         if (result instanceof ConfigurationReading.Published published) {
-            revision = Math.max(revision, published.revision());
+            position = higher(published.position());
             listener.drains(published.drains());
             listener.published(published.content());
         } else if (result instanceof ConfigurationReading.Unchanged unchanged) {
-            revision = Math.max(revision, unchanged.revision());
+            position = higher(unchanged.position());
             listener.drains(unchanged.drains());
         } else if (result instanceof ConfigurationReading.HistoryLost) {
             LOG.info("the store has lost its history; the configuration is read anew", LogEvent.STORE_HISTORY.field());
@@ -196,6 +195,10 @@
         }
     }
 
+    private StorePosition higher(StorePosition read) {
+        return read.revision() > position.revision() ? read : position;
+    }
+
     /** Hears what came; called on the control thread. */
     interface Listener {
         /** Tells whether this router has to wait for configurations now. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationReading.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.control;
 
+import org.radishpass.routing.fleet.StorePosition;
+
 /**
  * What came of asking the store for the configuration.
  *
@@ -9,29 +11,29 @@
     /**
      * The configuration as the store holds it.
      *
-     * @param revision the store's revision at which it was read
+     * @param position the place in the store's history at which it was read
      * @param content the document, see {@link ConfigurationDecoder}
      * @param drains what the same answer says of data centres
      * @since 0.2.0
      */
-    record Published(long revision, byte[] content, DrainReading drains) implements ConfigurationReading {
+    record Published(StorePosition position, byte[] content, DrainReading drains) implements ConfigurationReading {
         /** Creates a reading that says nothing of data centres. */
-        public Published(long revision, byte[] content) {
-            this(revision, content, DrainReading.NONE);
+        public Published(StorePosition position, byte[] content) {
+            this(position, content, DrainReading.NONE);
         }
     }
 
     /**
      * It has not changed, or there is none yet.
      *
-     * @param revision the store's revision up to which this holds
+     * @param position the place in the store's history up to which this holds
      * @param drains what the same answer says of data centres
      * @since 0.2.0
      */
-    record Unchanged(long revision, DrainReading drains) implements ConfigurationReading {
+    record Unchanged(StorePosition position, DrainReading drains) implements ConfigurationReading {
         /** Creates a reading that says nothing of data centres. */
-        public Unchanged(long revision) {
-            this(revision, DrainReading.NONE);
+        public Unchanged(StorePosition position) {
+            this(position, DrainReading.NONE);
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -37,6 +37,7 @@
 
     private final ControlThread thread;
     private final MonotonicClock clock;
+    private final ControlSource source;
     private final Runnable whenComplete;
     private final RegionMap regions;
     private final ConfigurationTracker configuration;
@@ -49,6 +50,7 @@
     private final RegistryCleaner cleaner;
     private final Registration registration;
     private final QuarantineKeeper quarantine;
+    private final StoreReadings readings;
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private long configurationSinceMillis;
 
@@ -86,8 +88,10 @@
         StoreClock storeClock = new StoreClock();
         Beliefs beliefs = new Beliefs(configuration, directory, drains, storeClock);
         this.coldEndpoints = new ColdEndpoints(directory, drains, storeClock);
-        this.follower =
-                new StoreFollower(thread, clock, source, beliefs, new UnusableEntries(metrics), new StoreNews());
+        this.readings = new StoreReadings(metrics);
+        this.source = source;
+        this.follower = new StoreFollower(
+                thread, clock, source, beliefs, new UnusableEntries(metrics), readings, new StoreNews());
         this.cleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
         this.quarantine = new QuarantineKeeper(thread, clock, source, storeClock, suspects);
@@ -108,6 +112,7 @@
 
     /** Starts to read the store. */
     void start() {
+        source.eras().publishOn(thread.scheduler()).subscribe(era -> readings.eraTold(era, "store"));
         follower.start();
         suspects.onSuspects(new SuspectNews());
         thread.run(quarantine::read);
@@ -170,6 +175,7 @@
     }
 
     private void publish() {
+        readings.source(directory.origin().source(), directory.reading());
         view = new RoutingView(
                 configuration.current().orElse(null),
                 configurationSinceMillis,
@@ -204,10 +210,10 @@
                 LogEvent.DRAINS.field(),
                 kv("drained", drains.drained().stream().map(DataCentre::name).toList()),
                 kv(
-                        "revisions",
+                        "positions",
                         drains.changes().stream()
                                 .map(change -> change.drain().dataCentre() + " "
-                                        + change.drain().revision())
+                                        + change.drain().position())
                                 .toList()));
         publish();
         peers.tellNow();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -4,8 +4,10 @@
 import java.util.function.LongConsumer;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
@@ -18,6 +20,15 @@
     /** A moment of the store's clock that is not known. */
     long TIME_UNKNOWN = -1;
 
+    /**
+     * Returns each era of the store that is later than all before, as any of its answers tells it, a refusal too.
+     *
+     * @since 0.7.0
+     */
+    default Flux<Long> eras() {
+        return Flux.never();
+    }
+
     /**
      * Reads the configuration.
      *
@@ -26,13 +37,13 @@
     Mono<ConfigurationReading> configuration(LongConsumer begun);
 
     /**
-     * Waits for a configuration that is newer than a revision. The answer may hold each version since then, and be that much larger.
+     * Waits for a configuration that is newer than a place in the store's history. The answer may hold each version since then, and be that much larger.
      *
-     * @param revision the store's revision
+     * @param after the place
      * @param wait how long the store may wait before it answers that nothing has changed
      * @param begun called, on any thread, when an answer begins to come, with its size in bytes; -1 if that is not told
      */
-    Mono<ConfigurationReading> configurationAfter(long revision, Duration wait, LongConsumer begun);
+    Mono<ConfigurationReading> configurationAfter(StorePosition after, Duration wait, LongConsumer begun);
 
     /** Reads all endpoints. */
     Mono<DirectoryReading> directory();
@@ -55,10 +66,10 @@
      * Removes a router's registration, unless another process has registered at its address since.
      *
      * @param self where it listened for peers
-     * @param revision the store's revision of the registration
+     * @param registeredAt where in the store's history the registration was written
      * @return whether it was removed
      */
-    Mono<Boolean> deregister(Address self, long revision);
+    Mono<Boolean> deregister(Address self, StorePosition registeredAt);
 
     /**
      * Reads the requests that are kept from endpoints because they end them.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReading.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.StorePosition;
 
 /**
  * What came of asking the store for the endpoints.
@@ -12,14 +13,17 @@
     /**
      * All endpoints that are registered.
      *
-     * @param revision the store's revision at which they were read
+     * @param position the place in the store's history at which they were read
      * @param storeMillis what the store's steady clock showed, in milliseconds
      * @param endpoints the endpoints
      * @param unusable entries that name no endpoint to use
      * @since 0.2.0
      */
     record Listed(
-            long revision, long storeMillis, List<ServiceEndpoint> endpoints, List<EndpointEntry.Unusable> unusable)
+            StorePosition position,
+            long storeMillis,
+            List<ServiceEndpoint> endpoints,
+            List<EndpointEntry.Unusable> unusable)
             implements DirectoryReading {}
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -11,6 +11,7 @@
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.StorePosition;
 
 /**
  * What is believed of the endpoints, from readings of the store that may fail, lag or lack entries. A plain object
@@ -61,7 +62,7 @@
 
     /** Tells whether a list of endpoints is known. */
     public boolean known() {
-        return reading.revision() >= 0;
+        return reading.position().known();
     }
 
     /** Returns when the store was read last at the earliest, on the monotonic clock in milliseconds. */
@@ -81,7 +82,7 @@
 
     /** Returns where the list comes from. */
     public DirectoryOrigin origin() {
-        return new DirectoryOrigin(reading.revision(), readAtMillis, source, reading.settled());
+        return new DirectoryOrigin(reading.position(), readAtMillis, source, reading.settled());
     }
 
     /** Returns the list as believed, for peers. */
@@ -119,13 +120,13 @@
      */
     public boolean listed(DirectoryReading.Listed listed, long askedAtMillis) {
         boolean first = !known();
-        if (listed.revision() < reading.revision()) {
+        if (useOf(listed.position()) != ReadingUse.USED) {
             trouble = false;
             return false;
         }
         boolean settled = settledBy(askedAtMillis);
         trouble = false;
-        reading = new ListReading(listed.revision(), listed.storeMillis(), settled);
+        reading = new ListReading(listed.position(), listed.storeMillis(), settled);
         readAtMillis = Math.max(readAtMillis, askedAtMillis);
         ownReadStoreMillis = listed.storeMillis();
         source = DirectoryOrigin.STORE;
@@ -136,6 +137,11 @@
         return replace(listed.endpoints(), Set.of(), keepsMissing) || first;
     }
 
+    /** Tells what becomes of a reading of the store by this router. */
+    ReadingUse useOf(StorePosition read) {
+        return ReadingUse.of(read, reading.position());
+    }
+
     /** Tells whether a reading now follows on others for so long that what it lacks is gone. */
     private boolean settledBy(long askedAtMillis) {
         if (!known()) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -81,7 +81,7 @@
             directory.confirmed(reading, readAtMillis, peer.id());
             return later;
         }
-        if (reading.revision() >= 0) {
+        if (reading.position().known()) {
             fetch(links, peer, ENDPOINTS, Duration.ZERO, () -> reading.supersedes(directory.reading()));
         }
         return false;
@@ -106,7 +106,7 @@
         DocumentPacking packing = wanted.unpacks() ? DocumentPacking.COMPRESSED : DocumentPacking.PLAIN;
         return RoutingMessage.Document.of(
                 wanted.name(),
-                directory.reading().revision(),
+                directory.reading().position().revision(),
                 new PackedDocument(packing, packing.pack(list, list), "", ""));
     }
 
@@ -165,9 +165,9 @@
         long readAtMillis = storeClock.earliest(list.reading().storeMillis(), clock.millis());
         if (directory.peerListed(list, readAtMillis, peer.id())) {
             LOG.info(
-                    "the endpoints are taken from router {}, as of revision {}",
+                    "the endpoints are taken from router {}, as of {}",
                     peer.id(),
-                    list.reading().revision(),
+                    list.reading().position(),
                     LogEvent.ENDPOINTS.field());
             listener.endpointsChanged();
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DrainTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DrainTracker.java
@@ -45,7 +45,7 @@
         boolean news = false;
         for (DataCentre missing : drained()) {
             if (!named.contains(missing)) {
-                news |= offer(new DataCentreDrain(missing, reading.revision(), false), nowMillis);
+                news |= offer(new DataCentreDrain(missing, reading.position(), false), nowMillis);
             }
         }
         return news;
@@ -63,7 +63,8 @@
         if (before == null && changes.size() >= MOST_KNOWN) {
             return false;
         }
-        if (before != null && before.drain.revision() >= said.revision()) {
+        if (before != null
+                && before.drain.position().revision() >= said.position().revision()) {
             return false;
         }
         boolean same = before != null && before.drain.drained() == said.drained();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -10,6 +10,7 @@
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.fleet.Incarnation;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.StorePosition;
 
 /** Writes the endpoints that a router believes in for its peers, and reads them. */
 final class EndpointListCodec {
@@ -22,7 +23,7 @@
     static byte[] encode(EndpointSnapshot list) throws IOException {
         ListReading reading = list.reading();
         return MAPPER.writeValueAsBytes(new Document(
-                reading.revision(),
+                reading.position().revision(),
                 reading.storeMillis(),
                 reading.settled(),
                 list.endpoints().stream().map(Entry::of).toList(),
@@ -39,7 +40,10 @@
         try {
             Document document = MAPPER.readValue(bytes, Document.class);
             return new EndpointSnapshot(
-                    new ListReading(document.revision(), document.storeMillis(), document.settled()),
+                    new ListReading(
+                            new StorePosition(StorePosition.NO_ERA, document.revision()),
+                            document.storeMillis(),
+                            document.settled()),
                     document.endpoints().stream().map(Entry::endpoint).toList(),
                     Set.copyOf(document.kept()));
         } catch (RuntimeException e) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerStates.java
@@ -10,6 +10,7 @@
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.routing.fleet.DataCentreDrain;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.load.InFlight;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -70,7 +71,7 @@
         return tracker.changes().stream()
                 .map(change -> new RoutingMessage.DrainEntry(
                         change.drain().dataCentre().name(),
-                        change.drain().revision(),
+                        change.drain().position().revision(),
                         change.drain().drained(),
                         nowMillis - change.sinceMillis()))
                 .toList();
@@ -91,13 +92,18 @@
     private static Optional<DataCentreDrain> drain(RoutingMessage.DrainEntry entry) {
         return entry.dataCentre().isBlank()
                 ? Optional.empty()
-                : Optional.of(
-                        new DataCentreDrain(new DataCentre(entry.dataCentre()), entry.revision(), entry.drained()));
+                : Optional.of(new DataCentreDrain(
+                        new DataCentre(entry.dataCentre()),
+                        new StorePosition(StorePosition.NO_ERA, entry.revision()),
+                        entry.drained()));
     }
 
     /** Returns the reading that a peer's list rests on. */
     static ListReading reading(RoutingMessage.RoutingState state) {
-        return new ListReading(state.directory(), state.directoryReadMillis(), state.directorySettled());
+        return new ListReading(
+                new StorePosition(StorePosition.NO_ERA, state.directory()),
+                state.directoryReadMillis(),
+                state.directorySettled());
     }
 
     /** Returns the addresses that can be read; the others are logged and left out. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.function.Consumer;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,12 +16,10 @@
     /** How long until a registration that could not be made is tried again. */
     private static final Duration AGAIN = Duration.ofMillis(700);
 
-    private static final long NOT_REGISTERED = -1;
-
     private final ControlThread thread;
     private final ControlSource source;
     private final FleetRouter self;
-    private long revision = NOT_REGISTERED;
+    private StorePosition position = StorePosition.NONE;
 
     Registration(ControlThread thread, ControlSource source, FleetRouter self) {
         this.thread = thread;
@@ -36,7 +35,7 @@
     void register(Consumer<Collection<FleetRouter>> learn) {
         source.register(self).publishOn(thread.scheduler()).subscribe(reading -> {
             if (reading instanceof RegistryReading.Registered registered) {
-                revision = registered.revision();
+                position = registered.position();
                 learn.accept(registered.routers());
             } else if (reading instanceof RegistryReading.Unavailable unavailable) {
                 LOG.info("this router cannot be registered yet: {}", unavailable.reason());
@@ -47,13 +46,13 @@
 
     /** Tells whether it was made, and with it the registrations of all others were read. */
     boolean done() {
-        return revision != NOT_REGISTERED;
+        return position.known();
     }
 
     /** Removes the registration, if there is one. */
     void remove() {
-        if (revision != NOT_REGISTERED) {
-            source.deregister(self.address(), revision).subscribe();
+        if (position.known()) {
+            source.deregister(self.address(), position).subscribe();
         }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryCleaner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryCleaner.java
@@ -47,12 +47,12 @@
     }
 
     private Mono<Boolean> remove(RegistryReading.Registration registration) {
-        return source.deregister(registration.router().address(), registration.revision())
+        return source.deregister(registration.router().address(), registration.position())
                 .doOnNext(removed -> LOG.info(
                         "the registration of router {}, of which nobody has heard, was {}",
                         registration.router().id(),
                         removed ? "removed" : "kept",
                         LogEvent.PEER_REMOVED.field(),
-                        kv("revision", registration.revision())));
+                        kv("position", registration.position().toString())));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -28,6 +28,7 @@
     private final DirectoryTracker directory;
     private final StoreClock storeClock;
     private final UnusableEntries unusable;
+    private final StoreReadings readings;
     private final Listener listener;
     private final ConfigurationFollower configurations;
     private final ListFollower list;
@@ -38,6 +39,7 @@
             ControlSource source,
             Beliefs beliefs,
             UnusableEntries unusable,
+            StoreReadings readings,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
@@ -45,6 +47,7 @@
         this.directory = beliefs.directory();
         this.storeClock = beliefs.storeClock();
         this.unusable = unusable;
+        this.readings = readings;
         this.listener = listener;
         this.configurations = new ConfigurationFollower(thread, clock, source, new ConfigurationNews());
         this.list = new ListFollower(thread, clock, source, new ListNews());
@@ -87,12 +90,16 @@
             LOG.info("the store answers again", LogEvent.STORE_BACK.field());
             listener.storeBack();
         }
+        readings.read(
+                directory.useOf(listed.position()),
+                listed.position(),
+                directory.reading().position());
         if (directory.listed(listed, askedAtMillis)) {
             LOG.info(
                     "{} endpoints are listed",
                     listed.endpoints().size(),
                     LogEvent.ENDPOINTS.field(),
-                    kv("revision", listed.revision()),
+                    kv("position", listed.position().toString()),
                     kv("settled", directory.reading().settled()));
         }
         unusable.read(listed.unusable());
@@ -134,7 +141,7 @@
         @Override
         public void listed(DirectoryReading.Listed listed, long askedAtMillis) {
             take(listed, askedAtMillis);
-            configurations.check(listed.revision());
+            configurations.check(listed.position());
         }
 
         @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -172,7 +172,7 @@
         DirectoryTracker directory = beliefs.directory();
         return new RoutingMessage.RoutingState(
                 beliefs.configuration().version(),
-                directory.reading().revision(),
+                directory.reading().position().revision(),
                 PeerStates.entries(work),
                 directory.hash(),
                 directory.reading().storeMillis(),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -25,7 +25,7 @@
     /** See {@link #meaning}. */
     CONFIGURATION("configuration", "a configuration came into force; `version`, and where it came from"),
     /** See {@link #meaning}. */
-    ENDPOINTS("endpoints", "the list of endpoints has changed; `revision` of the store"),
+    ENDPOINTS("endpoints", "the list of endpoints has changed; `position` is the era and revision of the store"),
     /** See {@link #meaning}. */
     DRAINS("drains", "the data centres whose endpoints get nothing new, after a change; where it came from"),
     /** See {@link #meaning}. */
@@ -65,6 +65,20 @@
     /** See {@link #meaning}. */
     STORE_HISTORY("store-history", "the store has lost its history; the configuration is read as a whole"),
     /** See {@link #meaning}. */
+    STORE_RESTORED(
+            "store-restored",
+            "the store was restored from a snapshot, whose revisions are given out again; `source` told its `era`"),
+    /** See {@link #meaning}. */
+    READING_IGNORED(
+            "reading-ignored",
+            "a reading of the endpoints is not used; `reason`, and the `position` of the store at which it was read; the first of several"),
+    /** See {@link #meaning}. */
+    READING_USED("reading-used", "a reading of the endpoints is used again, after `ignored` that were not"),
+    /** See {@link #meaning}. */
+    LIST_SOURCE(
+            "list-source",
+            "whose readings of the endpoints this router uses has changed: `source` is `store` for its own, or a router"),
+    /** See {@link #meaning}. */
     PEER_KNOWN("peer-known", "another router was heard of for the first time"),
     /** See {@link #meaning}. */
     PEER_LOST("peer-lost", "another router does not answer; it is tried again after a pause"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/fleet/DataCentreDrain.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/fleet/DataCentreDrain.java
@@ -6,8 +6,8 @@
  * Whether the operator wants nothing new to be sent to the endpoints of a data centre.
  *
  * @param dataCentre the data centre
- * @param revision the store's revision at which that was said; the highest holds
+ * @param position where in the store's history that was written; the latest holds
  * @param drained whether nothing new is to be sent there; false once that was taken back
  * @since 0.6.0
  */
-public record DataCentreDrain(DataCentre dataCentre, long revision, boolean drained) {}
+public record DataCentreDrain(DataCentre dataCentre, StorePosition position, boolean drained) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -148,7 +148,7 @@
         @Override
         public String toString() {
             return choice.endpoint().id() + " rank " + choice.rank() + " load " + choice.load() + "/"
-                    + Math.round(choice.limit()) + " of " + choice.candidates() + " list " + origin.revision()
+                    + Math.round(choice.limit()) + " of " + choice.candidates() + " list " + origin.position()
                     + " from "
                     + origin.source() + (origin.settled() ? "" : " unsettled") + " listAge " + directoryAgeMillis
                     + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis + stated
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ColdEndpointsTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ColdEndpointsTest.java
@@ -1,6 +1,7 @@
 package org.radishpass.routing.control;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.StorePositions.at;
 
 import java.io.IOException;
 import java.util.Arrays;
@@ -68,8 +69,8 @@
     @Test
     void afterADrainEndpointsAreColdUntilAReadingHadTheTimeToTell() {
         read(1_000, endpoint("e", "s"));
-        drains.offer(new DataCentreDrain(HERE, 5, true), 1_000);
-        drains.offer(new DataCentreDrain(HERE, 6, false), 2_000);
+        drains.offer(new DataCentreDrain(HERE, at(5), true), 1_000);
+        drains.offer(new DataCentreDrain(HERE, at(6), false), 2_000);
         assertThat(cold.untilMillis(CONFIGURATION, 2_000)).containsKey("e");
         read(3_400, endpoint("e", "s"));
         assertThat(cold.untilMillis(CONFIGURATION, 3_400)).containsKey("e");
@@ -80,7 +81,7 @@
     @Test
     void withoutReadingsEndpointsOfADrainAreColdForAWholeSpell() {
         read(1_000, endpoint("e", "s"));
-        drains.offer(new DataCentreDrain(HERE, 6, false), 2_000);
+        drains.offer(new DataCentreDrain(HERE, at(6), false), 2_000);
         long until = 2_000 + ColdEndpoints.ENTRY_LAG_MILLIS + COLD_MILLIS;
         assertThat(cold.untilMillis(CONFIGURATION, 5_000)).isEqualTo(Map.of("e", until));
         assertThat(cold.untilMillis(CONFIGURATION, until)).isEmpty();
@@ -89,7 +90,7 @@
     @Test
     void peersAreToldHowLongEndpointsAreCold() throws IOException {
         ServiceEndpoint told = endpoint("e", "s").coldUntil(STORE_AHEAD_MILLIS + 3_500);
-        EndpointSnapshot list = new EndpointSnapshot(new ListReading(3, 51_000, true), List.of(told), Set.of());
+        EndpointSnapshot list = new EndpointSnapshot(new ListReading(at(3), 51_000, true), List.of(told), Set.of());
         assertThat(EndpointListCodec.decode(EndpointListCodec.encode(list)).endpoints())
                 .containsExactly(told);
     }
@@ -98,7 +99,8 @@
         long storeMillis = nowMillis + STORE_AHEAD_MILLIS;
         storeClock.observed(nowMillis, nowMillis, storeMillis);
         directory.listed(
-                new DirectoryReading.Listed(++revision, storeMillis, Arrays.asList(endpoints), List.of()), nowMillis);
+                new DirectoryReading.Listed(at(++revision), storeMillis, Arrays.asList(endpoints), List.of()),
+                nowMillis);
     }
 
     private static ServiceEndpoint endpoint(String id, String service) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -1,6 +1,7 @@
 package org.radishpass.routing.control;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.StorePositions.at;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
@@ -132,14 +134,14 @@
     void aRisenRevisionIsCheckedOnceAndOnlyWhileNothingComes() {
         startAndReadWhole();
         Call wait = source.next();
-        follower.check(9);
-        follower.check(10);
+        follower.check(at(9));
+        follower.check(at(10));
         assertThat(source.calls).hasSize(1);
         answers(source.next(), 10, "2");
         assertThat(published).containsExactly("1", "2").inOrder();
 
         begins(wait, WHOLE_BYTES);
-        follower.check(11);
+        follower.check(at(11));
         assertThat(source.calls).isEmpty();
     }
 
@@ -179,7 +181,7 @@
 
     private void answers(Call call, long revision, String content) {
         call.result.tryEmitValue(
-                new ConfigurationReading.Published(revision, content.getBytes(StandardCharsets.UTF_8)));
+                new ConfigurationReading.Published(at(revision), content.getBytes(StandardCharsets.UTF_8)));
         time.pass(MOMENT);
     }
 
@@ -220,7 +222,7 @@
         }
 
         @Override
-        public Mono<ConfigurationReading> configurationAfter(long revision, Duration wait, LongConsumer begun) {
+        public Mono<ConfigurationReading> configurationAfter(StorePosition after, Duration wait, LongConsumer begun) {
             return call(false, begun);
         }
 
@@ -240,7 +242,7 @@
         }
 
         @Override
-        public Mono<Boolean> deregister(Address self, long revision) {
+        public Mono<Boolean> deregister(Address self, StorePosition registeredAt) {
             return Mono.never();
         }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.control;
 
+import static org.radishpass.routing.testing.StorePositions.at;
+
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -103,7 +105,7 @@
             storeClock.observed(nowMillis, nowMillis, storeMillis);
             tracker.listed(
                     new DirectoryReading.Listed(
-                            revision, storeMillis, List.copyOf(registered.values()), List.copyOf(spoilt)),
+                            at(revision), storeMillis, List.copyOf(registered.values()), List.copyOf(spoilt)),
                     nowMillis);
         }
 
@@ -124,7 +126,7 @@
                     this,
                     new RoutingMessage.RoutingState(
                             1,
-                            reading.revision(),
+                            reading.position().revision(),
                             List.of(),
                             tracker.hash(),
                             reading.storeMillis(),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -1,6 +1,7 @@
 package org.radishpass.routing.control;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.StorePositions.at;
 
 import java.util.List;
 import java.util.Set;
@@ -63,9 +64,9 @@
 
         tracker.confirmed(other.reading(), 10_700, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(10_700);
-        tracker.confirmed(new ListReading(6, 11_000, false), 11_000, "peer");
+        tracker.confirmed(new ListReading(at(6), 11_000, false), 11_000, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(11_000);
-        tracker.confirmed(new ListReading(5, 10_900, false), 20_000, "peer");
+        tracker.confirmed(new ListReading(at(5), 10_900, false), 20_000, "peer");
         assertThat(tracker.readAtMillis()).isEqualTo(11_000);
         other.gone("a");
         assertThat(other.hash()).isNotEqualTo(tracker.hash());
@@ -96,11 +97,11 @@
         listed(tracker, 6, List.of(endpoint("a")), 20_000);
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
         EndpointSnapshot settled =
-                new EndpointSnapshot(new ListReading(6, 20_100, true), List.of(endpoint("a")), Set.of());
+                new EndpointSnapshot(new ListReading(at(6), 20_100, true), List.of(endpoint("a")), Set.of());
         assertThat(tracker.peerListed(settled, 20_100, "peer")).isTrue();
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
         EndpointSnapshot unsettled = new EndpointSnapshot(
-                new ListReading(7, 20_200, false), List.of(endpoint("a"), endpoint("b")), Set.of());
+                new ListReading(at(7), 20_200, false), List.of(endpoint("a"), endpoint("b")), Set.of());
         assertThat(tracker.peerListed(unsettled, 20_200, "peer")).isFalse();
     }
 
@@ -116,11 +117,11 @@
     /** Lets the store's clock show what the router's does. */
     private static boolean listed(
             DirectoryTracker tracker, long revision, List<ServiceEndpoint> endpoints, long nowMillis) {
-        return tracker.listed(new DirectoryReading.Listed(revision, nowMillis, endpoints, List.of()), nowMillis);
+        return tracker.listed(new DirectoryReading.Listed(at(revision), nowMillis, endpoints, List.of()), nowMillis);
     }
 
     private boolean peerListed(long revision, List<ServiceEndpoint> endpoints, long readAtMillis) {
-        ListReading reading = new ListReading(revision, revision == 5 ? 10_000 : readAtMillis, false);
+        ListReading reading = new ListReading(at(revision), revision == 5 ? 10_000 : readAtMillis, false);
         return tracker.peerListed(new EndpointSnapshot(reading, endpoints, Set.of()), readAtMillis, "peer");
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DrainTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DrainTrackerTest.java
@@ -1,6 +1,7 @@
 package org.radishpass.routing.control;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.radishpass.routing.testing.StorePositions.at;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -32,7 +33,7 @@
     void whatAWholeReadingDoesNotNameHasEnded() {
         tracker.offer(said(HERE, 5, true), 10);
         tracker.offer(said(THERE, 9, true), 10);
-        boolean news = tracker.read(new DrainReading(true, 8, List.of()), 40);
+        boolean news = tracker.read(new DrainReading(true, at(8), List.of()), 40);
         assertThat(news).isTrue();
         assertThat(tracker.drained()).containsExactly(THERE); // said after the reading
     }
@@ -40,7 +41,7 @@
     @Test
     void whatAnAnswerOfChangesDoesNotNameStays() {
         tracker.offer(said(HERE, 5, true), 10);
-        assertThat(tracker.read(new DrainReading(false, 8, List.of()), 40)).isFalse();
+        assertThat(tracker.read(new DrainReading(false, at(8), List.of()), 40)).isFalse();
         assertThat(tracker.drained()).containsExactly(HERE);
     }
 
@@ -70,6 +71,6 @@
     }
 
     private static DataCentreDrain said(DataCentre dataCentre, long revision, boolean drained) {
-        return new DataCentreDrain(dataCentre, revision, drained);
+        return new DataCentreDrain(dataCentre, at(revision), drained);
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.control;
 
+import static org.radishpass.routing.testing.StorePositions.at;
+
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -18,6 +20,7 @@
 import org.radishpass.routing.fleet.DataCentreDrain;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
@@ -63,7 +66,7 @@
     /** Asks for a data centre to be emptied, or takes that back. */
     void drain(DataCentre dataCentre, boolean drained) {
         revision++;
-        drains.put(dataCentre, new DataCentreDrain(dataCentre, revision, drained));
+        drains.put(dataCentre, new DataCentreDrain(dataCentre, at(revision), drained));
         List<Runnable> woken = List.copyOf(waiting);
         waiting.clear();
         woken.forEach(Runnable::run);
@@ -119,7 +122,8 @@
         }
 
         @Override
-        public Mono<ConfigurationReading> configurationAfter(long after, Duration wait, LongConsumer begun) {
+        public Mono<ConfigurationReading> configurationAfter(StorePosition place, Duration wait, LongConsumer begun) {
+            long after = place.revision();
             return awaitChange(after, wait)
                     .then(answer(() -> bytesAfter(after), () -> reading(after), begun))
                     .onErrorResume(error -> Mono.just(new ConfigurationReading.Unavailable(error.toString())));
@@ -141,7 +145,7 @@
         @Override
         public Mono<DirectoryReading> directory() {
             return answer(() -> ENDPOINT_BYTES * endpoints.size(), () -> (DirectoryReading)
-                            new DirectoryReading.Listed(revision, scheduler.millis(), endpoints, List.of()))
+                            new DirectoryReading.Listed(at(revision), scheduler.millis(), endpoints, List.of()))
                     .onErrorResume(error -> Mono.just(new DirectoryReading.Unavailable(error.toString())));
         }
 
@@ -162,7 +166,7 @@
         }
 
         @Override
-        public Mono<Boolean> deregister(Address self, long registeredAt) {
+        public Mono<Boolean> deregister(Address self, StorePosition registeredAt) {
             return Mono.fromSupplier(() -> routers.remove(self.toString()) != null);
         }
 
@@ -229,9 +233,9 @@
 
     private ConfigurationReading reading(long after) {
         if (versions.isEmpty() || newest().revision() <= after) {
-            return new ConfigurationReading.Unchanged(revision, drainsAfter(after));
+            return new ConfigurationReading.Unchanged(at(revision), drainsAfter(after));
         }
-        return new ConfigurationReading.Published(revision, newest().content(), drainsAfter(after));
+        return new ConfigurationReading.Published(at(revision), newest().content(), drainsAfter(after));
     }
 
     /** A whole reading holds what is there, others what has changed. */
@@ -239,18 +243,19 @@
         boolean whole = after < 0;
         return new DrainReading(
                 whole,
-                revision,
+                at(revision),
                 drains.values().stream()
-                        .filter(drain -> whole ? drain.drained() : drain.revision() > after)
+                        .filter(drain ->
+                                whole ? drain.drained() : drain.position().revision() > after)
                         .toList());
     }
 
     private RegistryReading registry(long own) {
         return new RegistryReading.Registered(
                 routers.values().stream()
-                        .map(router -> new RegistryReading.Registration(router, own))
+                        .map(router -> new RegistryReading.Registration(router, at(own)))
                         .toList(),
-                own);
+                at(own));
     }
 
     private int bytesAfter(long after) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.testing;
 
+import static org.radishpass.routing.testing.StorePositions.at;
+
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -17,6 +19,7 @@
 import org.radishpass.routing.control.RegistryReading;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
 import reactor.core.publisher.Mono;
@@ -79,7 +82,7 @@
         }
 
         @Override
-        public Mono<ConfigurationReading> configurationAfter(long after, Duration wait, LongConsumer begun) {
+        public Mono<ConfigurationReading> configurationAfter(StorePosition after, Duration wait, LongConsumer begun) {
             if (!wait.isZero()) {
                 waits.incrementAndGet();
                 if (silentWaits) {
@@ -87,15 +90,17 @@
                 }
             }
             return Mono.delay(wait.isZero() ? Duration.ZERO : PAUSE)
-                    .map(tick ->
-                            revision.get() > after ? reading() : new ConfigurationReading.Unchanged(revision.get()));
+                    .map(tick -> revision.get() > after.revision()
+                            ? reading()
+                            : new ConfigurationReading.Unchanged(at(revision.get())));
         }
 
         @Override
         public Mono<DirectoryReading> directory() {
             return Mono.fromSupplier(() -> cut
                     ? new DirectoryReading.Unavailable("cut")
-                    : new DirectoryReading.Listed(revision.get(), System.nanoTime() / 1_000_000, endpoints, List.of()));
+                    : new DirectoryReading.Listed(
+                            at(revision.get()), System.nanoTime() / 1_000_000, endpoints, List.of()));
         }
 
         @Override
@@ -117,13 +122,13 @@
         private RegistryReading registry() {
             return new RegistryReading.Registered(
                     routers.stream()
-                            .map(router -> new RegistryReading.Registration(router, revision.get()))
+                            .map(router -> new RegistryReading.Registration(router, at(revision.get())))
                             .toList(),
-                    revision.get());
+                    at(revision.get()));
         }
 
         @Override
-        public Mono<Boolean> deregister(Address self, long ofRevision) {
+        public Mono<Boolean> deregister(Address self, StorePosition registeredAt) {
             return Mono.fromSupplier(
                     () -> routers.removeIf(router -> router.address().equals(self)));
         }
@@ -160,8 +165,8 @@
                 return new ConfigurationReading.Unavailable("cut");
             }
             return document.isEmpty()
-                    ? new ConfigurationReading.Unchanged(revision.get())
-                    : new ConfigurationReading.Published(revision.get(), document.getBytes(StandardCharsets.UTF_8));
+                    ? new ConfigurationReading.Unchanged(at(revision.get()))
+                    : new ConfigurationReading.Published(at(revision.get()), document.getBytes(StandardCharsets.UTF_8));
         }
     }
 }
