--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreRestoreTest.java
@@ -0,0 +1,108 @@
+package org.radishpass.routing.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/**
+ * Checks, in virtual time, what a fleet does after the store was restored from a snapshot: what it acknowledged in the last seconds is gone, and
+ * its revisions are given out again.
+ */
+final class StoreRestoreTest {
+    private static final Duration TO_MEET = Duration.ofSeconds(12);
+    private static final Duration LOST = Duration.ofSeconds(5);
+    private static final Duration AWAY = Duration.ofSeconds(2);
+
+    /** After this without a disturbance promises with a time hold again. */
+    private static final Duration STABLE = Duration.ofSeconds(3);
+
+    /** After this an endpoint that leaves gets nothing new. */
+    private static final Duration DRAIN = Duration.ofSeconds(2);
+
+    /** After this a configuration is in force everywhere. */
+    private static final Duration IN_FORCE = Duration.ofSeconds(2);
+
+    /** Revisions that are lost: more than the fleet of these tests uses up until the end. */
+    private static final int LOST_REVISIONS = 1_000;
+
+    /** Routers of a fleet that is so small that each waits for configurations at the store itself. */
+    private static final int ALL_WAIT_FOR_CONFIGURATIONS = 3;
+
+    private static final String REMOVED = "endpoint-1";
+    private static final String DRAINING = "endpoint-2";
+
+    /** Guards against a list that stays at what was read before the restore until the store's revision has caught up. */
+    @Test
+    void endpointsThatLeaveAfterARestoreGetNothingNew() {
+        VirtualFleet fleet = started(9);
+        loseAndRestore(fleet);
+        fleet.pass(STABLE);
+        leave(fleet);
+        fleet.pass(DRAIN);
+        assertThat(senders(fleet, REMOVED)).isEqualTo(0);
+        assertThat(senders(fleet, DRAINING)).isEqualTo(0);
+    }
+
+    /** Guards against changes that are asked for from a revision on that has another meaning by now. */
+    @Test
+    void aConfigurationAtARevisionThatWasGivenOutBeforeComesIntoForce() {
+        VirtualFleet fleet = started(ALL_WAIT_FOR_CONFIGURATIONS);
+        VirtualStore.Snapshot snapshot = lose(fleet);
+        fleet.store().restore(snapshot);
+        fleet.publish(2, 2_000);
+        fleet.publish(3, 2_000);
+        fleet.store().writeOther(2 * LOST_REVISIONS);
+        fleet.store().down(false);
+        fleet.pass(IN_FORCE);
+        assertThat(versions(fleet)).containsExactly(3L);
+    }
+
+    private static VirtualFleet started(int count) {
+        VirtualFleet fleet = new VirtualFleet(count, 3, 20, 1_000);
+        fleet.publish(1, 2_000);
+        fleet.startAll();
+        fleet.pass(TO_MEET);
+        assertThat(senders(fleet, REMOVED)).isEqualTo(count);
+        assertThat(senders(fleet, DRAINING)).isEqualTo(count);
+        return fleet;
+    }
+
+    private static void loseAndRestore(VirtualFleet fleet) {
+        VirtualStore.Snapshot snapshot = lose(fleet);
+        fleet.store().restore(snapshot);
+        fleet.store().down(false);
+    }
+
+    /** Lets the store write what it will lose, version 2 of the configuration among it, and takes it away. */
+    private static VirtualStore.Snapshot lose(VirtualFleet fleet) {
+        VirtualStore.Snapshot snapshot = fleet.store().snapshot();
+        fleet.store().writeOther(LOST_REVISIONS);
+        fleet.publish(2, 2_000);
+        fleet.pass(LOST);
+        assertThat(versions(fleet)).containsExactly(2L);
+        fleet.store().down(true);
+        fleet.pass(AWAY);
+        return snapshot;
+    }
+
+    private static void leave(VirtualFleet fleet) {
+        List<ServiceEndpoint> left = fleet.store().endpoints().stream()
+                .filter(endpoint -> !endpoint.id().equals(REMOVED))
+                .map(endpoint -> endpoint.id().equals(DRAINING) ? endpoint.asLeaving() : endpoint)
+                .toList();
+        fleet.store().list(left);
+    }
+
+    private static List<Long> versions(VirtualFleet fleet) {
+        return fleet.routers().stream().map(VirtualRouter::version).distinct().toList();
+    }
+
+    private static long senders(VirtualFleet fleet, String endpoint) {
+        return fleet.routers().stream()
+                .filter(router -> router.sendsTo(endpoint))
+                .count();
+    }
+}
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -1,7 +1,5 @@
 package org.radishpass.routing.control;
 
-import static org.radishpass.routing.testing.StorePositions.at;
-
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -24,6 +22,7 @@
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -40,36 +39,100 @@
     private final VirtualScheduler scheduler;
     private final VirtualNetwork network;
     private final List<Version> versions = new ArrayList<>();
-    private final List<Runnable> waiting = new ArrayList<>();
+    private final List<Wait> waiting = new ArrayList<>();
     private final Map<RequestFingerprint, Suspect> quarantined = new LinkedHashMap<>();
     private final Map<String, FleetRouter> routers = new LinkedHashMap<>();
     private final Map<DataCentre, DataCentreDrain> drains = new LinkedHashMap<>();
     private final Set<String> refused = new HashSet<>();
     private List<ServiceEndpoint> endpoints = List.of();
+    private long era = 1;
     private long revision = 1;
     private int calls;
+    private boolean down;
 
     VirtualStore(VirtualScheduler scheduler, VirtualNetwork network) {
         this.scheduler = scheduler;
         this.network = network;
     }
 
+    /** Returns what it holds now. */
+    Snapshot snapshot() {
+        return new Snapshot(
+                revision,
+                List.copyOf(versions),
+                Map.copyOf(quarantined),
+                Map.copyOf(routers),
+                Map.copyOf(drains),
+                endpoints);
+    }
+
+    /** Comes back from a snapshot: what was written since is gone, its revisions are given out again, and waits are cut. */
+    void restore(Snapshot from) {
+        era++;
+        revision = from.revision();
+        replace(versions, from.versions());
+        replace(quarantined, from.quarantined());
+        replace(routers, from.routers());
+        replace(drains, from.drains());
+        endpoints = from.endpoints();
+        cutWaits();
+    }
+
+    private static <T> void replace(List<T> held, List<T> restored) {
+        held.clear();
+        held.addAll(restored);
+    }
+
+    private static <K, V> void replace(Map<K, V> held, Map<K, V> restored) {
+        held.clear();
+        held.putAll(restored);
+    }
+
+    /** Answers nobody, or does so again. */
+    void down(boolean now) {
+        down = now;
+        cutWaits();
+    }
+
+    private void cutWaits() {
+        List<Wait> cut = List.copyOf(waiting);
+        waiting.clear();
+        cut.forEach(Wait::cut);
+    }
+
+    private void wake() {
+        List<Wait> woken = List.copyOf(waiting);
+        waiting.clear();
+        woken.forEach(Wait::wake);
+    }
+
+    /** Writes rows that no router reads. */
+    void writeOther(int count) {
+        revision += count;
+    }
+
+    /** Tells whether a router is registered. */
+    boolean registered(String router) {
+        return routers.containsKey(router);
+    }
+
+    /** Tells whether a request is kept. */
+    boolean keeps(RequestFingerprint request) {
+        return quarantined.containsKey(request);
+    }
+
     /** Publishes a configuration. */
     void publish(byte[] content) {
         revision++;
         versions.add(new Version(revision, content));
-        List<Runnable> woken = List.copyOf(waiting);
-        waiting.clear();
-        woken.forEach(Runnable::run);
+        wake();
     }
 
     /** Asks for a data centre to be emptied, or takes that back. */
     void drain(DataCentre dataCentre, boolean drained) {
         revision++;
-        drains.put(dataCentre, new DataCentreDrain(dataCentre, at(revision), drained));
-        List<Runnable> woken = List.copyOf(waiting);
-        waiting.clear();
-        woken.forEach(Runnable::run);
+        drains.put(dataCentre, new DataCentreDrain(dataCentre, position(), drained));
+        wake();
     }
 
     /** Turns routers away from now on. */
@@ -89,6 +152,11 @@
         endpoints = List.copyOf(newEndpoints);
     }
 
+    /** Returns the endpoints that are listed. */
+    List<ServiceEndpoint> endpoints() {
+        return endpoints;
+    }
+
     /** Returns how many calls were made. */
     int calls() {
         return calls;
@@ -99,6 +167,28 @@
         return new Link(router);
     }
 
+    /** What it held at some moment. */
+    record Snapshot(
+            long revision,
+            List<Version> versions,
+            Map<RequestFingerprint, Suspect> quarantined,
+            Map<String, FleetRouter> routers,
+            Map<DataCentre, DataCentreDrain> drains,
+            List<ServiceEndpoint> endpoints) {}
+
+    /** A call that is held until something changes. */
+    private static final class Wait {
+        private final Sinks.Empty<Void> ended = Sinks.empty();
+
+        private void wake() {
+            ended.tryEmitEmpty();
+        }
+
+        private void cut() {
+            ended.tryEmitError(new IOException("cut"));
+        }
+    }
+
     /** One version of the configuration. */
     private record Version(long revision, byte[] content) {
         /** The store sends it as text, four bytes for three. */
@@ -110,11 +200,25 @@
     /** One router's way. */
     private final class Link implements ControlSource {
         private final String router;
+        private final Sinks.Many<Long> eras = Sinks.many().replay().latest();
+        private long latestEra = StorePosition.NO_ERA;
 
         private Link(String router) {
             this.router = router;
         }
 
+        @Override
+        public Flux<Long> eras() {
+            return eras.asFlux();
+        }
+
+        private void answered(long told) {
+            if (told > latestEra) {
+                latestEra = told;
+                eras.tryEmitNext(told);
+            }
+        }
+
         @Override
         public Mono<ConfigurationReading> configuration(LongConsumer begun) {
             return answer(() -> versions.isEmpty() ? 0 : newest().bytes(), () -> reading(-1), begun)
@@ -131,21 +235,22 @@
 
         private Mono<Void> awaitChange(long after, Duration wait) {
             return Mono.defer(() -> {
-                if (bytesAfter(after) > 0 || !drainsAfter(after).entries().isEmpty()) {
+                if (after > revision
+                        || bytesAfter(after) > 0
+                        || !drainsAfter(after).entries().isEmpty()) {
                     return Mono.empty();
                 }
-                Sinks.Empty<Void> woken = Sinks.empty();
-                Runnable wake = woken::tryEmitEmpty;
-                waiting.add(wake);
-                scheduler.schedule(wake, wait.toMillis(), TimeUnit.MILLISECONDS);
-                return woken.asMono().doFinally(signal -> waiting.remove(wake));
+                Wait begun = new Wait();
+                waiting.add(begun);
+                scheduler.schedule(begun::wake, wait.toMillis(), TimeUnit.MILLISECONDS);
+                return begun.ended.asMono().doFinally(signal -> waiting.remove(begun));
             });
         }
 
         @Override
         public Mono<DirectoryReading> directory() {
             return answer(() -> ENDPOINT_BYTES * endpoints.size(), () -> (DirectoryReading)
-                            new DirectoryReading.Listed(at(revision), scheduler.millis(), endpoints, List.of()))
+                            new DirectoryReading.Listed(position(), scheduler.millis(), endpoints, List.of()))
                     .onErrorResume(error -> Mono.just(new DirectoryReading.Unavailable(error.toString())));
         }
 
@@ -167,6 +272,7 @@
 
         @Override
         public Mono<Boolean> deregister(Address self, StorePosition registeredAt) {
+            calls++;
             return Mono.fromSupplier(() -> routers.remove(self.toString()) != null);
         }
 
@@ -200,7 +306,7 @@
         private <T> Mono<T> answer(IntSupplier bytes, Supplier<T> value, LongConsumer begun) {
             return Mono.defer(() -> {
                 calls++;
-                if (refused.contains(router)) {
+                if (down || refused.contains(router)) {
                     return Mono.error(new IOException("refused"));
                 }
                 VirtualTransfer<T> transfer = new VirtualTransfer<>(scheduler);
@@ -217,9 +323,11 @@
                 int bytes,
                 T value,
                 LongConsumer begun) {
+            long toldEra = era;
             connection.send(
                     bytes,
                     count -> {
+                        answered(toldEra);
                         begun.accept(bytes);
                         transfer.received(count);
                     },
@@ -227,15 +335,22 @@
         }
     }
 
+    private StorePosition position() {
+        return new StorePosition(era, revision);
+    }
+
     private Version newest() {
         return versions.get(versions.size() - 1);
     }
 
     private ConfigurationReading reading(long after) {
+        if (after > revision) {
+            return new ConfigurationReading.HistoryLost();
+        }
         if (versions.isEmpty() || newest().revision() <= after) {
-            return new ConfigurationReading.Unchanged(at(revision), drainsAfter(after));
+            return new ConfigurationReading.Unchanged(position(), drainsAfter(after));
         }
-        return new ConfigurationReading.Published(at(revision), newest().content(), drainsAfter(after));
+        return new ConfigurationReading.Published(position(), newest().content(), drainsAfter(after));
     }
 
     /** A whole reading holds what is there, others what has changed. */
@@ -243,7 +358,7 @@
         boolean whole = after < 0;
         return new DrainReading(
                 whole,
-                at(revision),
+                position(),
                 drains.values().stream()
                         .filter(drain ->
                                 whole ? drain.drained() : drain.position().revision() > after)
@@ -253,9 +368,9 @@
     private RegistryReading registry(long own) {
         return new RegistryReading.Registered(
                 routers.values().stream()
-                        .map(router -> new RegistryReading.Registration(router, at(own)))
+                        .map(router -> new RegistryReading.Registration(router, new StorePosition(era, own)))
                         .toList(),
-                at(own));
+                new StorePosition(era, own));
     }
 
     private int bytesAfter(long after) {
