Configurations are waited for from a place in the store's history, by era and revision

What callers would see: after a restore of the store a published configuration is in force nowhere, until another one is published (none of 3 routers in the test; never within 14 s in a trial with two processes). What the store saw in the incident: 45 to 56 calls a second from each router that waits for configurations, by turns 410 and the whole document. Cause: the revision to ask for changes from was the highest ever seen. After a restore the store does not have it (410, and after the whole document the same revision was asked for again), or has given it out again, so that the changes before it were never asked for. Change: the place is era and revision; an answer of another era than the one that was asked for is a lost history, an answer of an earlier era than the latest that is known is no reading. A wait that was begun in an earlier era ends when any answer, or a peer, tells of a later one, and the whole document is read: at once by the first three routers by name, by others in their turn (75 a second) if it is still their duty. A history that is lost twice in a row is asked for with pauses; one that a check finds lost is read at once. Four cases in ConfigurationFollowerTest.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -47,7 +47,9 @@
     private long wholeMillis;
     private boolean readsWhole = true;
     private boolean firstWait = true;
+    private boolean historyLost;
     private int lastCall;
+    private int lastPause;
 
     ConfigurationFollower(ControlThread thread, MonotonicClock clock, ControlSource source, Listener listener) {
         this.thread = thread;
@@ -63,7 +65,7 @@
         WAITING,
         /** An answer comes. */
         RECEIVING,
-        /** The store did not answer, and is asked again after a while. */
+        /** The store did not answer, or was restored, and is asked again after a while. */
         PAUSING
     }
 
@@ -100,12 +102,25 @@
         state = State.IDLE;
     }
 
+    /**
+     * The store was restored from a snapshot. What changed since the last answer cannot be asked for any more, and a wait for it would not end.
+     *
+     * @param turn how long this router lets others ask first
+     */
+    void storeRestored(Duration turn) {
+        readsWhole = true;
+        if (state == State.WAITING || state == State.PAUSING) {
+            stopWaiting();
+            pauseFor(turn);
+        }
+    }
+
     /**
      * Asks for a newer configuration apart if the store's revision has risen beyond what is known of it: the wait may hang on a connection
      * that nobody serves any more.
      */
     void check(StorePosition newest) {
-        if (state != State.WAITING || checking || newest.revision() <= position.revision() || readsWhole) {
+        if (state != State.WAITING || checking || !newest.after(position) || readsWhole) {
             return;
         }
         checking = true;
@@ -114,6 +129,9 @@
                 .subscribe(result -> {
                     checking = false;
                     take(result);
+                    if (readsWhole) {
+                        restartWait();
+                    }
                 });
     }
 
@@ -127,10 +145,11 @@
     private void ask() {
         state = State.WAITING;
         int number = ++lastCall;
+        boolean whole = readsWhole;
         LongConsumer begun = bytes -> thread.run(() -> begun(number, bytes));
-        call.update((readsWhole ? source.configuration(begun) : source.configurationAfter(position, WAIT, begun))
+        call.update((whole ? source.configuration(begun) : source.configurationAfter(position, WAIT, begun))
                 .publishOn(thread.scheduler())
-                .subscribe(this::answered));
+                .subscribe(result -> answered(result, whole)));
     }
 
     private void begun(int number, long bytes) {
@@ -154,24 +173,40 @@
         return state == State.RECEIVING;
     }
 
-    private void answered(ConfigurationReading result) {
+    private void answered(ConfigurationReading result, boolean whole) {
         lastCall++;
         state = State.IDLE;
         if (result instanceof ConfigurationReading.Unavailable unavailable) {
             LOG.info("the configuration cannot be read: {}", unavailable.reason());
-            state = State.PAUSING;
             listener.arrivalChanged();
-            thread.after(pause.next(), this::pauseOver);
+            pauseFor(pause.next());
             return;
         }
-        pause.reset();
-        firstWait = readsWhole;
-        if (readsWhole) {
+        boolean lostAgain = historyLost && result instanceof ConfigurationReading.HistoryLost;
+        firstWait = whole;
+        if (whole) {
             wholeMillis = clock.millis() - wholeBegunAtMillis;
             readsWhole = false;
+        } else {
+            historyLost = false;
         }
         take(result);
-        followIfDue();
+        if (lostAgain) {
+            pauseFor(pause.next());
+        } else {
+            pause.reset();
+            followIfDue();
+        }
+    }
+
+    private void pauseFor(Duration time) {
+        state = State.PAUSING;
+        int number = ++lastPause;
+        thread.after(time, () -> {
+            if (number == lastPause) {
+                pauseOver();
+            }
+        });
     }
 
     private void pauseOver() {
@@ -183,20 +218,21 @@
 
     private void take(ConfigurationReading result) {
         if (result instanceof ConfigurationReading.Published published) {
-            position = higher(published.position());
+            position = later(published.position());
             listener.drains(published.drains());
             listener.published(published.content());
         } else if (result instanceof ConfigurationReading.Unchanged unchanged) {
-            position = higher(unchanged.position());
+            position = later(unchanged.position());
             listener.drains(unchanged.drains());
         } else if (result instanceof ConfigurationReading.HistoryLost) {
             LOG.info("the store has lost its history; the configuration is read anew", LogEvent.STORE_HISTORY.field());
             readsWhole = true;
+            historyLost = true;
         }
     }
 
-    private StorePosition higher(StorePosition read) {
-        return read.revision() > position.revision() ? read : position;
+    private StorePosition later(StorePosition read) {
+        return read.after(position) ? read : position;
     }
 
     /** Hears what came; called on the control thread. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -177,7 +177,7 @@
 
     private void eraTold(long era, String origin) {
         if (readings.eraTold(era, origin)) {
-            follower.storeRestored();
+            follower.storeRestored(peers.turn(era));
             peers.tellNow();
         }
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -37,7 +37,8 @@
     Mono<ConfigurationReading> configuration(LongConsumer begun);
 
     /**
-     * Waits for a configuration that is newer than a place in the store's history. The answer may hold each version since then, and be that much larger.
+     * Waits for a configuration that is newer than a place in the store's history. If the store has been restored since, {@link
+     * ConfigurationReading.HistoryLost} is the answer. The answer may hold each version since then, and be that much larger.
      *
      * @param after the place
      * @param wait how long the store may wait before it answers that nothing has changed
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
@@ -41,6 +41,13 @@
         return peers.size() + 1;
     }
 
+    /** Returns the number of routers before this one by name, less those that are suspected to be gone. */
+    int before() {
+        return (int) peers.values().stream()
+                .filter(peer -> !peer.suspected() && peer.id().compareTo(self.id()) < 0)
+                .count();
+    }
+
     /** Learns of routers; returns those that were not known. */
     List<Peer> learn(Collection<FleetRouter> routers, long nowMillis) {
         List<Peer> news = new ArrayList<>();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.transport.PeerHandler;
@@ -117,6 +118,15 @@
         suspectTeller().ifPresent(known -> known.found(news));
     }
 
+    /**
+     * Returns how long this router lets others go first with what all have to do.
+     *
+     * @param event a number of the event
+     */
+    Duration turn(long event) {
+        return FleetTurn.delay(peers.before(), peers.routers(), Rendezvous.hash(self.id()), event);
+    }
+
     /** Tells at once that there is something newer. */
     void tellNow() {
         teller().ifPresent(WorkTeller::tellNow);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -59,9 +59,16 @@
         thread.every(Duration.ofMillis(LOOK_MILLIS), configurations::followIfDue);
     }
 
-    /** The store was restored from a snapshot: what is known of it is read anew. */
-    void storeRestored() {
-        list.readSoon();
+    /**
+     * The store was restored from a snapshot: what is known of it is read anew.
+     *
+     * @param turn how long this router lets others read first
+     */
+    void storeRestored(Duration turn) {
+        configurations.storeRestored(turn);
+        if (turn.isZero()) {
+            list.readSoon();
+        }
     }
 
     /** Tells whether the configuration and the list of endpoints are known, or on their way from the store. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -155,6 +155,69 @@
         assertThat(source.next().whole).isTrue();
     }
 
+    /** Guards against a wait for changes after a revision that a restored store has not reached, or has given out again. */
+    @Test
+    void aRestoreOfTheStoreEndsAWaitAndAllIsReadWhole() {
+        startAndReadWhole();
+        Call wait = source.next();
+
+        follower.storeRestored(Duration.ZERO);
+        time.pass(MOMENT);
+
+        assertThat(wait.cancelled).isTrue();
+        Call whole = source.next();
+        assertThat(whole.whole).isTrue();
+        answers(whole, new StorePosition(2, 3), "2");
+        assertThat(source.next().after).isEqualTo(new StorePosition(2, 3));
+        assertThat(published).containsExactly("1", "2").inOrder();
+    }
+
+    @Test
+    void aRouterWhoseTurnIsLaterLetsOthersReadARestoredStoreFirst() {
+        startAndReadWhole();
+        source.next();
+
+        follower.storeRestored(Duration.ofSeconds(1));
+        time.pass(Duration.ofMillis(999));
+        assertThat(source.calls).isEmpty();
+        readsConfiguration = false;
+        time.pass(Duration.ofSeconds(3));
+
+        assertThat(source.calls).isEmpty();
+    }
+
+    /** Guards against a storm of calls: 77 of the whole configuration in a second at one router. */
+    @Test
+    void aHistoryThatIsLostAgainAndAgainIsAskedForWithPauses() {
+        startAndReadWhole();
+        int wholes = 0;
+        long endMillis = time.millis() + 2_000;
+        while (time.millis() < endMillis) {
+            Call call = source.calls.poll();
+            if (call == null) {
+                time.pass(MOMENT);
+            } else if (call.whole) {
+                wholes++;
+                answers(call, 7, "1");
+            } else {
+                call.result.tryEmitValue(new ConfigurationReading.HistoryLost());
+                time.pass(MOMENT);
+            }
+        }
+        assertThat(wholes).isAtMost(7);
+    }
+
+    @Test
+    void aHistoryThatACheckFindsLostIsReadWholeAtOnce() {
+        startAndReadWhole();
+        Call wait = source.next();
+        follower.check(new StorePosition(2, 1));
+        source.next().result.tryEmitValue(new ConfigurationReading.HistoryLost());
+        time.pass(MOMENT);
+        assertThat(wait.cancelled).isTrue();
+        assertThat(source.next().whole).isTrue();
+    }
+
     @Test
     void nothingIsWaitedForWithoutTheDuty() {
         readsConfiguration = false;
@@ -180,20 +243,26 @@
     }
 
     private void answers(Call call, long revision, String content) {
+        answers(call, at(revision), content);
+    }
+
+    private void answers(Call call, StorePosition position, String content) {
         call.result.tryEmitValue(
-                new ConfigurationReading.Published(at(revision), content.getBytes(StandardCharsets.UTF_8)));
+                new ConfigurationReading.Published(position, content.getBytes(StandardCharsets.UTF_8)));
         time.pass(MOMENT);
     }
 
     /** A question to the store. */
     private static final class Call {
         private final boolean whole;
+        private final StorePosition after;
         private final LongConsumer begun;
         private final Sinks.One<ConfigurationReading> result = Sinks.one();
         private boolean cancelled;
 
-        private Call(boolean whole, LongConsumer begun) {
+        private Call(boolean whole, StorePosition after, LongConsumer begun) {
             this.whole = whole;
+            this.after = after;
             this.begun = begun;
         }
 
@@ -210,20 +279,20 @@
             return calls.remove();
         }
 
-        private Mono<ConfigurationReading> call(boolean whole, LongConsumer begun) {
-            Call call = new Call(whole, begun);
+        private Mono<ConfigurationReading> call(boolean whole, StorePosition after, LongConsumer begun) {
+            Call call = new Call(whole, after, begun);
             calls.add(call);
             return call.answer();
         }
 
         @Override
         public Mono<ConfigurationReading> configuration(LongConsumer begun) {
-            return call(true, begun);
+            return call(true, StorePosition.NONE, begun);
         }
 
         @Override
         public Mono<ConfigurationReading> configurationAfter(StorePosition after, Duration wait, LongConsumer begun) {
-            return call(false, begun);
+            return call(false, after, begun);
         }
 
         @Override
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreRestoreTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreRestoreTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,20 +35,35 @@
     /** Routers of a fleet that is so small that each waits for configurations at the store itself. */
     private static final int ALL_WAIT_FOR_CONFIGURATIONS = 3;
 
+    private static final Duration ALL_HAD_THEIR_TURN = Duration.ofSeconds(4);
+
+    /** Calls a second that the store takes of all routers together, less than its limit for writes alone. */
+    private static final int MOST_CALLS = 400;
+
+    /** Calls a second of a fleet of any size while nothing happens: readings of the list, and waits that begin anew. */
+    private static final int CALM_CALLS = 10;
+
     private static final String REMOVED = "endpoint-1";
     private static final String DRAINING = "endpoint-2";
 
-    /** Guards against a list that stays at what was read before the restore until the store's revision has caught up. */
+    /**
+     * Guards against a list that stays at what was read before the restore until the store's revision has caught up, and against a storm of
+     * calls, as that of routers that read the whole configuration by turns with 410.
+     */
     @ParameterizedTest
     @ValueSource(ints = {9, 63, 370})
     void endpointsThatLeaveAfterARestoreGetNothingNew(int count) {
         VirtualFleet fleet = started(count);
         loseAndRestore(fleet);
-        fleet.pass(STABLE);
+        List<Integer> calls = callsEachSecond(fleet, STABLE);
         leave(fleet);
-        fleet.pass(DRAIN);
+        calls.addAll(callsEachSecond(fleet, DRAIN));
         assertThat(senders(fleet, REMOVED)).isEqualTo(0);
         assertThat(senders(fleet, DRAINING)).isEqualTo(0);
+
+        calls.addAll(callsEachSecond(fleet, ALL_HAD_THEIR_TURN));
+        assertThat(Collections.max(calls)).isAtMost(MOST_CALLS);
+        assertThat(calls.get(calls.size() - 1)).isAtMost(CALM_CALLS);
     }
 
     /** Guards against changes that are asked for from a revision on that has another meaning by now. */
@@ -63,6 +80,16 @@
         assertThat(versions(fleet)).containsExactly(3L);
     }
 
+    private static List<Integer> callsEachSecond(VirtualFleet fleet, Duration time) {
+        List<Integer> calls = new ArrayList<>();
+        for (int second = 0; second < time.toSeconds(); second++) {
+            int before = fleet.store().calls();
+            fleet.pass(Duration.ofSeconds(1));
+            calls.add(fleet.store().calls() - before);
+        }
+        return calls;
+    }
+
     private static VirtualFleet started(int count) {
         VirtualFleet fleet = new VirtualFleet(count, 3, 20, 1_000);
         fleet.publish(1, 2_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -227,9 +227,15 @@
 
         @Override
         public Mono<ConfigurationReading> configurationAfter(StorePosition place, Duration wait, LongConsumer begun) {
+            if (place.era() != latestEra) {
+                return Mono.just(new ConfigurationReading.HistoryLost());
+            }
             long after = place.revision();
             return awaitChange(after, wait)
-                    .then(answer(() -> bytesAfter(after), () -> reading(after), begun))
+                    .then(answer(
+                            () -> bytesAfter(after),
+                            () -> place.era() == era ? reading(after) : new ConfigurationReading.HistoryLost(),
+                            begun))
                     .onErrorResume(error -> Mono.just(new ConfigurationReading.Unavailable(error.toString())));
         }
 
