--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -22,7 +22,8 @@
  *       name may. A start that another one has replaced never comes back, whoever lists it.
  *   <li>Absence from a reading means that an endpoint is gone, but not after a time in which nobody read the store: registrations
  *       lapse while it is away, and are renewed once it is back. A peer that read all the while knows better.
- *   <li>The same holds after a restore of the store from a snapshot, which may lack registrations.
+ *   <li>The same holds after a restore of the store from a snapshot, which may lack registrations. It may list again what was gone, which is
+ *       held back for as long as such an entry lapses in.
  *   <li>An entry that turns unusable names no endpoint from then on.
  *   <li>A reading older than the last one, by era and revision of the store, is ignored.
  * </ul>
@@ -46,6 +47,7 @@
     private final LeavingStarts leaving = new LeavingStarts();
     private final Set<String> kept = new HashSet<>();
     private final ReplacedStarts starts = new ReplacedStarts();
+    private final GoneStarts gone = new GoneStarts();
     private ListReading reading = ListReading.NONE;
     private long readAtMillis = StoreClock.NEVER;
     private long ownReadStoreMillis = StoreClock.NEVER;
@@ -125,7 +127,8 @@
             trouble = false;
             return false;
         }
-        boolean settled = settledBy(askedAtMillis, listed.position().inLaterEraThan(reading.position()));
+        boolean restored = known() && listed.position().inLaterEraThan(reading.position());
+        boolean settled = settledBy(askedAtMillis, restored);
         trouble = false;
         reading = new ListReading(listed.position(), listed.storeMillis(), settled);
         readAtMillis = Math.max(readAtMillis, askedAtMillis);
@@ -135,6 +138,10 @@
         listed.endpoints().stream()
                 .filter(ServiceEndpoint::leaving)
                 .forEach(endpoint -> leaving.confirmed(endpoint.id()));
+        if (restored) {
+            gone.storeRestored(listed.storeMillis());
+            leaving.storeRestored(listed.endpoints());
+        }
         return replace(listed.endpoints(), Set.of(), keepsMissing) || first;
     }
 
@@ -202,6 +209,7 @@
         }
         if (restored) {
             ownReadStoreMillis = StoreClock.NEVER;
+            gone.storeRestored(newReading.storeMillis());
         }
         reading = newReading;
         readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
@@ -262,7 +270,7 @@
         kept.addAll(known.keySet());
         for (ServiceEndpoint endpoint : endpoints) {
             boolean keptOnly = keptThere.contains(endpoint.id());
-            if (starts.replaced(endpoint) || (keptOnly && starts.otherKnown(endpoint))) {
+            if (ended(endpoint, keptOnly)) {
                 continue;
             }
             if (!keptOnly) {
@@ -278,10 +286,21 @@
         kept.addAll(keptThere);
         kept.retainAll(known.keySet());
         leaving.retain(known.keySet());
+        known.keySet().forEach(gone::listed);
+        before.keySet().stream().filter(id -> !known.containsKey(id)).forEach(gone::gone);
         changed();
         return !before.equals(known);
     }
 
+    /** Tells whether a start that is listed is known to have ended. */
+    private boolean ended(ServiceEndpoint endpoint, boolean keptOnly) {
+        long readMillis = reading.storeMillis();
+        return starts.replaced(endpoint)
+                || (keptOnly && starts.otherKnown(endpoint))
+                || gone.holdsBack(endpoint.id(), readMillis)
+                || (gone.mayListWhatEnded(readMillis) && starts.earlierByItsClock(endpoint));
+    }
+
     /**
      * Entries say how long an endpoint is still cold as of their last renewal, so that the end seems to move with each reading. The first
      * end that was read holds for that spell: routers that read at different moments then list the same.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/LeavingStarts.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/LeavingStarts.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
  * The starts of endpoints that are leaving, from whichever source: the list, an answer of theirs, or a peer that had such an answer. None
@@ -46,6 +47,20 @@
         unconfirmed.remove(id);
     }
 
+    /**
+     * Notes that the store was restored from a snapshot. Routers that start now read there that a start is open which has begun to leave since: peers are told
+     * of it until the store confirms it again.
+     *
+     * @param listed the endpoints that the store lists
+     */
+    void storeRestored(Collection<ServiceEndpoint> listed) {
+        listed.stream()
+                .filter(endpoint -> !endpoint.leaving())
+                .map(ServiceEndpoint::id)
+                .filter(all::containsKey)
+                .forEach(unconfirmed::add);
+    }
+
     /** Ceases to tell of starts that are not listed any more. */
     void retain(Collection<String> listed) {
         unconfirmed.retainAll(listed);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ReplacedStarts.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ReplacedStarts.java
@@ -9,7 +9,7 @@
  * have stepped back between them. Belongs to the control thread.
  */
 final class ReplacedStarts {
-    private final Map<String, String> latestByName = new RecentNames<>();
+    private final Map<String, ServiceEndpoint> latestByName = new RecentNames<>();
     private final Map<String, String> replacedBy = new RecentNames<>();
 
     /** Tells whether a later start has replaced this one before. */
@@ -19,7 +19,16 @@
 
     /** Tells whether another start of the same name was seen last: one that a peer only keeps may be the earlier of the two. */
     boolean otherKnown(ServiceEndpoint endpoint) {
-        return !latestByName.getOrDefault(endpoint.name(), endpoint.id()).equals(endpoint.id());
+        return !latestByName.getOrDefault(endpoint.name(), endpoint).id().equals(endpoint.id());
+    }
+
+    /**
+     * Tells whether by its own account a start is earlier than the one that was seen last of the same name. A clock may have stepped back, so that this means
+     * something only while a start may be listed that has been replaced before.
+     */
+    boolean earlierByItsClock(ServiceEndpoint endpoint) {
+        ServiceEndpoint latest = latestByName.getOrDefault(endpoint.name(), endpoint);
+        return endpoint.incarnation().startedAtMillis() < latest.incarnation().startedAtMillis();
     }
 
     /**
@@ -29,11 +38,11 @@
      * @return the id of the start that it replaces
      */
     Optional<String> replacing(ServiceEndpoint endpoint) {
-        String earlier = latestByName.put(endpoint.name(), endpoint.id());
-        if (earlier == null || earlier.equals(endpoint.id())) {
+        ServiceEndpoint earlier = latestByName.put(endpoint.name(), endpoint);
+        if (earlier == null || earlier.id().equals(endpoint.id())) {
             return Optional.empty();
         }
-        replacedBy.put(earlier, endpoint.id());
-        return Optional.of(earlier);
+        replacedBy.put(earlier.id(), endpoint.id());
+        return Optional.of(earlier.id());
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -1,7 +1,5 @@
 package org.radishpass.routing.control;
 
-import static org.radishpass.routing.testing.StorePositions.at;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -14,6 +12,7 @@
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.Incarnation;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.StorePosition;
 
 /**
  * What several routers believe of the endpoints, with a store, messages and a clock that a test moves by hand: no network, no
@@ -26,6 +25,7 @@
     private final Map<String, ServiceEndpoint> registered = new LinkedHashMap<>();
     private final List<EndpointEntry.Unusable> spoilt = new ArrayList<>();
     private long nowMillis = 100_000;
+    private long era = 1;
     private long revision = 1;
 
     /** Lets time pass. */
@@ -59,6 +59,24 @@
         registered.computeIfPresent(name, (key, endpoint) -> endpoint.asLeaving());
     }
 
+    /** The store's rows and revision of now, to be restored later. */
+    Snapshot snapshot() {
+        return new Snapshot(revision, Map.copyOf(registered), List.copyOf(spoilt));
+    }
+
+    /** The store is restored from a snapshot: its revisions are given out again. */
+    void restore(Snapshot from) {
+        era++;
+        revision = from.revision();
+        registered.clear();
+        registered.putAll(from.registered());
+        spoilt.clear();
+        spoilt.addAll(from.spoilt());
+    }
+
+    /** What the store held at some moment. */
+    record Snapshot(long revision, Map<String, ServiceEndpoint> registered, List<EndpointEntry.Unusable> spoilt) {}
+
     /** What another writer put in the place of an entry cannot be used. */
     void spoil(String name) {
         revision++;
@@ -106,7 +124,10 @@
             storeClock.observed(nowMillis, nowMillis, storeMillis);
             tracker.listed(
                     new DirectoryReading.Listed(
-                            at(revision), storeMillis, List.copyOf(registered.values()), List.copyOf(spoilt)),
+                            new StorePosition(era, revision),
+                            storeMillis,
+                            List.copyOf(registered.values()),
+                            List.copyOf(spoilt)),
                     nowMillis);
         }
 
