Drains of data centres outlive a restore of the store

Cause: the higher revision held, whoever told it; a whole reading that lacks a row ended its drain at once. A drain that a restored store lacks stays for 2.3 s, the time that registrations of endpoints have, so that its row can be written again.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -4,6 +4,7 @@
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.radishpass.core.fleet.Address;
@@ -177,7 +178,8 @@
 
     private void eraTold(long era, String origin) {
         if (readings.eraTold(era, origin)) {
-            follower.storeRestored(peers.turn(era));
+            Duration turn = peers.turn(era);
+            follower.storeRestored(turn);
             peers.tellNow();
         }
     }
@@ -239,6 +241,15 @@
             if (drains.read(reading, clock.millis())) {
                 drainsChanged("store");
             }
+            if (drains.awaitsRows()) {
+                thread.after(Duration.ofMillis(DrainTracker.GRACE_MILLIS), this::expireDrains);
+            }
+        }
+
+        private void expireDrains() {
+            if (drains.expire(clock.millis())) {
+                drainsChanged("store");
+            }
         }
 
         @Override
