What a router has written is written again after a restore of the store

What callers would see: routers that start later do not find the others, and after a loss of power a request that ends its endpoints ends more of them.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -180,6 +180,8 @@
         if (readings.eraTold(era, origin)) {
             Duration turn = peers.turn(era);
             follower.storeRestored(turn);
+            registration.storeRestored(turn, peers::learn);
+            quarantine.storeRestored(turn);
             peers.tellNow();
         }
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Registration.java
@@ -20,6 +20,8 @@
     private final ControlSource source;
     private final FleetRouter self;
     private StorePosition position = StorePosition.NONE;
+    private boolean removed;
+    private int lastRenewal;
 
     Registration(ControlThread thread, ControlSource source, FleetRouter self) {
         this.thread = thread;
@@ -39,7 +41,28 @@
                 learn.accept(registered.routers());
             } else if (reading instanceof RegistryReading.Unavailable unavailable) {
                 LOG.info("this router cannot be registered yet: {}", unavailable.reason());
-                thread.after(AGAIN, () -> register(learn));
+                thread.after(AGAIN, () -> registerUnlessRemoved(learn));
+            }
+        });
+    }
+
+    private void registerUnlessRemoved(Consumer<Collection<FleetRouter>> learn) {
+        if (!removed) {
+            register(learn);
+        }
+    }
+
+    /**
+     * Registers this router again: the snapshot from which the store was restored may lack it.
+     *
+     * @param turn how long this router lets others go first
+     * @param learn hears which routers are registered; called on the control thread
+     */
+    void storeRestored(Duration turn, Consumer<Collection<FleetRouter>> learn) {
+        int renewal = ++lastRenewal;
+        thread.after(turn, () -> {
+            if (renewal == lastRenewal && done() && !removed) {
+                register(learn);
             }
         });
     }
@@ -51,6 +74,7 @@
 
     /** Removes the registration, if there is one. */
     void remove() {
+        removed = true;
         if (position.known()) {
             source.deregister(self.address(), position).subscribe();
         }
