Continuity of readings and the steps after a restore in classes of their own

No change of behaviour: ReadingContinuity holds since when the list has been read without a gap, StoreRestore what a router does once after each restore. Tests: those of the control side pass.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -13,6 +13,7 @@
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerLinks;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.fleet.EndpointEligibility;
 import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.FleetRouter;
@@ -28,6 +29,7 @@
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Flux;
 
 /**
  * What a router believes of its fleet, from the store and from its peers, and what it tells them. It has no sockets, thread or clock of
@@ -38,7 +40,6 @@
 
     private final ControlThread thread;
     private final MonotonicClock clock;
-    private final ControlSource source;
     private final Runnable whenComplete;
     private final RegionMap regions;
     private final ConfigurationTracker configuration;
@@ -51,6 +52,8 @@
     private final RegistryCleaner cleaner;
     private final Registration registration;
     private final QuarantineKeeper quarantine;
+    private final StoreRestore restore;
+    private final Flux<Long> eras;
     private final StoreReadings readings;
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private long configurationSinceMillis;
@@ -91,13 +94,14 @@
         Beliefs beliefs = new Beliefs(configuration, directory, drains, storeClock, era);
         this.coldEndpoints = new ColdEndpoints(directory, drains, storeClock);
         this.readings = new StoreReadings(metrics, era);
-        this.source = source;
+        this.eras = source.eras();
         this.follower = new StoreFollower(
                 thread, clock, source, beliefs, new UnusableEntries(metrics), readings, new StoreNews());
         this.cleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
         this.quarantine = new QuarantineKeeper(thread, clock, source, storeClock, suspects);
         this.peers = new PeerExchange(thread, clock, self, work, suspects, beliefs, new PeerNews());
+        this.restore = new StoreRestore(readings, follower, registration, quarantine, peers);
         Gauge.builder(
                         "radishpass.datacentres.drained",
                         this,
@@ -114,7 +118,7 @@
 
     /** Starts to read the store. */
     void start() {
-        source.eras().publishOn(thread.scheduler()).subscribe(era -> eraTold(era, "store"));
+        eras.publishOn(thread.scheduler()).subscribe(era -> restore.eraTold(era, DirectoryOrigin.STORE));
         follower.start();
         suspects.onSuspects(new SuspectNews());
         thread.run(quarantine::read);
@@ -176,16 +180,6 @@
         });
     }
 
-    private void eraTold(long era, String origin) {
-        if (readings.eraTold(era, origin)) {
-            Duration turn = peers.turn(era);
-            follower.storeRestored(turn);
-            registration.storeRestored(turn, peers::learn);
-            quarantine.storeRestored(turn);
-            peers.tellNow();
-        }
-    }
-
     private void publish() {
         readings.source(directory.origin().source(), directory.reading());
         view = new RoutingView(
@@ -235,7 +229,7 @@
     private final class StoreNews implements StoreFollower.Listener {
         @Override
         public void eraRead(long era) {
-            eraTold(era, "store");
+            restore.eraTold(era, DirectoryOrigin.STORE);
         }
 
         @Override
@@ -305,7 +299,7 @@
     private final class PeerNews implements PeerExchange.Listener {
         @Override
         public void storeEraTold(long era, String origin) {
-            eraTold(era, origin);
+            restore.eraTold(era, origin);
         }
 
         @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -14,7 +14,7 @@
 import org.radishpass.routing.fleet.StorePosition;
 
 /**
- * What is believed of the endpoints, from readings of the store that may fail, lag or lack entries. A plain object
+ * What is known of the endpoints, from readings of the store that may fail, lag or lack entries. A plain object
  * without a clock; it belongs to the control thread.
  *
  * <ul>
@@ -31,28 +31,15 @@
  * @since 0.2.0
  */
 public final class DirectoryTracker {
-    /**
-     * Milliseconds after the store's return during which absence means nothing. Endpoints renew their registration within
-     * about two seconds of it.
-     */
-    public static final long GRACE_MILLIS = 2_300;
-
-    /**
-     * Milliseconds between two readings up to which nothing can have lapsed in between: two readings may be missed, and a
-     * registration outlives the last renewal by three periods of about 1.2 s.
-     */
-    static final long CONTINUITY_MILLIS = 1_900;
-
     private final Map<String, ServiceEndpoint> known = new LinkedHashMap<>();
     private final LeavingStarts leaving = new LeavingStarts();
     private final Set<String> kept = new HashSet<>();
     private final ReplacedStarts starts = new ReplacedStarts();
     private final GoneStarts gone = new GoneStarts();
+    private final ReadingContinuity continuity = new ReadingContinuity();
     private ListReading reading = ListReading.NONE;
     private long readAtMillis = StoreClock.NEVER;
     private long ownReadStoreMillis = StoreClock.NEVER;
-    private long continuousSinceMillis = StoreClock.NEVER;
-    private boolean keepsMissing;
     private boolean trouble;
     private String source = DirectoryOrigin.UNKNOWN.source();
     private long hash;
@@ -78,7 +65,7 @@
         return ownReadStoreMillis;
     }
 
-    /** Returns the endpoints as believed. */
+    /** Returns the endpoints. */
     public EndpointDirectory directory() {
         return directory;
     }
@@ -88,12 +75,12 @@
         return new DirectoryOrigin(reading.position(), readAtMillis, source, reading.settled());
     }
 
-    /** Returns the list as believed, for peers. */
+    /** Returns the list, for peers. */
     EndpointSnapshot snapshot() {
         return new EndpointSnapshot(reading, List.copyOf(known.values()), Set.copyOf(kept));
     }
 
-    /** Returns a hash of what is believed of the endpoints; equal for routers that believe the same. */
+    /** Returns a hash of the list; equal for routers with equal lists. */
     public long hash() {
         return hash;
     }
@@ -119,7 +106,7 @@
      *
      * @param listed what the store answered
      * @param askedAtMillis when it was asked, on the monotonic clock in milliseconds
-     * @return whether what is believed has changed
+     * @return whether the list has changed
      */
     public boolean listed(DirectoryReading.Listed listed, long askedAtMillis) {
         boolean first = !known();
@@ -142,7 +129,7 @@
             gone.storeRestored(listed.storeMillis());
             leaving.storeRestored(listed.endpoints());
         }
-        return replace(listed.endpoints(), Set.of(), keepsMissing) || first;
+        return replace(listed.endpoints(), Set.of(), continuity.keepsMissing()) || first;
     }
 
     /** Tells what becomes of a reading of the store by this router. */
@@ -150,24 +137,14 @@
         return ReadingUse.of(read, reading.position());
     }
 
-    /** Tells whether a reading now follows on others for so long that what it lacks is gone. */
     private boolean settledBy(long askedAtMillis, boolean restored) {
+        boolean storeMayHaveBeenAway = trouble || reading.settled();
         if (!known()) {
-            continuousSinceMillis = askedAtMillis;
-        } else if (restored || interrupted(askedAtMillis - readAtMillis)) {
-            continuousSinceMillis = askedAtMillis;
-            keepsMissing = true;
-        }
-        boolean settled = askedAtMillis - continuousSinceMillis >= GRACE_MILLIS;
-        if (settled) {
-            keepsMissing = false;
+            continuity.begun(askedAtMillis);
+        } else if (restored || ReadingContinuity.isGap(askedAtMillis - readAtMillis, storeMayHaveBeenAway)) {
+            continuity.interrupted(askedAtMillis);
         }
-        return settled;
-    }
-
-    private boolean interrupted(long gapMillis) {
-        boolean storeMayHaveBeenAway = trouble || reading.settled();
-        return gapMillis > GRACE_MILLIS || (storeMayHaveBeenAway && gapMillis > CONTINUITY_MILLIS);
+        return continuity.settled(askedAtMillis);
     }
 
     /**
@@ -176,7 +153,7 @@
      * @param list the peer's list
      * @param peerReadAtMillis when the store was read for it at the earliest, on this router's monotonic clock in milliseconds
      * @param peer the peer's id
-     * @return whether what is believed has changed
+     * @return whether the list has changed
      */
     boolean peerListed(EndpointSnapshot list, long peerReadAtMillis, String peer) {
         if (known() && !list.reading().supersedes(reading)) {
@@ -189,7 +166,7 @@
     }
 
     /**
-     * Takes a peer's word that it believes the same.
+     * Takes a peer's confirmation that its list is equal.
      *
      * @param peerReading the reading that its list rests on
      * @param peerReadAtMillis when that was at the earliest, on this router's monotonic clock in milliseconds
@@ -204,8 +181,7 @@
     private void confirm(ListReading newReading, long peerReadAtMillis, String peer) {
         boolean restored = newReading.inLaterEraThan(reading);
         if (!known() || restored) {
-            continuousSinceMillis = peerReadAtMillis;
-            keepsMissing = true;
+            continuity.interrupted(peerReadAtMillis);
         }
         if (restored) {
             ownReadStoreMillis = StoreClock.NEVER;
@@ -215,8 +191,7 @@
         readAtMillis = Math.max(readAtMillis, peerReadAtMillis);
         source = peer;
         if (newReading.settled()) {
-            keepsMissing = false;
-            continuousSinceMillis = StoreClock.NEVER;
+            continuity.settledByPeer();
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DrainTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DrainTracker.java
@@ -17,7 +17,7 @@
  */
 final class DrainTracker {
     /** Milliseconds that a row which a snapshot lacked has to be written again: as much as registrations of endpoints have. */
-    static final long GRACE_MILLIS = DirectoryTracker.GRACE_MILLIS;
+    static final long GRACE_MILLIS = ReadingContinuity.GRACE_MILLIS;
 
     /** Data centres that are kept in mind: a hundred times those of a deployment; names come from outside. */
     private static final int MOST_KNOWN = 1_000;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -28,9 +28,9 @@
         assertThat(tracker.failed()).isTrue();
         assertThat(tracker.failed()).isFalse();
         listed(tracker, 5, List.of(endpoint("a")), 20_000);
-        listed(tracker, 6, List.of(endpoint("a")), 20_000 + DirectoryTracker.GRACE_MILLIS - 1);
+        listed(tracker, 6, List.of(endpoint("a")), 20_000 + ReadingContinuity.GRACE_MILLIS - 1);
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
-        listed(tracker, 7, List.of(endpoint("a")), 20_000 + DirectoryTracker.GRACE_MILLIS);
+        listed(tracker, 7, List.of(endpoint("a")), 20_000 + ReadingContinuity.GRACE_MILLIS);
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
@@ -71,7 +71,7 @@
         listed(tracker, new StorePosition(2, 3), List.of(endpoint("a")), 13_000);
         assertThat(tracker.reading().settled()).isFalse();
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
-        listed(tracker, new StorePosition(2, 3), List.of(endpoint("a")), 13_000 + DirectoryTracker.GRACE_MILLIS);
+        listed(tracker, new StorePosition(2, 3), List.of(endpoint("a")), 13_000 + ReadingContinuity.GRACE_MILLIS);
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
@@ -100,7 +100,7 @@
         tracker.confirmed(new ListReading(new StorePosition(2, 3), 13_000, false), 13_000, "peer");
         listed(tracker, new StorePosition(2, 3), List.of(endpoint("a")), 14_000);
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
-        listed(tracker, new StorePosition(2, 3), List.of(endpoint("a")), 13_000 + DirectoryTracker.GRACE_MILLIS);
+        listed(tracker, new StorePosition(2, 3), List.of(endpoint("a")), 13_000 + ReadingContinuity.GRACE_MILLIS);
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
@@ -133,7 +133,7 @@
     void aShortTroubleLeavesAbsenceItsMeaning() {
         listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
         tracker.failed();
-        listed(tracker, 2, List.of(endpoint("a")), 10_000 + DirectoryTracker.CONTINUITY_MILLIS);
+        listed(tracker, 2, List.of(endpoint("a")), 10_000 + ReadingContinuity.CONTINUITY_MILLIS);
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
@@ -142,7 +142,7 @@
         listed(tracker, 1, List.of(endpoint("a")), 10_000);
         assertThat(tracker.reading().settled()).isFalse();
         listed(tracker, 1, List.of(endpoint("a")), 11_500);
-        listed(tracker, 1, List.of(endpoint("a")), 10_000 + DirectoryTracker.GRACE_MILLIS);
+        listed(tracker, 1, List.of(endpoint("a")), 10_000 + ReadingContinuity.GRACE_MILLIS);
         assertThat(tracker.reading().settled()).isTrue();
         listed(tracker, 1, List.of(endpoint("a")), 20_000);
         assertThat(tracker.reading().settled()).isFalse();
