--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Ends a wait that was begun because others had not been heard of for a while. A wait that is left open brings the next document, which peers give packed, a second time and whole: 0.5 s of a link of 10 Mbit/s for
+     * Ends a wait that was begun because others had not been seen for a while. A wait that is left open brings the next document, which peers give packed, a second time and whole: 0.5 s of a link of 10 Mbit/s for
      * 1,500 routes, in which callers' requests wait.
      */
     private void stopWaiting() {
@@ -117,7 +117,7 @@
 
     /**
      * Asks for a newer configuration apart if the store's revision has risen beyond what is known of it: the wait may hang on a connection
-     * that nobody serves any more.
+     * whose peer is gone.
      */
     void check(StorePosition newest) {
         if (state != State.WAITING || checking || !newest.after(position) || readsWhole) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -32,7 +32,7 @@
 import reactor.core.publisher.Flux;
 
 /**
- * What a router believes of its fleet, from the store and from its peers, and what it tells them. It has no sockets, thread or clock of
+ * A router's view of its fleet, from the store and from its peers, and what it tells them. It has no sockets, thread or clock of
  * its own, so that whole fleets run in virtual time. State belongs to the control thread.
  */
 final class ControlPlane {
@@ -91,16 +91,16 @@
         this.configuration = new ConfigurationTracker(decoder);
         StoreClock storeClock = new StoreClock();
         StoreEra era = new StoreEra();
-        Beliefs beliefs = new Beliefs(configuration, directory, drains, storeClock, era);
+        FleetView fleet = new FleetView(configuration, directory, drains, storeClock, era);
         this.coldEndpoints = new ColdEndpoints(directory, drains, storeClock);
         this.readings = new StoreReadings(metrics, era);
         this.eras = source.eras();
         this.follower = new StoreFollower(
-                thread, clock, source, beliefs, new UnusableEntries(metrics), readings, new StoreNews());
+                thread, clock, source, fleet, new UnusableEntries(metrics), readings, new StoreNews());
         this.cleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
         this.quarantine = new QuarantineKeeper(thread, clock, source, storeClock, suspects);
-        this.peers = new PeerExchange(thread, clock, self, work, suspects, beliefs, new PeerNews());
+        this.peers = new PeerExchange(thread, clock, self, work, suspects, fleet, new PeerNews());
         this.restore = new StoreRestore(readings, follower, registration, quarantine, peers);
         Gauge.builder(
                         "radishpass.datacentres.drained",
@@ -147,7 +147,7 @@
         return peers.introduction();
     }
 
-    /** Returns what is believed now; from any thread. */
+    /** Returns the view of now; from any thread. */
     RoutingView view() {
         return view;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -20,7 +20,7 @@
  * <ul>
  *   <li>A start of an endpoint that is leaving, by its entry or by one of its answers, never serves again; another start under the same
  *       name may. A start that another one has replaced never comes back, whoever lists it.
- *   <li>Absence from a reading means that an endpoint is gone, but not after a time in which nobody read the store: registrations
+ *   <li>Absence from a reading means that an endpoint is gone, but not after a time in which no router read the store: registrations
  *       lapse while it is away, and are renewed once it is back. A peer that read all the while knows better.
  *   <li>The same holds after a restore of the store from a snapshot, which may lack registrations. It may list again what was gone, which is
  *       held back for as long as such an entry lapses in.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -45,13 +45,13 @@
     private final FetchBook fetches = new FetchBook();
     private final DocumentPacker packer = new DocumentPacker();
 
-    DocumentExchange(ControlThread thread, MonotonicClock clock, Beliefs beliefs, PeerExchange.Listener listener) {
+    DocumentExchange(ControlThread thread, MonotonicClock clock, FleetView fleet, PeerExchange.Listener listener) {
         this.thread = thread;
         this.clock = clock;
-        this.configuration = beliefs.configuration();
-        this.directory = beliefs.directory();
-        this.storeClock = beliefs.storeClock();
-        this.era = beliefs.era();
+        this.configuration = fleet.configuration();
+        this.directory = fleet.directory();
+        this.storeClock = fleet.storeClock();
+        this.era = fleet.era();
         this.listener = listener;
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -12,7 +12,7 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.fleet.StorePosition;
 
-/** Writes the endpoints that a router believes in for its peers, and reads them. */
+/** Encodes lists of endpoints for peers, and decodes them. */
 final class EndpointListCodec {
     private static final ObjectMapper MAPPER = new MessagePackMapper();
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Beliefs.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/FleetView.java
@@ -1,7 +1,7 @@
 package org.radishpass.routing.control;
 
 /**
- * What a router believes of its deployment; each part belongs to the control thread.
+ * A router's view of its deployment; each part belongs to the control thread.
  *
  * @param configuration the configuration in force
  * @param directory the endpoints
@@ -9,7 +9,7 @@
  * @param storeClock how the store's clock relates to this router's
  * @param era the era of the store
  */
-record Beliefs(
+record FleetView(
         ConfigurationTracker configuration,
         DirectoryTracker directory,
         DrainTracker drains,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/GoneStarts.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/GoneStarts.java
@@ -5,7 +5,7 @@
 
 /**
  * The starts of endpoints that are gone. A snapshot from which the store was restored may list them again; they are held back until registrations that
- * nobody renews have lapsed. Belongs to the control thread.
+ * are not renewed have lapsed. Belongs to the control thread.
  */
 final class GoneStarts {
     /** Milliseconds after a restore until such a registration has lapsed: three periods of renewal of about 1.2 s, and as much as one more. */
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Tells whether a list may hold entries of a snapshot that nobody renews.
+     * Tells whether a list may hold entries of a snapshot that are not renewed.
      *
      * @param storeMillis when the list was read, on the store's clock in milliseconds
      */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/Peer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/Peer.java
@@ -134,7 +134,7 @@
         return nowMillis - memberAtMillis <= PRESENT_MILLIS;
     }
 
-    /** Returns when it was heard of last, by itself or by others. */
+    /** Returns when it was seen last, by itself or in what others told. */
     long mentionedAtMillis() {
         return mentionedAtMillis;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerBook.java
@@ -73,7 +73,7 @@
         peers.values().forEach(peer -> peer.probeSoon(nowMillis));
     }
 
-    /** Forgets those that nobody has spoken of for long, and returns them. */
+    /** Forgets those that were not seen for long, and returns them. */
     List<FleetRouter> forget(long nowMillis) {
         List<FleetRouter> forgotten = peers.values().stream()
                 .filter(peer -> nowMillis - peer.mentionedAtMillis() > FORGET_MILLIS)
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -40,7 +40,7 @@
     private final FleetRouter self;
     private final WorkSource work;
     private final SuspectSource suspects;
-    private final Beliefs beliefs;
+    private final FleetView fleet;
     private final Listener listener;
     private final PeerBook peers;
     private final ReaderChoice readers;
@@ -55,25 +55,25 @@
             FleetRouter self,
             WorkSource work,
             SuspectSource suspects,
-            Beliefs beliefs,
+            FleetView fleet,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
         this.self = self;
         this.work = work;
         this.suspects = suspects;
-        this.beliefs = beliefs;
+        this.fleet = fleet;
         this.listener = listener;
         this.peers = new PeerBook(self);
-        this.readers = new ReaderChoice(clock, self, peers, beliefs.directory(), beliefs.storeClock());
-        this.documents = new DocumentExchange(thread, clock, beliefs, listener);
+        this.readers = new ReaderChoice(clock, self, peers, fleet.directory(), fleet.storeClock());
+        this.documents = new DocumentExchange(thread, clock, fleet, listener);
     }
 
     /** Starts to tell. */
     void start(PeerLinks peerLinks) {
         this.links = peerLinks;
         this.suspectTeller = new SuspectTeller(thread, clock, self, suspects, peers, peerLinks);
-        this.teller = new WorkTeller(thread, clock, self, work, beliefs, peers, peerLinks);
+        this.teller = new WorkTeller(thread, clock, self, work, fleet, peers, peerLinks);
         thread.every(Duration.ofMillis(TICK_MILLIS), this::tick);
     }
 
@@ -241,12 +241,12 @@
         if (state.storeEra() != StorePosition.NO_ERA) {
             listener.storeEraTold(state.storeEra(), "router " + peer.id());
         }
-        heard(peer, peer.told(state, PeerStates.reading(state, beliefs.era()), nowMillis));
-        if (PeerStates.takeDrains(state.drains(), beliefs.drains(), beliefs.era(), nowMillis)) {
+        heard(peer, peer.told(state, PeerStates.reading(state, fleet.era()), nowMillis));
+        if (PeerStates.takeDrains(state.drains(), fleet.drains(), fleet.era(), nowMillis)) {
             listener.drainsChanged("router " + peer.id());
         }
         List<String> leaving = state.leaving().stream()
-                .filter(beliefs.directory()::statedLeaving)
+                .filter(fleet.directory()::statedLeaving)
                 .toList();
         if (!leaving.isEmpty()) {
             listener.endpointsLeaving(leaving, "router " + peer.id());
@@ -320,7 +320,7 @@
         /** There are more routers. */
         void routersChanged();
 
-        /** Nobody has heard of these routers for long. */
+        /** These routers have not been seen for long. */
         void routersForgotten(List<FleetRouter> routers);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryCleaner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryCleaner.java
@@ -28,7 +28,7 @@
     /**
      * Removes registrations. One that was written anew since it was read stays.
      *
-     * @param gone the routers that nobody has heard of for long
+     * @param gone the routers that have not been seen for long
      */
     Mono<Void> clean(Collection<FleetRouter> gone) {
         Set<String> ids = gone.stream().map(FleetRouter::id).collect(Collectors.toSet());
@@ -49,7 +49,7 @@
     private Mono<Boolean> remove(RegistryReading.Registration registration) {
         return source.deregister(registration.router().address(), registration.position())
                 .doOnNext(removed -> LOG.info(
-                        "the registration of router {}, of which nobody has heard, was {}",
+                        "the registration of router {}, not seen since, was {}",
                         registration.router().id(),
                         removed ? "removed" : "kept",
                         LogEvent.PEER_REMOVED.field(),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreEra.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreEra.java
@@ -13,7 +13,7 @@
      * Takes an era that the store or a peer has told.
      *
      * @param era the era
-     * @return whether the store was restored since this router had heard of its era last
+     * @return whether the store was restored since this router knew its era last
      */
     boolean told(long era) {
         if (era <= latest) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -37,15 +37,15 @@
             ControlThread thread,
             MonotonicClock clock,
             ControlSource source,
-            Beliefs beliefs,
+            FleetView fleet,
             UnusableEntries unusable,
             StoreReadings readings,
             Listener listener) {
         this.thread = thread;
         this.clock = clock;
-        this.configuration = beliefs.configuration();
-        this.directory = beliefs.directory();
-        this.storeClock = beliefs.storeClock();
+        this.configuration = fleet.configuration();
+        this.directory = fleet.directory();
+        this.storeClock = fleet.storeClock();
         this.unusable = unusable;
         this.readings = readings;
         this.listener = listener;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreReadings.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreReadings.java
@@ -37,7 +37,7 @@
      *
      * @param told the era
      * @param origin who told it
-     * @return whether the store was restored since this router had heard of its era last
+     * @return whether the store was restored since this router knew its era last
      */
     boolean eraTold(long told, String origin) {
         long before = era.latest();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkTeller.java
@@ -38,7 +38,7 @@
     private final MonotonicClock clock;
     private final FleetRouter self;
     private final WorkSource work;
-    private final Beliefs beliefs;
+    private final FleetView fleet;
     private final PeerBook peers;
     private final PeerLinks links;
     private boolean gathering = true;
@@ -51,14 +51,14 @@
             MonotonicClock clock,
             FleetRouter self,
             WorkSource work,
-            Beliefs beliefs,
+            FleetView fleet,
             PeerBook peers,
             PeerLinks links) {
         this.thread = thread;
         this.clock = clock;
         this.self = self;
         this.work = work;
-        this.beliefs = beliefs;
+        this.fleet = fleet;
         this.peers = peers;
         this.links = links;
     }
@@ -170,9 +170,9 @@
     }
 
     private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
-        DirectoryTracker directory = beliefs.directory();
+        DirectoryTracker directory = fleet.directory();
         return new RoutingMessage.RoutingState(
-                beliefs.configuration().version(),
+                fleet.configuration().version(),
                 directory.reading().position().revision(),
                 PeerStates.entries(work),
                 directory.hash(),
@@ -181,9 +181,9 @@
                 failing,
                 scope,
                 directory.ownReadStoreMillis(),
-                PeerStates.drains(beliefs.drains(), clock.millis()),
+                PeerStates.drains(fleet.drains(), clock.millis()),
                 directory.leavingToTell(),
                 Math.max(StorePosition.NO_ERA, directory.reading().position().era()),
-                beliefs.era().toTell());
+                fleet.era().toTell());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -17,7 +17,7 @@
     /** See {@link #meaning}. */
     RELOAD("reload", "the settings file was read anew"),
     /** See {@link #meaning}. */
-    SUSPENDED("suspended", "the machine was suspended for `millis`; the ages of all that is believed count them"),
+    SUSPENDED("suspended", "the machine was suspended for `millis`; all ages count them"),
     /** See {@link #meaning}. */
     STOP("stop", "the process was told to stop; it is no longer ready"),
     /** See {@link #meaning}. */
