Routers can report demand and endpoint loads to each other

Cause: reports between routers carry work in flight only. Decisions under contention and about uneven endpoints need the demand for each service by workspace and urgency, and the loads that endpoints state, from all routers. The test of later releases expects its unknown component after the new ones. Conclusion: the interface on which the parts are built.

--- a/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
@@ -112,11 +112,18 @@
         noClasses()
                 .that()
                 .resideInAnyPackage(
+                        "org.radishpass.routing.admission..",
                         "org.radishpass.routing.config..",
+                        "org.radishpass.routing.fairness..",
                         "org.radishpass.routing.fleet..",
+                        "org.radishpass.routing.handover..",
                         "org.radishpass.routing.health..",
+                        "org.radishpass.routing.intake..",
                         "org.radishpass.routing.load..",
+                        "org.radishpass.routing.memory..",
+                        "org.radishpass.routing.performance..",
                         "org.radishpass.routing.placement..",
+                        "org.radishpass.routing.report..",
                         "org.radishpass.routing.retry..")
                 .should()
                 .dependOnClassesThat()
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -82,6 +82,8 @@
      *     endpoint list; 0 from earlier releases
      * @param storeEra the number of times that the store has been restored from a snapshot, as far as the sender knows;
      *     0 from earlier releases
+     * @param demand the demand for services, of the routers in the scope; empty while no service is contended
+     * @param loads the loads that endpoints stated to the routers in the scope; empty while no router uses them
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -98,11 +100,13 @@
             List<DrainEntry> drains,
             List<String> leaving,
             long directoryEra,
-            long storeEra)
+            long storeEra,
+            List<DemandEntry> demand,
+            List<LoadEntry> loads)
             implements RoutingMessage {
         /**
-         * Rejects a message that lacks a component, except drained data centres and leaving endpoints: earlier releases
-         * do not send them.
+         * Rejects a message that lacks a component, except drained data centres, leaving endpoints, demand and loads:
+         * earlier releases do not send them.
          */
         @SuppressWarnings("NullAway") // the decoder passes null for components that a message lacks
         public RoutingState {
@@ -111,6 +115,57 @@
             Objects.requireNonNull(scope, "scope");
             drains = List.copyOf(Objects.requireNonNullElse(drains, List.of()));
             leaving = List.copyOf(Objects.requireNonNullElse(leaving, List.of()));
+            demand = List.copyOf(Objects.requireNonNullElse(demand, List.of()));
+            loads = List.copyOf(Objects.requireNonNullElse(loads, List.of()));
+        }
+    }
+
+    /**
+     * The demand of a workspace for a service at one urgency.
+     *
+     * @param service the service
+     * @param workspace the workspace; empty for requests without a workspace
+     * @param urgency the urgency; 0 is the most urgent
+     * @param arrived the requests that arrived, per second
+     * @param sent the requests that were sent to an endpoint, per second
+     * @param completed the requests whose response was completed, per second
+     * @param refused the requests that were refused for lack of capacity, per second
+     * @since 0.8.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record DemandEntry(
+            String service,
+            String workspace,
+            int urgency,
+            double arrived,
+            double sent,
+            double completed,
+            double refused) {
+        /** Rejects a message that lacks a component. */
+        public DemandEntry {
+            Objects.requireNonNull(service, "service");
+            Objects.requireNonNull(workspace, "workspace");
+        }
+    }
+
+    /**
+     * The load that an endpoint stated in a response.
+     *
+     * @param endpointId the endpoint
+     * @param running the number of running requests
+     * @param waiting the number of requests that wait for a slot
+     * @param slots the number of requests that can run concurrently
+     * @param slowdownPercent how long work takes compared with the usual time, in percent; 0 if not stated
+     * @param samples the number of responses on which the entry is based
+     * @param ageMillis the time since the last of these responses, in milliseconds
+     * @since 0.8.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record LoadEntry(
+            String endpointId, int running, int waiting, int slots, int slowdownPercent, int samples, long ageMillis) {
+        /** Rejects a message that lacks a component. */
+        public LoadEntry {
+            Objects.requireNonNull(endpointId, "endpointId");
         }
     }
 
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -34,7 +34,9 @@
             List.of(new RoutingMessage.DrainEntry("there", 19, true, 23, 29)),
             List.of("g"),
             31,
-            37);
+            37,
+            List.of(new RoutingMessage.DemandEntry("s", "w", 2, 41, 43, 47, 53)),
+            List.of(new RoutingMessage.LoadEntry("e", 59, 61, 67, 71, 73, 79)));
 
     static Stream<RoutingMessage> messages() {
         return Stream.of(
@@ -75,7 +77,7 @@
      * not know.
      */
     @ParameterizedTest
-    @CsvSource({"'', 0", "',31,37', 31", "',31,37,\"more\"', 31"})
+    @CsvSource({"'', 0", "',31,37', 31", "',31,37,[],[],\"more\"', 31"})
     void routingStatesOfEarlierAndLaterReleasesAreDecoded(String end, long directoryEra) throws IOException {
         String json = "[0,[\"rs\",[1,2,[],3,4,true,[],1,5,[[\"there\",19,true,23]],[]" + end + "]]]";
         Object tree = new com.fasterxml.jackson.databind.ObjectMapper().readValue(json, Object.class);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -140,7 +140,12 @@
     @Override
     public Mono<PeerMessage> handle(String from, PeerMessage message) {
         if (message instanceof RoutingMessage.RoutingState state) {
-            work.recordPeerReport(from, state.scope(), RoutingMessageMapper.toWork(state), state.failing());
+            work.recordPeerReport(
+                    from,
+                    state.scope(),
+                    RoutingMessageMapper.toWork(state),
+                    state.failing(),
+                    ObservationMapper.toObservations(state, clock.millis()));
             return runOnControlThread(() -> onState(from, state));
         }
         if (message instanceof RoutingMessage.Introduction introduction) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkReporter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkReporter.java
@@ -13,6 +13,7 @@
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
+import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
@@ -126,13 +127,19 @@
         GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
         updateRole(plan);
         PeerMessage ownState = plan.gathers()
-                ? state(report.group(), report.failing(), WorkScope.GROUP)
-                : state(report.own(), report.failing(), WorkScope.MEMBER);
+                ? state(report.group(), report.failing(), WorkScope.GROUP, report.groupObservations())
+                : state(report.own(), report.failing(), WorkScope.MEMBER, report.ownObservations());
         plan.ownGatherer().ifPresent(peer -> sendExpectingReply(peer, ownState, nowMillis));
         plan.peerGatherers().forEach(peer -> sendExpectingReply(peer, ownState, nowMillis));
         report.withoutMember()
                 .forEach((id, othersWork) -> peers.find(id)
-                        .ifPresent(peer -> send(peer, state(othersWork, report.allFailing(), WorkScope.OTHERS))));
+                        .ifPresent(peer -> send(
+                                peer,
+                                state(
+                                        othersWork,
+                                        report.allFailing(),
+                                        WorkScope.OTHERS,
+                                        report.observationsWithoutMember().getOrDefault(id, FleetObservations.NONE)))));
         probe(plan, nowMillis);
     }
 
@@ -182,7 +189,9 @@
         links.send(peer.vm(), message);
     }
 
-    private PeerMessage state(Map<String, InFlight> work, List<String> failing, WorkScope scope) {
+    private PeerMessage state(
+            Map<String, InFlight> work, List<String> failing, WorkScope scope, FleetObservations observations) {
+        long nowMillis = clock.millis();
         DirectoryTracker directory = controlState.directory();
         return new RoutingMessage.RoutingState(
                 controlState.configuration().version(),
@@ -194,10 +203,12 @@
                 failing,
                 scope,
                 directory.ownReadStoreMillis(),
-                RoutingMessageMapper.toDrainEntries(controlState.drains(), clock.millis()),
+                RoutingMessageMapper.toDrainEntries(controlState.drains(), nowMillis),
                 directory.leavingToAnnounce(),
                 Math.max(
                         StorePosition.NO_ERA, directory.listVersion().position().era()),
-                controlState.era().eraForPeers());
+                controlState.era().eraForPeers(),
+                ObservationMapper.toDemandEntries(observations),
+                ObservationMapper.toLoadEntries(observations, nowMillis));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReport.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.radishpass.routing.report.FleetObservations;
 
 /**
  * The work in flight and the failing endpoints that the traffic thread reports to other routers.
@@ -11,6 +12,9 @@
  * @param withoutMember for each member, all known work except the member's own, by endpoint
  * @param failing the endpoints that fail too often, as seen by this router or by a member of its group
  * @param allFailing the endpoints that fail too often, as seen by any router
+ * @param ownObservations this router's own observations
+ * @param groupObservations the observations of this router and of the members of its group
+ * @param observationsWithoutMember for each member, the observations of all routers without the member's own demand
  * @since 0.3.0
  */
 public record WorkReport(
@@ -18,4 +22,7 @@
         Map<String, InFlight> group,
         Map<String, Map<String, InFlight>> withoutMember,
         List<String> failing,
-        List<String> allFailing) {}
+        List<String> allFailing,
+        FleetObservations ownObservations,
+        FleetObservations groupObservations,
+        Map<String, FleetObservations> observationsWithoutMember) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.radishpass.peer.message.WorkScope;
+import org.radishpass.routing.report.FleetObservations;
 
 /**
  * Interface of the traffic thread to the control thread for exchanging reports of the work in flight with peers.
@@ -18,8 +19,14 @@
      * @param scope the routers whose work is reported
      * @param work the work by endpoint
      * @param failing the endpoints that fail too often
+     * @param observations the demand and the loads of endpoints that are reported
      */
-    void recordPeerReport(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing);
+    void recordPeerReport(
+            String peerId,
+            WorkScope scope,
+            Map<String, InFlight> work,
+            List<String> failing,
+            FleetObservations observations);
 
     /**
      * Passes a report for other routers to a consumer if the group has other members or if this router's own work has
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -14,6 +14,8 @@
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.report.FleetObservationTracker;
+import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,6 +53,7 @@
     private final EndpointProber prober = new EndpointProber(this);
     private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
     private final Quarantine quarantine;
+    private final FleetObservationTracker observations = new FleetObservationTracker(now -> FleetObservations.NONE);
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final ArrivalQueue arrivalQueue;
     private final HeldArrivals heldArrivals;
@@ -200,6 +203,11 @@
         }
     }
 
+    /** Returns the demand for services and the loads of endpoints that routers report to each other. */
+    FleetObservationTracker observations() {
+        return observations;
+    }
+
     SharedRetryBudget retryBudget() {
         return retryBudget;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -33,6 +33,8 @@
 import org.radishpass.routing.quarantine.SuspectExchange;
 import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
+import org.radishpass.routing.report.FleetObservationTracker;
+import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
 
@@ -183,8 +185,14 @@
     }
 
     @Override
-    public void recordPeerReport(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
+    public void recordPeerReport(
+            String peerId,
+            WorkScope scope,
+            Map<String, InFlight> work,
+            List<String> failing,
+            FleetObservations reported) {
         loop.execute(() -> {
+            context.observations().recordPeerReport(peerId, scope, reported, clock.millis());
             inFlight.recordPeerReport(peerId, scope, work, clock.millis());
             health.recordReportedFailing(failing, scope, clock.millis());
         });
@@ -227,14 +235,23 @@
 
     private WorkReport report(List<String> members) {
         Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
-        members.forEach(id -> withoutMember.put(id, inFlight.workWithout(id)));
+        Map<String, FleetObservations> observationsWithoutMember = new LinkedHashMap<>();
         long nowMillis = clock.millis();
+        FleetObservationTracker observations = context.observations();
+        FleetObservations all = members.isEmpty() ? FleetObservations.NONE : observations.all(nowMillis);
+        members.forEach(id -> {
+            withoutMember.put(id, inFlight.workWithout(id));
+            observationsWithoutMember.put(id, observations.without(all, id));
+        });
         return new WorkReport(
                 inFlight.ownWork(),
                 inFlight.groupWork(),
                 withoutMember,
                 health.failingInGroup(nowMillis),
-                health.failing(nowMillis));
+                health.failing(nowMillis),
+                observations.own(nowMillis),
+                observations.group(nowMillis),
+                observationsWithoutMember);
     }
 
     /**
@@ -289,6 +306,7 @@
         RoutingView view = views.get();
         long nowMillis = clock.millis();
         inFlight.removeExpiredReports(nowMillis);
+        context.observations().removeExpiredReports(nowMillis);
         connections.closeUnusable(view.directory());
         health.retain(view.directory());
         signals.retain(view.directory());
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -159,7 +159,9 @@
                             List.of(),
                             tracker.leavingToAnnounce(),
                             version.position().era(),
-                            version.position().era()));
+                            version.position().era(),
+                            List.of(),
+                            List.of()));
         }
 
         /** Receives a message, and the sender's list if that is newer. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreReadScopeTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreReadScopeTest.java
@@ -31,7 +31,21 @@
     void aListFromAnotherPeerDoesNotCountAsOwnRead() {
         Peer peer = new Peer(FleetRouter.unlocated(new Address("10.0.0.1", 7_340)), 0);
         RoutingMessage.RoutingState state = new RoutingMessage.RoutingState(
-                1, 1, List.of(), 0, 9_900, true, List.of(), WorkScope.GROUP, 1_000, List.of(), List.of(), 1, 1);
+                1,
+                1,
+                List.of(),
+                0,
+                9_900,
+                true,
+                List.of(),
+                WorkScope.GROUP,
+                1_000,
+                List.of(),
+                List.of(),
+                1,
+                1,
+                List.of(),
+                List.of());
         peer.recordState(state, RoutingMessageMapper.toListVersion(state, new StoreEra()), 10_000);
         assertThat(peer.listVersion().storeMillis()).isEqualTo(9_900);
         assertThat(peer.ownReadStoreMillis()).isEqualTo(1_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -30,6 +30,7 @@
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
+import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.testing.VirtualProcess;
 import org.radishpass.runtime.thread.ControlThread;
 import reactor.core.publisher.Mono;
@@ -297,7 +298,12 @@
         }
 
         @Override
-        public void recordPeerReport(String peerId, WorkScope scope, Map<String, InFlight> work, List<String> failing) {
+        public void recordPeerReport(
+                String peerId,
+                WorkScope scope,
+                Map<String, InFlight> work,
+                List<String> failing,
+                FleetObservations observations) {
             inFlight.recordPeerReport(peerId, scope, work, fleet.scheduler().millis());
         }
 
@@ -307,8 +313,15 @@
             if (changed || always || !members.isEmpty()) {
                 Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
                 members.forEach(id -> withoutMember.put(id, inFlight.workWithout(id)));
-                taker.accept(
-                        new WorkReport(inFlight.ownWork(), inFlight.groupWork(), withoutMember, List.of(), List.of()));
+                taker.accept(new WorkReport(
+                        inFlight.ownWork(),
+                        inFlight.groupWork(),
+                        withoutMember,
+                        List.of(),
+                        List.of(),
+                        FleetObservations.NONE,
+                        FleetObservations.NONE,
+                        Map.of()));
             }
         }
     }
