A configuration that was read slowly counts as outdated until the store has nothing newer

Cause: a router that starts reads the whole configuration. On 0.12 of a core and 10 Mbit/s, while 20 versions of 1,500 routes are accepted within seconds, the read of front-kumamoto-3 took 4.8 s: version 32 came into force at 34.84 s while 41 was in force elsewhere, and 0.4 s later a request for a route that had been added by version 36 got 404 (rule CONFIG, bound 3,000 ms). Change: a full read of more than 1 s from request to force is followed by requests for anything newer, until one of them takes less than 1 s. Until then denials are answered 503 in place of 401 and 404, as while a peer's newer version is awaited, for 10 s at most. ConfigurationFollowerTest (2 tests new), ConfigurationTrackerTest, StoreRestoreTest, DocumentDistributionTest, NewerConfigurationTest pass.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationFollower.java
@@ -28,6 +28,12 @@
      */
     private static final long SLOW_TRANSFER_MILLIS = 400;
 
+    /**
+     * Milliseconds from the start of a full read until its result is in force from which newer versions may have been
+     * accepted meanwhile, so that the store is asked again. A third of the time within which a change must be in force.
+     */
+    private static final long MAX_UNCONFIRMED_READ_MILLIS = 1_000;
+
     /**
      * Largest accepted ratio between the size of a long-poll response and that of the last document read in full. The
      * factor leaves room for one version with some more routes. A larger response contains several versions, of which
@@ -48,6 +54,7 @@
     private boolean checkInProgress;
     private StorePosition position = StorePosition.NONE;
     private long fullReadBytes;
+    private long fullReadRequestedAtMillis;
     private long fullReadStartedAtMillis;
     private long fullReadMillis;
     private boolean fullReadNeeded = true;
@@ -157,10 +164,35 @@
         }
     }
 
+    /**
+     * Asks the store whether a newer configuration exists, until a response arrives soon enough to rely on. A router
+     * that starts while configurations change in quick succession may need seconds to read a large one.
+     */
+    private void confirm() {
+        long requestedAtMillis = clock.millis();
+        source.configurationAfter(position, Duration.ZERO, bytes -> {})
+                .publishOn(thread.scheduler())
+                .subscribe(result -> {
+                    apply(result);
+                    if (result instanceof ConfigurationReadResult.Unavailable) {
+                        thread.scheduleAfter(retryBackoff.next(), this::confirm);
+                    } else if (result instanceof ConfigurationReadResult.HistoryLost) {
+                        restartLongPoll();
+                    } else if (clock.millis() - requestedAtMillis > MAX_UNCONFIRMED_READ_MILLIS) {
+                        confirm();
+                    } else {
+                        listener.configurationConfirmed();
+                    }
+                });
+    }
+
     private void sendRequest() {
         state = State.WAITING;
         int number = ++latestRequestNumber;
         boolean fullRead = fullReadNeeded;
+        if (fullRead) {
+            fullReadRequestedAtMillis = clock.millis();
+        }
         LongConsumer onResponseStart = bytes -> thread.run(() -> responseStarted(number, bytes));
         request.update((fullRead
                         ? source.configuration(onResponseStart)
@@ -207,7 +239,15 @@
         } else {
             historyLost = false;
         }
+        if (fullRead) {
+            listener.configurationUnconfirmed();
+        }
         apply(result);
+        if (fullRead && clock.millis() - fullReadRequestedAtMillis <= MAX_UNCONFIRMED_READ_MILLIS) {
+            listener.configurationConfirmed();
+        } else if (fullRead) {
+            confirm();
+        }
         if (historyLostAgain) {
             pauseFor(retryBackoff.next());
         } else {
@@ -267,5 +307,11 @@
 
         /** Called with a configuration document that the store returned. */
         void configurationRead(byte[] content);
+
+        /** Called before a configuration that was read in full, and that may be outdated, is passed on. */
+        void configurationUnconfirmed();
+
+        /** Called when the store had no newer configuration a short time ago. */
+        void configurationConfirmed();
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
@@ -22,6 +22,7 @@
     private final ConfigurationDecoder decoder;
     private long newestAnnouncedVersion = -1;
     private long newerExpectedUntilMillis = Long.MIN_VALUE;
+    private long unconfirmedUntilMillis = Long.MIN_VALUE;
     private @Nullable RoutingConfiguration current;
     private final DocumentHistory documents = new DocumentHistory();
 
@@ -52,11 +53,34 @@
     }
 
     /**
-     * Returns until when an announced newer configuration is expected to arrive, on the monotonic clock in
-     * milliseconds; {@link Long#MIN_VALUE} if no newer version has been announced.
+     * Records that a configuration is about to come into force that was read so slowly that newer versions may have been
+     * accepted meanwhile.
+     *
+     * @param nowMillis the current time on the monotonic clock, in milliseconds
+     */
+    void noteUnconfirmed(long nowMillis) {
+        unconfirmedUntilMillis = nowMillis + ANNOUNCED_VERSION_TIMEOUT_MILLIS;
+    }
+
+    /**
+     * Records that the store has confirmed that no newer configuration exists.
+     *
+     * @return whether this was unknown before
+     */
+    boolean noteConfirmed() {
+        boolean unconfirmed = unconfirmedUntilMillis != Long.MIN_VALUE;
+        unconfirmedUntilMillis = Long.MIN_VALUE;
+        return unconfirmed;
+    }
+
+    /**
+     * Returns until when a newer configuration is expected to arrive, because a peer has announced it or because the
+     * configuration in force has not been confirmed, on the monotonic clock in milliseconds; {@link Long#MIN_VALUE} if
+     * none is expected.
      */
     long newerExpectedUntilMillis() {
-        return newestAnnouncedVersion > version() ? newerExpectedUntilMillis : Long.MIN_VALUE;
+        long announced = newestAnnouncedVersion > version() ? newerExpectedUntilMillis : Long.MIN_VALUE;
+        return Math.max(announced, unconfirmedUntilMillis);
     }
 
     /** Returns the version in force; -1 before the first configuration. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -138,6 +138,18 @@
             offer(content, "store");
         }
 
+        @Override
+        public void configurationUnconfirmed() {
+            configuration.noteUnconfirmed(clock.millis());
+        }
+
+        @Override
+        public void configurationConfirmed() {
+            if (configuration.noteConfirmed()) {
+                listener.receivingChanged();
+            }
+        }
+
         @Override
         public void receivingChanged() {
             if (configuration.version() < 0) {
@@ -173,7 +185,10 @@
 
     /** Receives changes of what was read from the store; called on the control thread. */
     interface Listener {
-        /** Called when the first configuration starts to arrive from the store, and when a request for it fails. */
+        /**
+         * Called when the first configuration starts to arrive from the store, when a request for it fails, and when a
+         * configuration has been confirmed.
+         */
         void receivingChanged();
 
         /** Called with the data-centre drains that a response of the store reports. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -38,6 +38,7 @@
     private final ConfigurationFollower follower =
             new ConfigurationFollower(new ControlThread(scheduler), scheduler::millis, source, new RecordingListener());
     private boolean readsConfiguration = true;
+    private boolean confirmed;
 
     @Test
     void fullReadIsFollowedByALongPoll() {
@@ -78,6 +79,39 @@
         assertThat(source.next().full).isFalse();
     }
 
+    @Test
+    void aFullReadInAShortTimeNeedsNoConfirmation() {
+        startAndReadFull();
+        assertThat(confirmed).isTrue();
+    }
+
+    /**
+     * Guards against denials by an outdated configuration: a starting router read a configuration for 4.8 s while newer
+     * ones were accepted, and answered 404 for a route that had been added in the meantime.
+     */
+    @Test
+    void aSlowFullReadCountsAsOutdatedUntilTheStoreHasNothingNewer() {
+        readsConfiguration = false;
+        follower.start();
+        scheduler.advance(ONE_MILLISECOND);
+        Request fullRead = source.next();
+        startResponse(fullRead, DOCUMENT_BYTES);
+        scheduler.advance(Duration.ofMillis(4_800));
+        respond(fullRead, 7, "1");
+        assertThat(published).containsExactly("1");
+        assertThat(confirmed).isFalse();
+
+        Request slowCheck = source.next();
+        scheduler.advance(Duration.ofMillis(1_500));
+        respond(slowCheck, 8, "2");
+        assertThat(published).containsExactly("1", "2").inOrder();
+        assertThat(confirmed).isFalse();
+
+        respond(source.next(), 9, "3");
+        assertThat(published).containsExactly("1", "2", "3").inOrder();
+        assertThat(confirmed).isTrue();
+    }
+
     @Test
     void firstLongPollAfterASlowFullReadEndsWithTheResponsibility() {
         follower.start();
@@ -353,6 +387,16 @@
             // irrelevant to these tests
         }
 
+        @Override
+        public void configurationUnconfirmed() {
+            confirmed = false;
+        }
+
+        @Override
+        public void configurationConfirmed() {
+            confirmed = true;
+        }
+
         @Override
         public void configurationRead(byte[] content) {
             published.add(new String(content, StandardCharsets.UTF_8));
