Placement does not search all endpoints several times per request

Cause: for each request the filter, the health checks and the cold start limits built up to ten lists over all endpoints, with streams and several map look-ups for each endpoint, although in most cases nothing was excluded.

Change: EndpointFilter is kept for as long as the view is the same and computes once what depends on the view alone (drained data centres, allowed regions). EndpointHealthTracker knows the endpoints that may be down, possibly unreachable or failing; while there are none, no list is searched. The same holds for backoffs, leaving endpoints and cold starts. Lists are returned uncopied where nothing is excluded. The fingerprint in the log line is written without a format string.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointBackoffs.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointBackoffs.java
@@ -80,6 +80,15 @@
         return backoff == null || (nowMillis >= backoff.untilMillis && backoff.unanswered < backoff.window);
     }
 
+    /**
+     * Tells whether no endpoint is in backoff or recovering from one.
+     *
+     * @since 0.8.0
+     */
+    public boolean none() {
+        return byEndpoint.isEmpty();
+    }
+
     /**
      * Tells whether an endpoint is in backoff or has not recovered from one yet.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -42,8 +42,9 @@
      */
     private static final long DISCONNECTED_AGE_MILLIS = 10_000;
 
-    private static final long NEVER = Long.MIN_VALUE / 2;
+    static final long NEVER = Long.MIN_VALUE / 2;
 
+    private final ImpairedEndpoints impairedEndpoints;
     private double errorRate;
     private int consecutiveSlowResponses;
     private long failingLocallyUntilMillis = Long.MIN_VALUE;
@@ -63,7 +64,23 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public EndpointHealth(long nowMillis) {
+        this(nowMillis, new ImpairedEndpoints());
+    }
+
+    /**
+     * Creates the health of an endpoint without any observation so far.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @param impairedEndpoints the set to which this object adds itself whenever it may have become impaired
+     */
+    EndpointHealth(long nowMillis, ImpairedEndpoints impairedEndpoints) {
         this.bytesReceivedAtMillis = nowMillis;
+        this.impairedEndpoints = impairedEndpoints;
+    }
+
+    /** Tells whether the endpoint is down, possibly unreachable or failing. */
+    boolean impaired(long nowMillis) {
+        return down || possiblyUnreachable || failing(nowMillis);
     }
 
     /** Records that a connection to the endpoint was established. */
@@ -85,6 +102,7 @@
         boolean wasUp = !down;
         unreachableAtMillis = nowMillis;
         down = true;
+        impairedEndpoints.unreachable(this, nowMillis);
         possiblyUnreachable = false;
         probeInProgress = false;
         probeAtMillis = nowMillis + retryDelayMillis;
@@ -113,6 +131,7 @@
     /** Marks the endpoint as possibly unreachable, because others are, while its connection is being checked. */
     public void markPossiblyUnreachable() {
         possiblyUnreachable = true;
+        impairedEndpoints.add(this);
     }
 
     /** Tells whether the endpoint is possibly unreachable and its connection is being checked. */
@@ -141,6 +160,7 @@
             return false;
         }
         failingLocallyUntilMillis = nowMillis + EJECTION_MILLIS;
+        impairedEndpoints.add(this);
         errorRate = ERROR_RATE_AFTER_EJECTION;
         return true;
     }
@@ -162,6 +182,7 @@
             return false;
         }
         failingLocallyUntilMillis = nowMillis + EJECTION_MILLIS;
+        impairedEndpoints.add(this);
         consecutiveSlowResponses = EJECTION_SLOW_RESPONSES - 1;
         return true;
     }
@@ -174,6 +195,7 @@
      */
     public void recordReportedFailing(WorkScope scope, long untilMillis) {
         reportedFailingUntilMillis = Math.max(reportedFailingUntilMillis, untilMillis);
+        impairedEndpoints.add(this);
         if (!scope.sentByGatherer()) {
             memberReportedFailingUntilMillis = Math.max(memberReportedFailingUntilMillis, untilMillis);
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealthTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealthTracker.java
@@ -28,6 +28,8 @@
 
     private final Map<String, EndpointHealth> byEndpoint = new HashMap<>();
 
+    private final ImpairedEndpoints impaired = new ImpairedEndpoints();
+
     /**
      * Returns the health of an endpoint.
      *
@@ -35,7 +37,33 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public EndpointHealth of(String endpointId, long nowMillis) {
-        return byEndpoint.computeIfAbsent(endpointId, id -> new EndpointHealth(nowMillis));
+        EndpointHealth known = byEndpoint.get(endpointId);
+        if (known != null) {
+            return known;
+        }
+        EndpointHealth created = new EndpointHealth(nowMillis, impaired);
+        byEndpoint.put(endpointId, created);
+        return created;
+    }
+
+    /**
+     * Tells whether every known endpoint is reachable and not failing.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.8.0
+     */
+    public boolean allHealthy(long nowMillis) {
+        return impaired.none(nowMillis);
+    }
+
+    /**
+     * Returns when a connection to any endpoint last failed, on the monotonic clock in milliseconds; a time long ago if
+     * none failed.
+     *
+     * @since 0.8.0
+     */
+    public long lastUnreachableAtMillis() {
+        return impaired.lastUnreachableAtMillis();
     }
 
     /**
@@ -46,6 +74,9 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public List<ServiceEndpoint> usable(List<ServiceEndpoint> accepting, long nowMillis) {
+        if (allHealthy(nowMillis)) {
+            return accepting;
+        }
         List<ServiceEndpoint> reachable = likelyReachable(accepting, nowMillis);
         if (reachable.isEmpty()) {
             return accepting;
@@ -62,6 +93,9 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public boolean mostlyUnhealthy(List<ServiceEndpoint> accepting, long nowMillis) {
+        if (allHealthy(nowMillis)) {
+            return false;
+        }
         return tooFew(notFailing(reachable(accepting, nowMillis), nowMillis), accepting);
     }
 
@@ -82,20 +116,23 @@
     /** Returns the endpoints that are not down, without those possibly unreachable unless there are no others. */
     private List<ServiceEndpoint> likelyReachable(List<ServiceEndpoint> accepting, long nowMillis) {
         List<ServiceEndpoint> reachable = reachable(accepting, nowMillis);
-        List<ServiceEndpoint> likely = reachable.stream()
-                .filter(endpoint -> !of(endpoint.id(), nowMillis).possiblyUnreachable())
-                .toList();
+        List<ServiceEndpoint> likely = new ArrayList<>(reachable.size());
+        for (ServiceEndpoint endpoint : reachable) {
+            if (!of(endpoint.id(), nowMillis).possiblyUnreachable()) {
+                likely.add(endpoint);
+            }
+        }
         return likely.isEmpty() ? reachable : likely;
     }
 
     /** Returns the ids of the endpoints that are failing according to this router or to a member of its group. */
     public List<String> failingInGroup(long nowMillis) {
-        return idsOf(health -> health.failingInGroup(nowMillis));
+        return allHealthy(nowMillis) ? List.of() : idsOf(health -> health.failingInGroup(nowMillis));
     }
 
     /** Returns the ids of the endpoints that are failing according to this router or to any report of a peer. */
     public List<String> failing(long nowMillis) {
-        return idsOf(health -> health.failing(nowMillis));
+        return allHealthy(nowMillis) ? List.of() : idsOf(health -> health.failing(nowMillis));
     }
 
     private List<String> idsOf(Predicate<EndpointHealth> wanted) {
@@ -123,9 +160,16 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public List<ServiceEndpoint> reachable(List<ServiceEndpoint> endpoints, long nowMillis) {
-        return endpoints.stream()
-                .filter(endpoint -> !of(endpoint.id(), nowMillis).down())
-                .toList();
+        if (allHealthy(nowMillis)) {
+            return endpoints;
+        }
+        List<ServiceEndpoint> reachable = new ArrayList<>(endpoints.size());
+        for (ServiceEndpoint endpoint : endpoints) {
+            if (!of(endpoint.id(), nowMillis).down()) {
+                reachable.add(endpoint);
+            }
+        }
+        return reachable;
     }
 
     /**
@@ -136,9 +180,12 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public List<ServiceEndpoint> recentlyActive(List<ServiceEndpoint> endpoints, long withinMillis, long nowMillis) {
-        List<ServiceEndpoint> active = endpoints.stream()
-                .filter(endpoint -> nowMillis - of(endpoint.id(), nowMillis).bytesReceivedAtMillis() <= withinMillis)
-                .toList();
+        List<ServiceEndpoint> active = new ArrayList<>(endpoints.size());
+        for (ServiceEndpoint endpoint : endpoints) {
+            if (nowMillis - of(endpoint.id(), nowMillis).bytesReceivedAtMillis() <= withinMillis) {
+                active.add(endpoint);
+            }
+        }
         return active.isEmpty() ? endpoints : active;
     }
 
@@ -148,6 +195,12 @@
      * @param directory the current endpoints
      */
     public void retain(EndpointDirectory directory) {
-        byEndpoint.keySet().removeIf(id -> directory.find(id).isEmpty());
+        byEndpoint.entrySet().removeIf(entry -> {
+            boolean unlisted = directory.find(entry.getKey()).isEmpty();
+            if (unlisted) {
+                impaired.remove(entry.getValue());
+            }
+            return unlisted;
+        });
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFingerprint.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFingerprint.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /**
  * Identifies equal requests, whichever router receives them and whatever request id they have: requests of the same
@@ -73,10 +74,11 @@
     /** Returns a shortened form for logs. */
     @Override
     public String toString() {
-        return "%08x-%08x-%08x".formatted(loggedBits(workspace), loggedBits(target), loggedBits(body));
+        return loggedBits(workspace) + '-' + loggedBits(target) + '-' + loggedBits(body);
     }
 
-    private static long loggedBits(long part) {
-        return part >>> LOGGED_BITS;
+    /** Returns eight hexadecimal digits. A format string takes much longer in a process that has just started. */
+    private static String loggedBits(long part) {
+        return HexFormat.of().toHexDigits((int) (part >>> LOGGED_BITS));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ColdEndpointGuard.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ColdEndpointGuard.java
@@ -40,7 +40,7 @@
     /** Returns the candidates that may receive a request now. */
     List<ServiceEndpoint> admitted(List<ServiceEndpoint> candidates, RequestTerms terms, long nowMillis) {
         ColdStart coldStart = terms.coldStart();
-        if (coldStart == null) {
+        if (coldStart == null || noneCold(coldStart, nowMillis)) {
             return candidates;
         }
         List<ServiceEndpoint> warm = warm(candidates, coldStart, nowMillis);
@@ -87,6 +87,12 @@
         return shares.admits(endpoint, coldStart, context.view().members(), nowMillis);
     }
 
+    /** Tells whether no endpoint is listed as cold, and none has failed so recently that it may have become cold. */
+    private boolean noneCold(ColdStart coldStart, long nowMillis) {
+        return context.view().eligibility().coldUntilMillis().isEmpty()
+                && nowMillis - context.health().lastUnreachableAtMillis() >= ENTRY_LAG_MILLIS + coldStart.millis();
+    }
+
     private List<ServiceEndpoint> warm(List<ServiceEndpoint> candidates, ColdStart coldStart, long nowMillis) {
         List<ServiceEndpoint> warm = new ArrayList<>(candidates.size());
         List<ServiceEndpoint> suspected = new ArrayList<>();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
@@ -1,30 +1,48 @@
 package org.radishpass.routing.traffic;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
+import org.radishpass.routing.config.Workspace;
 import org.radishpass.routing.fleet.EndpointEligibility;
+import org.radishpass.routing.fleet.Region;
+import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 
 /**
  * Selects the endpoints that a request may be sent to, by the configuration and by what the endpoints have stated in
  * their responses. First attempts, retries, resumed streams and cache transfers all use this filter.
+ *
+ * <p>What depends on the view alone is computed once for each view. A list that needs no further selection is returned
+ * as it is, so callers must not modify the returned lists. Confined to the traffic event loop.
  */
 final class EndpointFilter {
     private final RoutingView view;
     private final EndpointSignals signals;
+    private final Map<Restriction, List<ServiceEndpoint>> permitted = new HashMap<>();
+    private final Map<Restriction, List<ServiceEndpoint>> inRegion = new HashMap<>();
 
     EndpointFilter(RoutingView view, EndpointSignals signals) {
         this.view = view;
         this.signals = signals;
     }
 
+    /** Tells whether this filter selects from the given view. */
+    @SuppressWarnings(
+            "ReferenceEquality") // a view is a snapshot; comparing its contents would take longer than a new filter
+    boolean selectsFrom(RoutingView other) {
+        return view == other;
+    }
+
     /**
      * Returns the endpoints of a service that are not leaving, including those that receive no requests now for another
      * reason.
      */
     List<ServiceEndpoint> notLeaving(String service) {
-        return select(view.directory().accepting(service), endpoint -> !leaving(endpoint));
+        return withoutLeaving(view.directory().accepting(service));
     }
 
     /**
@@ -44,22 +62,29 @@
      * request.
      */
     List<ServiceEndpoint> eligible(String service) {
-        return select(notLeaving(service), endpoint -> notDrained(endpoint) && signals.admits(endpoint));
+        return admitting(withoutLeaving(permitted(Restriction.none(service))));
     }
 
     /** Returns the endpoints that the request may be sent to now. */
     List<ServiceEndpoint> eligible(RequestTerms terms) {
-        return select(notLeaving(terms.service()), endpoint -> mayRun(terms, endpoint) && signals.admits(endpoint));
+        return admitting(withoutLeaving(permitted(Restriction.of(terms))));
     }
 
     /** Returns the endpoints that the request could be sent to if they were not in backoff. */
     List<ServiceEndpoint> inBackoff(RequestTerms terms) {
-        return select(notLeaving(terms.service()), endpoint -> mayRun(terms, endpoint) && !signals.admits(endpoint));
+        if (signals.admitsAll()) {
+            return List.of();
+        }
+        return select(withoutLeaving(permitted(Restriction.of(terms))), endpoint -> !signals.admits(endpoint));
     }
 
     /** Returns the endpoints whose caches may be read for the request, including those that accept no new requests. */
     List<ServiceEndpoint> cacheSources(RequestTerms terms) {
-        return select(view.directory().all(terms.service()), endpoint -> inAllowedRegion(terms, endpoint));
+        return inRegion.computeIfAbsent(
+                Restriction.of(terms),
+                restriction -> select(
+                        view.directory().all(restriction.service()),
+                        endpoint -> restriction.permits(endpoint, eligibility().regions())));
     }
 
     /** Tells whether the request may still be sent to an endpoint that was chosen earlier. */
@@ -70,6 +95,27 @@
                 .isPresent();
     }
 
+    /** Returns the listed endpoints of a service that the configuration and the operator permit. */
+    private List<ServiceEndpoint> permitted(Restriction restriction) {
+        return permitted.computeIfAbsent(
+                restriction,
+                key -> select(
+                        view.directory().accepting(key.service()),
+                        endpoint -> notDrained(endpoint)
+                                && key.permits(endpoint, eligibility().regions())));
+    }
+
+    private List<ServiceEndpoint> withoutLeaving(List<ServiceEndpoint> listed) {
+        if (signals.leaving().size() == 0) {
+            return listed;
+        }
+        return select(listed, endpoint -> !signals.leaving().contains(endpoint.id()));
+    }
+
+    private List<ServiceEndpoint> admitting(List<ServiceEndpoint> endpoints) {
+        return signals.admitsAll() ? endpoints : select(endpoints, signals::admits);
+    }
+
     private boolean mayRun(RequestTerms terms, ServiceEndpoint endpoint) {
         return notDrained(endpoint) && inAllowedRegion(terms, endpoint);
     }
@@ -95,4 +141,30 @@
         }
         return selected;
     }
+
+    /**
+     * The restrictions that the configuration puts on the endpoints of a request.
+     *
+     * @param service the service that serves the request
+     * @param byRoute the regions that the route allows; empty if it allows all
+     * @param byWorkspace the regions that the workspace allows; empty if it allows all
+     */
+    private record Restriction(String service, Set<Region> byRoute, Set<Region> byWorkspace) {
+        private static Restriction none(String service) {
+            return new Restriction(service, Set.of(), Set.of());
+        }
+
+        private static Restriction of(RequestTerms terms) {
+            Workspace workspace = terms.workspaceSpec();
+            return new Restriction(
+                    terms.service(),
+                    terms.route().allowedRegions(),
+                    workspace == null ? Set.of() : workspace.allowedRegions());
+        }
+
+        private boolean permits(ServiceEndpoint endpoint, RegionMap regions) {
+            return regions.inAllowedRegion(endpoint.dataCentre(), byRoute)
+                    && regions.inAllowedRegion(endpoint.dataCentre(), byWorkspace);
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointSignals.java
@@ -93,6 +93,11 @@
         return backoffs.admits(endpoint.id(), clock.millis());
     }
 
+    /** Tells whether no endpoint is in backoff or recovering from one, so that all accept new requests. */
+    boolean admitsAll() {
+        return backoffs.none();
+    }
+
     /**
      * Records that a request is being sent.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestPlacer.java
@@ -80,11 +80,14 @@
      * @param tried the endpoints that the request was sent to before
      */
     OptionalLong earliestBackoffEnd(RequestTerms terms, List<String> tried) {
-        return context.filter().inBackoff(terms).stream()
-                .map(ServiceEndpoint::id)
-                .filter(id -> !tried.contains(id))
-                .mapToLong(context.signals().backoffs()::untilMillis)
-                .min();
+        OptionalLong earliest = OptionalLong.empty();
+        for (ServiceEndpoint endpoint : context.filter().inBackoff(terms)) {
+            if (!tried.contains(endpoint.id())) {
+                long endMillis = context.signals().backoffs().untilMillis(endpoint.id());
+                earliest = OptionalLong.of(Math.min(endMillis, earliest.orElse(Long.MAX_VALUE)));
+            }
+        }
+        return earliest;
     }
 
     /**
@@ -118,8 +121,11 @@
         long nowMillis = context.nowMillis();
         EndpointFilter filter = context.filter();
         List<ServiceEndpoint> candidates =
-                new ArrayList<>(context.coldGuard().admitted(usable(filter, terms, nowMillis), terms, nowMillis));
-        candidates.removeIf(endpoint -> tried.contains(endpoint.id()));
+                context.coldGuard().admitted(usable(filter, terms, nowMillis), terms, nowMillis);
+        if (!tried.isEmpty()) {
+            candidates = new ArrayList<>(candidates);
+            candidates.removeIf(endpoint -> tried.contains(endpoint.id()));
+        }
         if (sentBefore) {
             candidates = context.health().recentlyActive(candidates, RECENT_ACTIVITY_MILLIS, nowMillis);
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealthTracker;
@@ -58,6 +59,7 @@
     private final ArrivalQueue arrivalQueue;
     private final HeldArrivals heldArrivals;
     private final BackoffQueue backoffQueue;
+    private @Nullable EndpointFilter currentFilter;
     private boolean stopping;
     private boolean refusingNew;
     private boolean stopped;
@@ -155,7 +157,13 @@
 
     /** Returns a filter for the endpoints that requests may be sent to now. */
     EndpointFilter filter() {
-        return new EndpointFilter(view(), signals);
+        RoutingView current = view();
+        EndpointFilter known = currentFilter;
+        if (known == null || !known.selectsFrom(current)) {
+            known = new EndpointFilter(current, signals);
+            currentFilter = known;
+        }
+        return known;
     }
 
     /** Returns what endpoints have stated about themselves in their responses. */
