Routers keep to their share of max_connections

Cause: nothing enforced max_connections. Endpoints reset surplus connections, which counted as failures: endpoints were considered down or failing while they were only full, and requests that may not be repeated were lost.

Change: package connection decides how many connections a router holds to an endpoint (ConnectionCap, ConnectionShare, RouterCount) and whether a reset is attributed to the cap (ConnectionReset). EndpointPool counts idle, busy and connecting ones; when the share is in use, a request takes an idle connection, replaces an idle one, waits for up to a quarter of its latency target, is placed elsewhere, or is refused with 503 as not run. A reset by the cap halves the share for a while and counts neither as a failure nor as unreachability. Off without a configured max_connections.

Before an idle connection is reused, its socket is read, so that a close or reset which is already waiting costs no request. A refused connection no longer causes probes of all other endpoints, since the machine has answered. The search for silent endpoints goes over the requests in progress instead of all endpoints times all requests. Metrics count connections opened, reused, refused by the share and reset by the cap.

Not measured: new connections per request on the deployments.

--- a/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/LayerTest.java
@@ -114,6 +114,7 @@
                 .resideInAnyPackage(
                         "org.radishpass.routing.admission..",
                         "org.radishpass.routing.config..",
+                        "org.radishpass.routing.connection..",
                         "org.radishpass.routing.fairness..",
                         "org.radishpass.routing.fleet..",
                         "org.radishpass.routing.handover..",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -143,6 +143,16 @@
         owner.unreachable(this);
     }
 
+    @Override
+    public void shareUsedUp() {
+        if (ended) {
+            return;
+        }
+        markEnded();
+        record.attemptEnded("this router's share of the endpoint's connections is in use");
+        owner.noConnectionFree(this);
+    }
+
     @Override
     public void head(HttpResponse response, ResponseHead head) {
         status = head.status();
@@ -194,16 +204,27 @@
     @Override
     public void failed(String cause) {
         markEnded();
-        if (!idleConnectionWasClosed()) {
-            recordFailure();
-        }
         long nowMillis = context.nowMillis();
-        health().disconnected(nowMillis);
+        if (!wasResetByCap()) {
+            if (!idleConnectionWasClosed()) {
+                recordFailure();
+            }
+            health().disconnected(nowMillis);
+        }
         context.exitDetector().responseFailed(endpoint, record.fingerprint(), nowMillis - sentAtMillis, nowMillis);
         context.prober().probe(endpoint);
         owner.responseFailed(this, cause);
     }
 
+    /**
+     * Tells whether the endpoint most likely reset the connection because it held as many connections as it accepts.
+     * The failed response is still passed to the exit detector, which reports nothing unless the endpoint also refuses
+     * connections, and that shows that its process has exited.
+     */
+    private boolean wasResetByCap() {
+        return connection != null && connection.resetByCap();
+    }
+
     private void recordFailure() {
         if (health().failed(context.nowMillis())) {
             context.requestLog().endpointFailing(endpoint);
@@ -238,6 +259,12 @@
         /** Called when no connection could be established. Nothing was sent. */
         void unreachable(Attempt attempt);
 
+        /**
+         * Called when this router holds as many connections to the endpoint as it may, and none became idle in time.
+         * Nothing was sent.
+         */
+        void noConnectionFree(Attempt attempt);
+
         /** Called when the response is overdue compared with the usual response time of the route. */
         void overdue(Attempt attempt);
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectFailure.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectFailure.java
@@ -1,5 +1,6 @@
 package org.radishpass.routing.traffic;
 
+import java.io.IOException;
 import java.net.ConnectException;
 
 /**
@@ -8,12 +9,20 @@
  * @param cause a human-readable description
  * @param refused whether the machine of the endpoint refused the connection, which means that the process has exited
  *     and is not merely unreachable
+ * @param reset whether the connection was reset while it was being established: the endpoint is running, and may hold
+ *     as many connections as it accepts
  */
-record ConnectFailure(String cause, boolean refused) {
+record ConnectFailure(String cause, boolean refused, boolean reset) {
     static ConnectFailure of(Throwable cause) {
         boolean timedOut = cause instanceof io.netty.channel.ConnectTimeoutException;
         boolean refused = cause instanceof ConnectException && !timedOut && isRefusal(cause);
-        return new ConnectFailure(String.valueOf(cause), refused);
+        return new ConnectFailure(String.valueOf(cause), refused, isReset(cause));
+    }
+
+    /** Tells whether an error of a connection means that the other side has reset it. */
+    static boolean isReset(Throwable cause) {
+        String message = String.valueOf(cause.getMessage());
+        return cause instanceof IOException && (message.contains("reset") || message.contains("Broken pipe"));
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectionCallback.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectionCallback.java
@@ -7,4 +7,10 @@
 
     /** Called when no connection could be established. Nothing has been sent. */
     void connectFailed(ConnectFailure failure);
+
+    /**
+     * Called when this router holds as many connections to the endpoint as it may, and none became idle in time.
+     * Nothing has been sent.
+     */
+    void shareUsedUp();
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -32,7 +33,11 @@
     private final Channel channel;
     private @Nullable ResponseListener listener;
     private String requestId = "";
+    private final long establishedAtMillis;
     private boolean usedBefore;
+    private boolean bytesReceived;
+    private boolean reading;
+    private boolean resetByCap;
     private boolean headReceived;
     private boolean skippingResponse;
     private boolean closeAfterResponse;
@@ -43,6 +48,7 @@
     EndpointConnection(EndpointPool pool, Channel channel) {
         this.pool = pool;
         this.channel = channel;
+        this.establishedAtMillis = pool.nowMillis();
     }
 
     ServiceEndpoint endpoint() {
@@ -53,6 +59,25 @@
         return channel.isActive();
     }
 
+    /**
+     * Tells whether the connection is open, by reading from the socket now. The event loop otherwise detects a close or
+     * a reset only in its next iteration, and the request would be lost with the connection.
+     */
+    boolean confirmOpen() {
+        if (!reading && channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return channel.isActive();
+    }
+
+    /**
+     * Tells whether the endpoint has reset the connection most likely because it held as many connections as it
+     * accepts. That is not a failure of the endpoint.
+     */
+    boolean resetByCap() {
+        return resetByCap;
+    }
+
     /** Tells whether the idle connection can carry another request. */
     boolean reusable(long nowMillis) {
         return channel.isActive() && nowMillis < usableUntilMillis;
@@ -80,6 +105,7 @@
         this.closeAfterResponse = false;
         var unused = channel.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
+                checkReset(future.cause());
                 fail("write failed: " + future.cause());
             }
         });
@@ -106,7 +132,14 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        pool.bytesReceived();
+        if (!reading) {
+            reading = true;
+            pool.bytesReceived();
+        }
+        if (!bytesReceived) {
+            bytesReceived = true;
+            pool.accepted();
+        }
         if (listener == null) {
             ReferenceCountUtil.release(message);
             close();
@@ -127,6 +160,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        reading = false;
         if (listener != null) {
             listener.readComplete();
         }
@@ -140,9 +174,16 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        checkReset(cause);
         fail("connection failed: " + cause.getMessage());
     }
 
+    private void checkReset(Throwable cause) {
+        if (channel.isOpen() && !resetByCap && ConnectFailure.isReset(cause)) {
+            resetByCap = pool.resetByCap(!bytesReceived, establishedAtMillis);
+        }
+    }
+
     private void head(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = true;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -16,7 +16,11 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import jdk.net.ExtendedSocketOptions;
+import org.radishpass.routing.connection.ConnectionCap;
+import org.radishpass.routing.connection.RouterCount;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.EndpointDirectory;
@@ -43,15 +47,21 @@
     private static final int MAX_HEADERS = 65_536;
     private static final int MAX_CHUNK = 65_536;
 
+    private final EventLoop loop;
+    private final Supplier<RoutingView> views;
     private final Bootstrap bootstrap;
     private final RequestDialect dialect;
     private final EndpointHealthTracker health;
     private final EndpointSignals signals;
     private final MonotonicClock clock;
     private final Counter opened;
+    private final Counter reused;
+    private final Counter refusedByShare;
+    private final Counter resetByCap;
     private final Counter unmatchedResponses;
     private final Map<String, EndpointPool> pools = new HashMap<>();
     private final Set<String> retired = new HashSet<>();
+    private final RouterCount routerCount = new RouterCount();
 
     EndpointConnections(
             EventLoop loop,
@@ -59,14 +69,22 @@
             EndpointHealthTracker health,
             EndpointSignals signals,
             MonotonicClock clock,
+            Supplier<RoutingView> views,
             MeterRegistry metrics) {
+        this.loop = loop;
+        this.views = views;
         this.dialect = dialect;
         this.health = health;
         this.signals = signals;
         this.clock = clock;
-        this.opened = Counter.builder("radishpass.endpoint.connections.opened")
-                .description("connections made to endpoints")
-                .register(metrics);
+        this.opened = counter("opened", "connections made to endpoints", metrics);
+        this.reused = counter("reused", "requests that were sent on an idle connection to their endpoint", metrics);
+        this.refusedByShare = counter(
+                "refused",
+                "requests that were not sent because this router's share of the endpoint's connections was in use",
+                metrics);
+        this.resetByCap =
+                counter("reset", "connections that endpoints reset, most likely because they held too many", metrics);
         this.unmatchedResponses = Counter.builder("radishpass.endpoint.foreign.answers")
                 .description("answers that belonged to no waiting request and were dropped")
                 .register(metrics);
@@ -102,22 +120,63 @@
                 endpoint.id(), id -> new EndpointPool(this, endpoint, health.of(id, clock.millis())));
     }
 
+    /** Opens a connection that the pool has counted against the router's share. */
     void connect(EndpointPool pool, ConnectionCallback callback) {
         InetSocketAddress address = new InetSocketAddress(
                 pool.endpoint().address().host(), pool.endpoint().address().port());
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
-                callback.connectFailed(ConnectFailure.of(future.cause()));
+                pool.connectFailed(ConnectFailure.of(future.cause()), callback);
                 return;
             }
             opened.increment();
             EndpointConnection connection = new EndpointConnection(pool, connecting.channel());
             connecting.channel().pipeline().addLast(connection);
-            callback.connected(connection);
+            connecting.channel().closeFuture().addListener(closed -> pool.slotFreed());
+            pool.connected(connection, callback);
         });
     }
 
+    /** Returns the cap on the connections to each endpoint of a service. */
+    ConnectionCap cap(String service) {
+        RoutingView view = views.get();
+        int routers = routerCount.update(view.members().count(), clock.millis());
+        return view.configuration()
+                .flatMap(configuration -> configuration.service(service))
+                .map(spec -> new ConnectionCap(spec.maxConnections(), routers))
+                .orElse(ConnectionCap.NONE);
+    }
+
+    /** Tells whether a connection to the endpoint is idle that a request could be sent on. */
+    boolean hasReusable(String endpointId, boolean retryable) {
+        EndpointPool pool = pools.get(endpointId);
+        return pool != null && pool.hasReusable(retryable);
+    }
+
+    /** Runs a task on the event loop after a delay in milliseconds. */
+    void schedule(long millis, Runnable task) {
+        var unused = loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    void countReused() {
+        reused.increment();
+    }
+
+    void countRefusedByShare() {
+        refusedByShare.increment();
+    }
+
+    void countResetByCap() {
+        resetByCap.increment();
+    }
+
+    private static Counter counter(String name, String description, MeterRegistry metrics) {
+        return Counter.builder("radishpass.endpoint.connections." + name)
+                .description(description)
+                .register(metrics);
+    }
+
     /**
      * Closes the idle connections to endpoints that are leaving or no longer listed, and those that the endpoint is
      * about to close.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -2,6 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ConnectionCap;
+import org.radishpass.routing.connection.ConnectionReset;
+import org.radishpass.routing.connection.ConnectionShare;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
@@ -29,10 +33,21 @@
      */
     private static final long RETRYABLE_REUSE_MILLIS = 1_000;
 
+    /** Maximum number of requests that wait for a connection; further requests are placed at other endpoints. */
+    private static final int MAX_WAITING = 8;
+
+    /**
+     * Milliseconds before a new connection is used while the endpoint resets surplus connections; several round trips
+     * within a region.
+     */
+    private static final long SETTLE_MILLIS = 10;
+
     private final EndpointConnections connections;
     private final ServiceEndpoint endpoint;
     private final EndpointHealth health;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
+    private final Deque<ConnectionCallback> waiting = new ArrayDeque<>();
+    private final ConnectionShare share = new ConnectionShare();
 
     EndpointPool(EndpointConnections connections, ServiceEndpoint endpoint, EndpointHealth health) {
         this.connections = connections;
@@ -58,25 +73,134 @@
     }
 
     /**
-     * Provides a connection, preferably an idle one.
+     * Provides a connection, preferably an idle one. If this router holds as many connections as it may, waits until
+     * one becomes idle.
      *
      * @param retryable whether the request can be sent again if the endpoint closes the idle connection meanwhile
+     * @param waitUntilMillis until when to wait, on the monotonic clock in milliseconds
      * @param callback receives the connection, or the reason why there is none
      */
-    void acquire(boolean retryable, ConnectionCallback callback) {
+    void acquire(boolean retryable, long waitUntilMillis, ConnectionCallback callback) {
         long nowMillis = nowMillis();
-        if (!mayReuse(retryable, nowMillis)) {
+        EndpointConnection reusable = mayReuse(retryable, nowMillis) ? pollReusable(nowMillis) : null;
+        if (reusable != null) {
+            connections.countReused();
+            callback.connected(reusable);
+        } else {
+            connect(waitUntilMillis, callback);
+        }
+    }
+
+    /**
+     * Opens a new connection, which proves that the endpoint is reachable. If this router holds as many connections as
+     * it may, closes an idle one, or else waits until one becomes idle.
+     *
+     * @param waitUntilMillis until when to wait, on the monotonic clock in milliseconds
+     * @param callback receives the connection, or the reason why there is none
+     */
+    void connect(long waitUntilMillis, ConnectionCallback callback) {
+        long nowMillis = nowMillis();
+        if (share.tryOpen(cap(), nowMillis)) {
             connections.connect(this, callback);
-            return;
+        } else if (share.paused(nowMillis) || waiting.size() >= MAX_WAITING || waitUntilMillis <= nowMillis) {
+            refuse(callback);
+        } else {
+            waiting.addLast(callback);
+            connections.schedule(waitUntilMillis - nowMillis, () -> {
+                if (waiting.remove(callback)) {
+                    refuse(callback);
+                }
+            });
+            if (!idle.isEmpty()) {
+                idle.removeLast().close(); // its end starts the first waiting request on a new connection
+            }
         }
+    }
+
+    /** Opens a new connection that is not limited by this router's share. */
+    void probe(ConnectionCallback callback) {
+        share.openProbe();
+        connections.connect(this, callback);
+    }
+
+    private void refuse(ConnectionCallback callback) {
+        connections.countRefusedByShare();
+        callback.shareUsedUp();
+    }
+
+    private @Nullable EndpointConnection pollReusable(long nowMillis) {
         for (EndpointConnection connection = idle.pollFirst(); connection != null; connection = idle.pollFirst()) {
-            if (connection.reusable(nowMillis)) {
-                callback.connected(connection);
-                return;
+            if (connection.reusable(nowMillis) && connection.confirmOpen()) {
+                return connection;
             }
             connection.close();
         }
-        connections.connect(this, callback);
+        return null;
+    }
+
+    /** Tells whether an idle connection may be used for a request. */
+    boolean hasReusable(boolean retryable) {
+        long nowMillis = nowMillis();
+        EndpointConnection newest = idle.peekFirst();
+        return newest != null && newest.reusable(nowMillis) && mayReuse(retryable, nowMillis);
+    }
+
+    /** Processes the failure of a connection attempt. */
+    void connectFailed(ConnectFailure failure, ConnectionCallback callback) {
+        boolean byCap = failure.reset() && resetByCap(true, nowMillis());
+        slotFreed();
+        if (byCap) {
+            refuse(callback);
+        } else {
+            callback.connectFailed(failure);
+        }
+    }
+
+    /**
+     * Processes a connection that was established. While the endpoint resets surplus connections, the connection is
+     * used only after a moment, so that no request is written to a connection that is about to be reset.
+     */
+    void connected(EndpointConnection connection, ConnectionCallback callback) {
+        if (!cap().limited() || !share.resetRecently(nowMillis())) {
+            callback.connected(connection);
+            return;
+        }
+        connections.schedule(SETTLE_MILLIS, () -> {
+            if (connection.confirmOpen()) {
+                callback.connected(connection);
+            } else {
+                refuse(callback);
+            }
+        });
+    }
+
+    /** Processes a reset of a connection by the endpoint, and tells whether the cap on connections explains it. */
+    boolean resetByCap(boolean newConnection, long establishedAtMillis) {
+        long nowMillis = nowMillis();
+        ConnectionCap cap = cap();
+        if (!new ConnectionReset(newConnection, nowMillis - establishedAtMillis, share.held()).byCap(cap)) {
+            return false;
+        }
+        connections.countResetByCap();
+        share.reset(cap, nowMillis);
+        return true;
+    }
+
+    /** Records that the endpoint has sent bytes on a new connection, which it has therefore accepted. */
+    void accepted() {
+        share.accepted();
+    }
+
+    /** Records that a connection was closed or could not be established, and starts a waiting request. */
+    void slotFreed() {
+        share.closed();
+        if (!waiting.isEmpty() && share.tryOpen(cap(), nowMillis())) {
+            connections.connect(this, waiting.removeFirst());
+        }
+    }
+
+    private ConnectionCap cap() {
+        return connections.cap(endpoint.service());
     }
 
     private boolean mayReuse(boolean retryable, long nowMillis) {
@@ -87,18 +211,24 @@
         return newest != null && nowMillis - newest.usedAtMillis() <= NON_RETRYABLE_REUSE_MILLIS;
     }
 
-    /** Opens a new connection, which proves that the endpoint is reachable. */
-    void connect(ConnectionCallback callback) {
-        connections.connect(this, callback);
-    }
-
-    /** Returns a connection to the pool, or closes it if the pool is full or retired. */
+    /**
+     * Passes an idle connection to a waiting request, or returns it to the pool. Closes it if the pool is full or
+     * retired, or if this router holds more connections than it may.
+     */
     void release(EndpointConnection connection) {
-        if (idle.size() >= MAX_IDLE || connections.retired(endpoint.id())) {
+        if (connections.retired(endpoint.id()) || share.surplus(cap(), nowMillis()) > 0) {
             connection.close();
             return;
         }
-        idle.addFirst(connection);
+        ConnectionCallback next = connection.open() ? waiting.pollFirst() : null;
+        if (next != null) {
+            connections.countReused();
+            next.connected(connection);
+        } else if (idle.size() >= MAX_IDLE) {
+            connection.close();
+        } else {
+            idle.addFirst(connection);
+        }
     }
 
     /** Removes a connection that was closed. */
@@ -116,6 +246,9 @@
         while (!idle.isEmpty() && !idle.peekLast().reusable(nowMillis)) {
             idle.removeLast().close();
         }
+        for (int surplus = share.surplus(cap(), nowMillis); surplus > 0 && !idle.isEmpty(); surplus--) {
+            idle.removeLast().close();
+        }
     }
 
     void headReceived(ResponseHead head) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealth;
 
@@ -33,6 +34,7 @@
 
     private final TrafficContext context;
     private final Set<String> probing = new HashSet<>();
+    private EndpointDirectory knownDirectory = EndpointDirectory.EMPTY;
 
     EndpointProber(TrafficContext context) {
         this.context = context;
@@ -41,12 +43,28 @@
     /** Probes every endpoint that is due for a probe or silent. */
     void probeDue() {
         long nowMillis = context.nowMillis();
-        for (ServiceEndpoint endpoint : context.view().directory().all()) {
+        EndpointDirectory directory = context.view().directory();
+        if (directory != knownDirectory) {
+            knownDirectory = directory;
+            // from now on each endpoint has an age of its last received bytes
+            directory.all().forEach(endpoint -> context.health().of(endpoint.id(), nowMillis));
+        }
+        if (!context.health().allHealthy(nowMillis)) {
+            probeDown(directory, nowMillis);
+        }
+        for (Exchange exchange : List.copyOf(context.exchanges())) {
+            ServiceEndpoint endpoint = exchange.endpointAwaitedLongerThan(MAX_SILENCE_MILLIS, nowMillis);
+            if (endpoint != null) {
+                directory.find(endpoint.id()).ifPresent(listed -> probeIfSilent(listed, nowMillis));
+            }
+        }
+    }
+
+    private void probeDown(EndpointDirectory directory, long nowMillis) {
+        for (ServiceEndpoint endpoint : directory.all()) {
             EndpointHealth health = context.health().of(endpoint.id(), nowMillis);
             if (health.tryBeginProbe(nowMillis)) {
                 connect(endpoint, health);
-            } else if (silent(endpoint, health, nowMillis)) {
-                connect(endpoint, health);
             }
         }
     }
@@ -93,33 +111,43 @@
         }
         if (context.health().of(endpoint.id(), nowMillis).unreachable(nowMillis)) {
             context.requestLog().endpointDown(endpoint, failure.cause());
-            probeOthers(endpoint);
+            if (!failure.refused()) {
+                probeOthers(endpoint); // a machine that refuses connections is reachable, so others may well be
+            }
         }
     }
 
-    private boolean silent(ServiceEndpoint endpoint, EndpointHealth health, long nowMillis) {
-        return !health.down()
-                && nowMillis - health.bytesReceivedAtMillis() > MAX_SILENCE_MILLIS
-                && context.exchanges().stream()
-                        .anyMatch(exchange ->
-                                exchange.awaitsResponseLongerThan(endpoint.id(), MAX_SILENCE_MILLIS, nowMillis));
+    private void probeIfSilent(ServiceEndpoint endpoint, long nowMillis) {
+        EndpointHealth health = context.health().of(endpoint.id(), nowMillis);
+        if (!health.down() && nowMillis - health.bytesReceivedAtMillis() > MAX_SILENCE_MILLIS) {
+            connect(endpoint, health);
+        }
+    }
+
+    private void reached(ServiceEndpoint endpoint, EndpointHealth health) {
+        probing.remove(endpoint.id());
+        if (health.down()) {
+            context.requestLog().endpointBack(endpoint);
+        }
+        health.connected(context.nowMillis());
     }
 
     private void connect(ServiceEndpoint endpoint, EndpointHealth health) {
         if (!probing.add(endpoint.id())) {
             return;
         }
-        context.connections().pool(endpoint).connect(new ConnectionCallback() {
+        context.connections().pool(endpoint).probe(new ConnectionCallback() {
             @Override
             public void connected(EndpointConnection connection) {
-                probing.remove(endpoint.id());
-                if (health.down()) {
-                    context.requestLog().endpointBack(endpoint);
-                }
-                health.connected(context.nowMillis());
+                reached(endpoint, health);
                 connection.release();
             }
 
+            @Override
+            public void shareUsedUp() {
+                reached(endpoint, health); // the endpoint has reset the connection, so it is running
+            }
+
             @Override
             public void connectFailed(ConnectFailure failure) {
                 probing.remove(endpoint.id());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -22,6 +22,18 @@
  * refusal that promises that the request was not run is sent only while the verdict is {@link Verdict#NOT_RUN}.
  */
 final class Exchange implements Attempt.Owner, BackoffWait.Owner {
+    /**
+     * The fraction of the latency target, as a divisor, that a request spends waiting for a connection. The rest is left
+     * to another endpoint and to the response.
+     */
+    private static final int CONNECTION_WAIT_DIVISOR = 4;
+
+    /**
+     * Maximum number of endpoints without a free connection at which the request is tried. If they all have none, most
+     * others have none either.
+     */
+    private static final int MAX_ENDPOINTS_WITHOUT_CONNECTION = 8;
+
     private final TrafficContext context;
     private final CallerConnection caller;
     private final HttpRequest request;
@@ -35,6 +47,7 @@
     private @Nullable Attempt attempt;
     private @Nullable BackoffWait currentBackoffWait;
     private @Nullable Future<?> deadlineTimer;
+    private int endpointsWithoutConnection;
     private boolean ended;
 
     Exchange(TrafficContext context, CallerConnection caller, RequestAssembly assembly) {
@@ -113,7 +126,9 @@
     private void waitOrGiveUp() {
         BackoffWait current = backoffWait();
         boolean certainlyNotRun = !relay().started() && history.notRun();
-        if (!certainlyNotRun || !current.backoffOnly()) {
+        if (endpointsWithoutConnection > 0) {
+            giveUpWithoutConnection();
+        } else if (!certainlyNotRun || !current.backoffOnly()) {
             giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
         } else if (!current.enqueue()) {
             refuseInBackoff(current.earliestEndMillis());
@@ -139,10 +154,12 @@
         Attempt next = new Attempt(context, this, caller, relay(), record, choice, terms.maxTokens());
         attempt = next;
         EndpointPool pool = context.connections().pool(next.endpoint());
+        long waitUntilMillis =
+                record.receivedAtMillis() + terms.route().targetLatencyMillis() / CONNECTION_WAIT_DIVISOR;
         if (history.sends() > 0) {
-            pool.connect(next);
+            pool.connect(waitUntilMillis, next);
         } else {
-            pool.acquire(terms.kind().retryableAfterRun(), next);
+            pool.acquire(terms.kind().retryableAfterRun(), waitUntilMillis, next);
         }
     }
 
@@ -210,9 +227,14 @@
         return attempt != null && attempt.endpoint().id().equals(endpointId) && attempt.awaitingResponse();
     }
 
-    /** Tells whether a response from the endpoint has been awaited for longer than the given time. */
-    boolean awaitsResponseLongerThan(String endpointId, long millis, long nowMillis) {
-        return awaitsResponseFrom(endpointId) && history.millisSinceLastSend(nowMillis) > millis;
+    /** Returns the endpoint whose response has been awaited for longer than the given time, or null. */
+    @Nullable
+    ServiceEndpoint endpointAwaitedLongerThan(long millis, long nowMillis) {
+        Attempt current = attempt;
+        if (current == null || !current.awaitingResponse()) {
+            return null;
+        }
+        return history.millisSinceLastSend(nowMillis) > millis ? current.endpoint() : null;
     }
 
     /**
@@ -341,6 +363,22 @@
         placeAndAttempt();
     }
 
+    @Override
+    public void noConnectionFree(Attempt full) {
+        attempt = null;
+        history.tried(full.endpoint());
+        endpointsWithoutConnection++;
+        if (endpointsWithoutConnection < MAX_ENDPOINTS_WITHOUT_CONNECTION) {
+            placeAndAttempt();
+        } else {
+            giveUpWithoutConnection();
+        }
+    }
+
+    private void giveUpWithoutConnection() {
+        giveUp(RefusalCode.OVERLOADED, "every endpoint of the service holds as many connections as it may");
+    }
+
     @Override
     public boolean handlesError(Attempt failed, int status) {
         boolean alternativeExists =
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -93,7 +93,7 @@
         this.retryBudget = new SharedRetryBudget(RetryAllowance.DEFAULT, clock.millis());
         RequestLog log = new RequestLog(metrics);
         this.signals = new EndpointSignals(clock, () -> views.get().directory(), log, listener, metrics);
-        this.connections = new EndpointConnections(loop, dialect, health, signals, clock, metrics);
+        this.connections = new EndpointConnections(loop, dialect, health, signals, clock, views, metrics);
         this.context = new TrafficContext(
                 loop,
                 clock,
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.config.CallerLimits;
 import org.radishpass.routing.config.ColdStart;
@@ -45,6 +47,8 @@
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private int maxAttempts = 3;
     private long targetMillis = 1_000;
+    private int maxConnections = 100;
+    private FleetMembers members = FleetMembers.UNKNOWN;
 
     /** Starts a traffic server whose routing view is unknown. */
     public TrafficFixture() throws Exception {
@@ -73,6 +77,27 @@
         return this;
     }
 
+    /**
+     * Sets the number of connections that an endpoint accepts from all routers together, and the number of routers; to
+     * be called before {@link #configure}.
+     */
+    public TrafficFixture cap(int connections, int routers) {
+        maxConnections = connections;
+        members = FleetMembers.of(
+                "self",
+                IntStream.range(1, routers)
+                        .mapToObj(number -> "router-" + number)
+                        .toList());
+        return this;
+    }
+
+    /** Returns the ids of the endpoints that the traffic server reports as failing. */
+    public List<String> failingEndpoints() throws Exception {
+        CompletableFuture<List<String>> failing = new CompletableFuture<>();
+        server.workReport(List.of(), true, report -> failing.complete(report.allFailing()));
+        return failing.get(20, TimeUnit.SECONDS);
+    }
+
     /**
      * Sets a routing view with the given endpoints and the routes /once/, /again/, /stream/ and /resume/ with a
      * timeout.
@@ -81,14 +106,23 @@
         List<ServiceEndpoint> known = new ArrayList<>();
         Arrays.stream(endpoints).forEach(endpoint -> known.add(endpoint.endpoint(SERVICE)));
         RoutingConfiguration.Builder configuration = RoutingConfiguration.builder(1)
-                .service(new ServiceSpec(SERVICE, "/health", 100, null, COLD_START))
+                .service(new ServiceSpec(SERVICE, "/health", maxConnections, null, COLD_START))
                 .limits(new CallerLimits(8_192, 10_000, 3_000, 15_000));
         route(configuration, "/once/", RequestKind.NON_IDEMPOTENT, timeoutMillis);
         route(configuration, "/again/", RequestKind.IDEMPOTENT, timeoutMillis);
         route(configuration, "/stream/", RequestKind.STREAM, timeoutMillis);
         route(configuration, "/resume/", RequestKind.RESUMABLE_STREAM, timeoutMillis);
         view = new RoutingView(
-                configuration.build(), 0, new EndpointDirectory(known), true, false, DirectoryOrigin.UNKNOWN, 1);
+                configuration.build(),
+                0,
+                Long.MIN_VALUE,
+                new EndpointDirectory(known),
+                true,
+                false,
+                DirectoryOrigin.UNKNOWN,
+                1,
+                EndpointEligibility.ALL,
+                members);
         return this;
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementFixture.java
@@ -52,7 +52,7 @@
                 clock,
                 () -> view,
                 dialect,
-                new EndpointConnections(loop, dialect, health, signals, clock, metrics),
+                new EndpointConnections(loop, dialect, health, signals, clock, () -> view, metrics),
                 signals,
                 new EndpointChooser(inFlight, new DataCentre("here")),
                 inFlight,
