Decisions on admission and on the order of return

Cause: the queue of arrivals is last in, first out for all requests alike and refuses nothing. Requests that can no longer be served are processed, and the most urgent wait like the others. Change: package admission decides which waiting request starts next (urgency, latency target, workspaces in turn, newest first, a guaranteed quarter of its share for each urgency), which are refused because of their expected wait, and when refused callers return. It has no clock, threads or network. Conclusion: the decisions can be tested alone.

--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionController.java
@@ -0,0 +1,261 @@
+package org.radishpass.routing.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which requests start next, which wait and which are refused, while more requests arrive than the router can
+ * start. It is not consulted while nothing waits. Times are in milliseconds on the monotonic clock. Not thread-safe.
+ *
+ * @param <T> the type of the requests
+ * @since 0.8.0
+ */
+public final class AdmissionController<T> {
+    /**
+     * The time in milliseconds between checks of all waiting requests; also the time for which a backlog is measured
+     * before a request is refused because of an expected wait.
+     */
+    static final long CHECK_INTERVAL_MILLIS = 50;
+
+    /** A refused caller is served elsewhere after about this time in milliseconds: its pause and a new connection. */
+    private static final long OTHER_ROUTER_MILLIS = 100;
+
+    /** The pause of a caller that is sent to another router at once, in milliseconds. */
+    private static final long OTHER_ROUTER_RETRY_MILLIS = 10;
+
+    /**
+     * The fraction of returned callers among the arrivals from which other routers are assumed to be overloaded too.
+     * Callers that are refused there return here.
+     */
+    private static final double OVERLOADED_FLEET_FRACTION = 0.1;
+
+    /**
+     * The maximum number of callers that are sent to another router, relative to the starts. It bounds the cost where
+     * the other routers have as much work but this is not known yet, as after a start of all routers.
+     */
+    private static final double MAX_ELSEWHERE_FRACTION = 0.1;
+
+    private static final double RETURNS_TIME_CONSTANT_MILLIS = 5_000;
+
+    /** Callers wait for at most their remaining time, divided by this number, before they return. */
+    private static final int MAX_RETURN_DIVISOR = 3;
+
+    /** The fraction of the starts that returning callers are assumed to get if the arrivals exceed the starts. */
+    private static final double MIN_RETURN_FRACTION = 0.1;
+
+    /** The maximum expected wait in milliseconds; an infinite one would overflow when added to a time. */
+    private static final double MAX_WAIT_MILLIS = 1e9;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final BooleanSupplier otherRouters;
+    private final AdmissionQueue<T> queue = new AdmissionQueue<>();
+    private final StartRate startRate = new StartRate();
+    private final ReturnSchedule returns = new ReturnSchedule();
+    private final AdmissionStatistics statistics = new AdmissionStatistics();
+    private final DecayedRate arrivals = new DecayedRate(RETURNS_TIME_CONSTANT_MILLIS);
+    private final DecayedRate returnedArrivals = new DecayedRate(RETURNS_TIME_CONSTANT_MILLIS);
+    private final DecayedRate sentElsewhere = new DecayedRate(RETURNS_TIME_CONSTANT_MILLIS);
+    private long lastSequence;
+    private long backlogSinceMillis;
+    private long checkedAtMillis;
+
+    /**
+     * Creates a controller without waiting requests.
+     *
+     * @param otherRouters tells whether callers can reach other routers
+     */
+    public AdmissionController(BooleanSupplier otherRouters) {
+        this.otherRouters = otherRouters;
+    }
+
+    /** Tells whether no request waits. */
+    public boolean isEmpty() {
+        return queue.size() == 0;
+    }
+
+    /** Returns the number of waiting requests. */
+    public int size() {
+        return queue.size();
+    }
+
+    /** Returns the counts of decisions. */
+    public AdmissionStatistics statistics() {
+        return statistics;
+    }
+
+    /** Returns the measured number of starts per second while requests wait. */
+    public double startsPerSecond() {
+        return startRate.perSecond();
+    }
+
+    /** Returns the number of refused callers that are expected to return. */
+    public int promisedReturns(long nowMillis) {
+        return returns.pending(nowMillis);
+    }
+
+    /**
+     * Adds a request that cannot start at once, or refuses it.
+     *
+     * @param item the item that the request stands for
+     * @param request the properties of the request
+     * @param nowMillis the time
+     * @return the refusal; empty if the request waits
+     */
+    public Optional<AdmissionRefusal> offer(T item, AdmissionRequest request, long nowMillis) {
+        if (isEmpty()) {
+            backlogSinceMillis = nowMillis;
+            checkedAtMillis = nowMillis;
+        }
+        queue.recordArrival(request.urgency(), nowMillis);
+        arrivals.record(nowMillis);
+        if (request.returned()) {
+            returnedArrivals.record(nowMillis);
+        }
+        UrgencyLevel<T> level = queue.level(request.urgency());
+        int position = Math.min(level.size() + 1, level.competingWorkspaces(request.workspace()));
+        double waitMillis = estimate(request.urgency(), nowMillis).waitMillis(position, 0);
+        Optional<AdmissionRefusal> refusal = check(request, waitMillis, sendsElsewhere(nowMillis), nowMillis);
+        if (refusal.isEmpty()) {
+            queue.add(new Waiting<>(item, request, ++lastSequence), nowMillis);
+        }
+        return refusal;
+    }
+
+    /** Removes the request that starts next, or returns null if none waits. */
+    public @Nullable Waiting<T> poll(long nowMillis) {
+        return queue.poll(nowMillis);
+    }
+
+    /**
+     * Checks a request that is about to start.
+     *
+     * @return the refusal; empty if the request can still be served in time
+     */
+    public Optional<AdmissionRefusal> checkStart(AdmissionRequest request, long nowMillis) {
+        return request.latestStartMillis() < nowMillis
+                ? Optional.of(refuse(RefusalReason.DEADLINE, request, 0, nowMillis))
+                : Optional.empty();
+    }
+
+    /** Records that a request has started that had waited. */
+    public void started(AdmissionRequest request, long nowMillis) {
+        queue.started(request.urgency(), nowMillis);
+    }
+
+    /**
+     * Records an iteration of the event loop after which requests still waited.
+     *
+     * @param started the number of requests that were started
+     * @param elapsedMillis the time until the next iteration, in milliseconds
+     */
+    public void recordIteration(int started, long elapsedMillis) {
+        startRate.record(started, elapsedMillis);
+    }
+
+    /**
+     * Checks all waiting requests, if the last check is long enough ago.
+     *
+     * @param abandoned tells whether nobody waits for a request any more; such requests are dropped
+     * @param nowMillis the time
+     * @return the requests that have been removed because they are refused
+     */
+    public List<Refused<T>> checkWaiting(Predicate<T> abandoned, long nowMillis) {
+        if (isEmpty() || nowMillis - checkedAtMillis < CHECK_INTERVAL_MILLIS) {
+            return List.of();
+        }
+        checkedAtMillis = nowMillis;
+        boolean assumesFreeRouters = sendsElsewhere(nowMillis);
+        List<Refused<T>> refused = new ArrayList<>();
+        for (int urgency = 0; urgency < AdmissionRequest.URGENCIES; urgency++) {
+            WaitEstimate estimate = estimate(urgency, nowMillis);
+            UrgencyLevel.RemovalTest<T> test = (waiting, position, inflow) -> {
+                if (abandoned.test(waiting.item())) {
+                    return true;
+                }
+                double waitMillis = estimate.waitMillis(position, assumesFreeRouters ? inflow : 0);
+                Optional<AdmissionRefusal> refusal =
+                        check(waiting.request(), waitMillis, sendsElsewhere(nowMillis), nowMillis);
+                refusal.ifPresent(reason -> refused.add(new Refused<>(waiting.item(), reason)));
+                return refusal.isPresent();
+            };
+            queue.removeIf(urgency, test, nowMillis);
+        }
+        return refused;
+    }
+
+    private WaitEstimate estimate(int urgency, long nowMillis) {
+        double rate = startRate.perSecond();
+        return new WaitEstimate(
+                rate,
+                queue.queuedAbove(urgency),
+                queue.arrivalsAbove(urgency, nowMillis),
+                rate * queue.reservedFraction(urgency, nowMillis),
+                (nowMillis - backlogSinceMillis) / MILLIS_PER_SECOND);
+    }
+
+    /** Tells whether callers may be sent to other routers, which are then assumed to have less work than this one. */
+    private boolean sendsElsewhere(long nowMillis) {
+        return otherRouters.getAsBoolean()
+                && sentElsewhere.perSecond(nowMillis) < MAX_ELSEWHERE_FRACTION * startRate.perSecond()
+                && returnedArrivals.perSecond(nowMillis) < OVERLOADED_FLEET_FRACTION * arrivals.perSecond(nowMillis);
+    }
+
+    private Optional<AdmissionRefusal> check(
+            AdmissionRequest request, double expectedWaitMillis, boolean elsewhere, long nowMillis) {
+        boolean measured = nowMillis - backlogSinceMillis >= CHECK_INTERVAL_MILLIS;
+        double waitMillis = measured ? Math.min(expectedWaitMillis, MAX_WAIT_MILLIS) : 0;
+        double startMillis = nowMillis + waitMillis;
+        if (request.latestStartMillis() < startMillis) {
+            return Optional.of(refuse(RefusalReason.DEADLINE, request, waitMillis, nowMillis));
+        }
+        boolean punctualElsewhere =
+                !request.returned() && nowMillis + OTHER_ROUTER_MILLIS <= request.latestPunctualStartMillis();
+        if (elsewhere && punctualElsewhere && request.latestPunctualStartMillis() < startMillis) {
+            sentElsewhere.record(nowMillis);
+            return Optional.of(refuse(RefusalReason.OTHER_ROUTER, request, waitMillis, nowMillis));
+        }
+        return Optional.empty();
+    }
+
+    private AdmissionRefusal refuse(RefusalReason reason, AdmissionRequest request, double waitMillis, long nowMillis) {
+        statistics.refused(reason, request.returned());
+        long leftMillis = Math.max(0, request.deadlineMillis() - nowMillis);
+        return new AdmissionRefusal(
+                reason,
+                Math.round(waitMillis),
+                startRate.perSecond(),
+                queue.size(),
+                request.urgency(),
+                leftMillis,
+                retryAfterMillis(reason, request, leftMillis, nowMillis));
+    }
+
+    private long retryAfterMillis(RefusalReason reason, AdmissionRequest request, long leftMillis, long nowMillis) {
+        long longestMillis = leftMillis / MAX_RETURN_DIVISOR;
+        if (reason == RefusalReason.OTHER_ROUTER) {
+            return Math.min(OTHER_ROUTER_RETRY_MILLIS, longestMillis);
+        }
+        int urgency = request.urgency();
+        double rate = startRate.perSecond();
+        double drainedMillis =
+                estimate(urgency, nowMillis).waitMillis(queue.level(urgency).size(), 0);
+        double available = Math.max(rate * MIN_RETURN_FRACTION, rate - queue.arrivalsAbove(urgency + 1, nowMillis));
+        long earliestMillis = nowMillis + Math.round(Math.min(drainedMillis, (double) longestMillis));
+        return returns.reserve(request, earliestMillis, nowMillis + longestMillis, available, nowMillis) - nowMillis;
+    }
+
+    /**
+     * A request that was waiting and is refused.
+     *
+     * @param <T> the type of the item
+     * @param item the item that the request stands for
+     * @param refusal the refusal
+     * @since 0.8.0
+     */
+    public record Refused<T>(T item, AdmissionRefusal refusal) {}
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/UrgencyLevel.java
@@ -0,0 +1,176 @@
+package org.radishpass.routing.admission;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The waiting requests of one urgency. Those that can start within their latency target start before the others.
+ * Within each of these two groups the workspaces take turns, and the newest request of a workspace starts first.
+ *
+ * @param <T> the type of the requests
+ */
+final class UrgencyLevel<T> {
+    /** A workspace without waiting requests is forgotten below this rate of arrivals per second. */
+    private static final double MIN_KNOWN_RATE = 0.1;
+
+    private final Map<String, WorkspaceQueue<T>> workspaces = new HashMap<>();
+    private final Deque<WorkspaceQueue<T>> punctualTurns = new ArrayDeque<>();
+    private final Deque<WorkspaceQueue<T>> lateTurns = new ArrayDeque<>();
+    private int punctualCount;
+    private int lateCount;
+    private int activeWorkspaces;
+
+    int size() {
+        return punctualCount + lateCount;
+    }
+
+    /** Returns the number of workspaces that share the starts, if the given one has a waiting request. */
+    int competingWorkspaces(String workspace) {
+        WorkspaceQueue<T> queue = workspaces.get(workspace);
+        return queue != null && queue.size() > 0 ? activeWorkspaces : activeWorkspaces + 1;
+    }
+
+    void add(Waiting<T> waiting, long nowMillis) {
+        WorkspaceQueue<T> queue =
+                workspaces.computeIfAbsent(waiting.request().workspace(), name -> new WorkspaceQueue<>());
+        queue.arrivals.record(nowMillis);
+        if (queue.size() == 0) {
+            activeWorkspaces++;
+        }
+        if (queue.punctual.isEmpty()) {
+            punctualTurns.addLast(queue);
+        }
+        queue.punctual.addFirst(waiting);
+        punctualCount++;
+    }
+
+    /** Removes the request that starts next, or returns null if none waits. */
+    @Nullable
+    Waiting<T> poll(long nowMillis) {
+        while (!punctualTurns.isEmpty()) {
+            WorkspaceQueue<T> queue = punctualTurns.getFirst();
+            Waiting<T> next = queue.punctual.removeFirst();
+            punctualCount--;
+            boolean punctual = nowMillis <= next.request().latestPunctualStartMillis();
+            if (punctual || queue.punctual.isEmpty()) {
+                punctualTurns.removeFirst();
+                if (!queue.punctual.isEmpty()) {
+                    punctualTurns.addLast(queue);
+                }
+            }
+            if (punctual) {
+                return removed(queue, next);
+            }
+            addLate(queue, next);
+        }
+        return pollLate();
+    }
+
+    private void addLate(WorkspaceQueue<T> queue, Waiting<T> waiting) {
+        if (queue.late.isEmpty()) {
+            lateTurns.addLast(queue);
+        }
+        queue.late.add(waiting);
+        lateCount++;
+    }
+
+    private @Nullable Waiting<T> pollLate() {
+        WorkspaceQueue<T> queue = lateTurns.pollFirst();
+        Waiting<T> next = queue == null ? null : queue.late.pollFirst();
+        if (queue == null || next == null) {
+            return null;
+        }
+        lateCount--;
+        if (!queue.late.isEmpty()) {
+            lateTurns.addLast(queue);
+        }
+        return removed(queue, next);
+    }
+
+    private Waiting<T> removed(WorkspaceQueue<T> queue, Waiting<T> waiting) {
+        if (queue.size() == 0) {
+            activeWorkspaces--;
+        }
+        return waiting;
+    }
+
+    /**
+     * Removes requests. Each request is tested once.
+     *
+     * @param test tells whether a request is removed
+     * @param levelArrivals the arrivals per second of this urgency
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    void removeIf(RemovalTest<T> test, double levelArrivals, long nowMillis) {
+        int size = size();
+        int competing = activeWorkspaces;
+        int punctualBefore = punctualCount;
+        for (WorkspaceQueue<T> queue : workspaces.values()) {
+            double inflow = Math.min(levelArrivals, queue.arrivals.perSecond(nowMillis) * competing);
+            Depth depth = new Depth();
+            queue.punctual.removeIf(waiting -> test.remove(waiting, Math.min(size, depth.next() * competing), inflow));
+            Depth lateDepth = new Depth();
+            queue.late.removeIf(waiting ->
+                    test.remove(waiting, Math.min(size, punctualBefore + lateDepth.next() * competing), levelArrivals));
+        }
+        punctualTurns.removeIf(queue -> queue.punctual.isEmpty());
+        lateTurns.removeIf(queue -> queue.late.isEmpty());
+        workspaces
+                .values()
+                .removeIf(queue -> queue.size() == 0 && queue.arrivals.perSecond(nowMillis) < MIN_KNOWN_RATE);
+        punctualCount = workspaces.values().stream()
+                .mapToInt(queue -> queue.punctual.size())
+                .sum();
+        lateCount = workspaces.values().stream()
+                .mapToInt(queue -> queue.late.size())
+                .sum();
+        activeWorkspaces = (int)
+                workspaces.values().stream().filter(queue -> queue.size() > 0).count();
+    }
+
+    /**
+     * Decides whether a request is removed.
+     *
+     * @param <T> the type of the requests
+     */
+    @FunctionalInterface
+    interface RemovalTest<T> {
+        /**
+         * Tells whether the request is removed.
+         *
+         * @param waiting the request
+         * @param position the number of requests of this urgency that start up to and including this one
+         * @param inflow the arrivals per second of requests of this urgency that start before this one
+         */
+        boolean remove(Waiting<T> waiting, int position, double inflow);
+    }
+
+    /** Counts the requests of one workspace in the order in which they start. */
+    private static final class Depth {
+        private int count;
+
+        private int next() {
+            return ++count;
+        }
+    }
+
+    /** The waiting requests of one workspace, the newest first. */
+    private static final class WorkspaceQueue<T> {
+        private static final double TIME_CONSTANT_MILLIS = 1_000;
+
+        private final Deque<Waiting<T>> punctual = new ArrayDeque<>();
+        private final NavigableSet<Waiting<T>> late = new TreeSet<>(
+                Comparator.<Waiting<T>>comparingLong(Waiting::sequence).reversed());
+        private final DecayedRate arrivals = new DecayedRate(TIME_CONSTANT_MILLIS);
+
+        private int size() {
+            return punctual.size() + late.size();
+        }
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/admission/AdmissionControllerTest.java
@@ -0,0 +1,185 @@
+package org.radishpass.routing.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Checks in which order waiting requests start and which of them are refused. */
+final class AdmissionControllerTest {
+    private static final long NOW = 100_000;
+
+    private boolean otherRouters;
+    private final AdmissionController<String> admission = new AdmissionController<>(() -> otherRouters);
+
+    @Test
+    void startsTheMostUrgentFirst() {
+        offer("order", 2, "a", 1_000, 10_000);
+        offer("question", 0, "a", 1_000, 10_000);
+        offer("label", 1, "a", 1_000, 10_000);
+        assertThat(startAll(NOW)).containsExactly("question", "label", "order").inOrder();
+    }
+
+    /** Guards against answers that are all late because those that are late already go first. */
+    @Test
+    void startsRequestsThatCanMeetTheirTargetBeforeThoseThatCannot() {
+        offer("punctual", 0, "a", 1_000, 10_000);
+        offer("late", 0, "a", 100, 10_000);
+        assertThat(startAll(NOW + 200)).containsExactly("punctual", "late").inOrder();
+    }
+
+    @Test
+    void startsTheNewestOfAWorkspaceFirst() {
+        offer("1", 0, "a", 1_000, 10_000);
+        offer("2", 0, "a", 1_000, 10_000);
+        offer("3", 0, "a", 1_000, 10_000);
+        assertThat(startAll(NOW)).containsExactly("3", "2", "1").inOrder();
+        offer("4", 0, "a", 1_000, 10_000);
+        offer("5", 0, "a", 1_000, 10_000);
+        assertThat(startAll(NOW + 2_000)).containsExactly("5", "4").inOrder();
+    }
+
+    /** Guards against a workspace with many requests that delays the few requests of another. */
+    @Test
+    void letsWorkspacesTakeTurns() {
+        for (int number = 0; number < 10; number++) {
+            offer("large" + number, 0, "large", 1_000, 10_000);
+        }
+        offer("small1", 0, "small", 1_000, 10_000);
+        offer("small2", 0, "small", 1_000, 10_000);
+        assertThat(startAll(NOW).subList(0, 4)).containsAtLeast("small1", "small2");
+    }
+
+    /** Guards against starvation of the less urgent while more urgent requests keep arriving. */
+    @Test
+    void startsAFewOfTheLessUrgent() {
+        int lessUrgent = 0;
+        for (int number = 0; number < 100; number++) {
+            offer("order", 2, "a", 1_000, 10_000);
+            offer("question", 0, "a", 1_000, 10_000);
+            Waiting<String> next = admission.poll(NOW);
+            if (next == null) {
+                throw new AssertionError("no request waits");
+            }
+            admission.started(next.request(), NOW);
+            lessUrgent += next.item().equals("order") ? 1 : 0;
+        }
+        assertThat(lessUrgent).isAtLeast(10);
+        assertThat(lessUrgent).isAtMost(13);
+    }
+
+    /** Guards against refusals by rates that have hardly been measured. */
+    @Test
+    void refusesNothingByItsExpectedWaitAtTheBeginningOfABacklog() {
+        for (int number = 0; number < 1_000; number++) {
+            assertThat(offer("question", 0, "a", 100, 500)).isEmpty();
+        }
+        assertThat(offer("order", 2, "a", 100, 500)).isEmpty();
+    }
+
+    /** Guards against holding requests until their deadline although they cannot be served before. */
+    @Test
+    void refusesWaitingRequestsThatCannotStartInTime() {
+        for (int number = 0; number < 100; number++) {
+            offer("question", 0, "a", 100, 2_000);
+        }
+        long later = NOW + AdmissionController.CHECK_INTERVAL_MILLIS;
+        List<AdmissionController.Refused<String>> refused = admission.checkWaiting(item -> false, later);
+        double reachable = StartRate.COLD_STARTS_PER_SECOND * 2;
+        assertThat(admission.size()).isAtMost((int) reachable + 1);
+        assertThat(admission.size()).isAtLeast((int) reachable - 2);
+        assertThat(refused).hasSize(100 - admission.size());
+        for (AdmissionController.Refused<String> one : refused) {
+            assertThat(one.refusal().reason()).isEqualTo(RefusalReason.DEADLINE);
+            assertThat(one.refusal().retryAfterMillis()).isAtMost(one.refusal().leftMillis() / 3);
+        }
+    }
+
+    @Test
+    void refusesAnArrivalThatMoreUrgentRequestsKeepFromStarting() {
+        for (int number = 0; number < 100; number++) {
+            offer("question", 0, "a", 100, 20_000);
+        }
+        long later = NOW + AdmissionController.CHECK_INTERVAL_MILLIS;
+        Optional<AdmissionRefusal> refusal = admission.offer("order", request(2, "a", later, 200, 1_000, false), later);
+        assertThat(refusal.map(AdmissionRefusal::reason)).hasValue(RefusalReason.DEADLINE);
+    }
+
+    @Test
+    void refusesARequestThatHasMissedItsLatestStart() {
+        assertThat(admission.checkStart(request(0, "a", NOW, 100, 500, false), NOW + 500))
+                .isEmpty();
+        assertThat(admission.checkStart(request(0, "a", NOW, 100, 500, false), NOW + 501))
+                .isPresent();
+    }
+
+    /** Guards against holding a request that another router can still answer within its target. */
+    @Test
+    void sendsACallerElsewhereThatWouldMissItsTargetHere() {
+        otherRouters = true;
+        fillWithUrgent(false);
+        long later = NOW + AdmissionController.CHECK_INTERVAL_MILLIS;
+        Optional<AdmissionRefusal> refusal =
+                admission.offer("label", request(1, "a", later, 500, 60_000, false), later);
+        assertThat(refusal.map(AdmissionRefusal::reason)).hasValue(RefusalReason.OTHER_ROUTER);
+    }
+
+    /** Guards against sending callers back and forth between routers that are all overloaded. */
+    @Test
+    void sendsNobodyElsewhereWhileCallersReturnFromOtherRouters() {
+        otherRouters = true;
+        fillWithUrgent(true);
+        long later = NOW + AdmissionController.CHECK_INTERVAL_MILLIS;
+        assertThat(admission.offer("label", request(1, "a", later, 500, 60_000, false), later))
+                .isEmpty();
+    }
+
+    @Test
+    void dropsAbandonedRequests() {
+        offer("left", 0, "a", 100, 10_000);
+        offer("waits", 0, "a", 100, 10_000);
+        long later = NOW + AdmissionController.CHECK_INTERVAL_MILLIS;
+        assertThat(admission.checkWaiting(item -> item.equals("left"), later)).isEmpty();
+        assertThat(startAll(later)).containsExactly("waits");
+        assertThat(admission.isEmpty()).isTrue();
+    }
+
+    @Test
+    void neverRefusesUnrankedRequests() {
+        for (int number = 0; number < 1_000; number++) {
+            assertThat(admission.offer("x", AdmissionRequest.UNRANKED, NOW)).isEmpty();
+        }
+        assertThat(admission.checkWaiting(item -> false, NOW + 10_000)).isEmpty();
+    }
+
+    private void fillWithUrgent(boolean returned) {
+        for (int number = 0; number < 50; number++) {
+            admission.offer("question", request(0, "a", NOW, 60_000, 120_000, returned), NOW);
+        }
+    }
+
+    private Optional<AdmissionRefusal> offer(
+            String item, int urgency, String workspace, long targetMillis, long timeoutMillis) {
+        return admission.offer(item, request(urgency, workspace, NOW, targetMillis, timeoutMillis, false), NOW);
+    }
+
+    private static AdmissionRequest request(
+            int urgency, String workspace, long nowMillis, long targetMillis, long timeoutMillis, boolean returned) {
+        return AdmissionRequest.of(
+                urgency,
+                workspace,
+                new AdmissionRequest.Times(nowMillis, targetMillis, 0, nowMillis + timeoutMillis),
+                returned);
+    }
+
+    private List<String> startAll(long nowMillis) {
+        List<String> started = new ArrayList<>();
+        for (Waiting<String> next = admission.poll(nowMillis); next != null; next = admission.poll(nowMillis)) {
+            admission.started(next.request(), nowMillis);
+            started.add(next.item());
+        }
+        return started;
+    }
+}
