The arrival queue orders and refuses requests by admission

Change: ArrivalQueue consults admission for requests that cannot start at once. A request is resolved before it waits, and again only if a configuration came into force meanwhile (PreparedRequest). A refusal creates no exchange and places nothing; its log line has the inputs of the decision. Refusals take at most a quarter of the time of starts. Metrics radishpass_admission_*, event refusing. ExchangeRefusal asks a CapacityForecast when a service is full; the constant stays while nothing supplies one. Refusals.seconds does without String.format.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -101,6 +101,10 @@
     /** See {@link #meaning}. */
     REQUEST_CLEARED("request-cleared", "a request with which several endpoints had ended was answered: it is harmless"),
     /** See {@link #meaning}. */
+    REFUSING(
+            "refusing",
+            "requests are refused that cannot be served in time, the first for 10 s; with the inputs of the decision"),
+    /** See {@link #meaning}. */
     MALFORMED("malformed", "a request was refused before it was whole: malformed or larger than the limits"),
     /** See {@link #meaning}. */
     LOG_SUPPRESSED("log-suppressed", "lines that were left out in the second before, to keep the volume bounded");
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AdmissionMetrics.java
@@ -0,0 +1,53 @@
+package org.radishpass.routing.traffic;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.function.ToDoubleFunction;
+import org.radishpass.routing.admission.AdmissionController;
+import org.radishpass.routing.admission.AdmissionStatistics;
+import org.radishpass.routing.admission.RefusalReason;
+
+/** Registers the metrics of admission, which are read from its state when they are queried. */
+final class AdmissionMetrics {
+    private AdmissionMetrics() {
+        // static methods only
+    }
+
+    static void register(ArrivalQueue arrivals, MonotonicClock clock, MeterRegistry metrics) {
+        AdmissionController<?> admission = arrivals.admission();
+        AdmissionStatistics statistics = admission.statistics();
+        for (RefusalReason reason : RefusalReason.values()) {
+            FunctionCounter.builder("radishpass.admission.refusals", statistics, counts -> counts.refusals(reason))
+                    .tag("reason", reason.label())
+                    .description("requests that were refused because they could not be served in time")
+                    .register(metrics);
+        }
+        registerReturns(statistics, "served", AdmissionStatistics::returnsServed, metrics);
+        registerReturns(statistics, "failed", AdmissionStatistics::returnsFailed, metrics);
+        Gauge.builder("radishpass.admission.queue", admission, AdmissionController::size)
+                .description("requests that wait until they are started")
+                .register(metrics);
+        Gauge.builder("radishpass.admission.rate", admission, AdmissionController::startsPerSecond)
+                .description("requests started per second while requests wait")
+                .register(metrics);
+        Gauge.builder("radishpass.admission.promised", admission, all -> all.promisedReturns(clock.millis()))
+                .description("refused callers whose time to return has not passed")
+                .register(metrics);
+        Gauge.builder("radishpass.admission.loop.delay", arrivals, ArrivalQueue::loopDelaySeconds)
+                .baseUnit("seconds")
+                .description("time until the event loop runs its next iteration, averaged")
+                .register(metrics);
+    }
+
+    private static void registerReturns(
+            AdmissionStatistics statistics,
+            String outcome,
+            ToDoubleFunction<AdmissionStatistics> count,
+            MeterRegistry metrics) {
+        FunctionCounter.builder("radishpass.admission.returns", statistics, count)
+                .tag("outcome", outcome)
+                .description("callers that returned after a refusal")
+                .register(metrics);
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ArrivalQueue.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ArrivalQueue.java
@@ -3,16 +3,22 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.radishpass.routing.admission.AdmissionController;
+import org.radishpass.routing.admission.AdmissionRefusal;
+import org.radishpass.routing.admission.AdmissionRequest;
+import org.radishpass.routing.admission.Waiting;
 
 /**
- * Completely received requests that wait for the traffic event loop, last in first out.
+ * Completely received requests that wait for the traffic event loop.
  *
  * <p>While the event loop keeps up, a request starts as soon as it is complete. After a restart, or in a load peak,
- * more requests arrive than it can start at once. The newest can then still be answered within their latency target,
- * whereas the callers of the oldest have mostly timed out. Closed connections are detected between two iterations of
- * the event loop, and the requests of disconnected callers are never started. Confined to the traffic event loop.
+ * more requests arrive than it can start at once. Then {@link AdmissionController} decides in which order they start,
+ * and which of them are refused. Closed connections are detected between two iterations of the event loop, and the
+ * requests of disconnected callers are never started. Confined to the traffic event loop.
  */
 final class ArrivalQueue {
     /**
@@ -29,10 +35,26 @@
      */
     static final long MAX_MILLIS_PER_ITERATION = 20;
 
+    /**
+     * The processor time for refusals, relative to that of starts while requests wait. Usual overload needs less. Only
+     * callers that return at once in large numbers are refused later because of it, and it protects the starts from
+     * them.
+     */
+    private static final double REFUSAL_TIME_FRACTION = 0.25;
+
+    private static final double LOOP_DELAY_WEIGHT = 0.1;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final Consumer<Runnable> afterNextIteration;
     private final LongSupplier clock;
-    private final Deque<Arrival> waiting = new ArrayDeque<>();
+    private final AdmissionController<Arrival> admission;
+    private final Deque<AdmissionController.Refused<Arrival>> refusals = new ArrayDeque<>();
+    private boolean admissionEnabled = true;
     private long iterationStartMillis;
+    private long iterationScheduledMillis;
+    private long measuredSinceMillis;
+    private double loopDelayMillis;
+    private double refusalMillis;
     private int startsInIteration;
     private boolean iterationScheduled;
 
@@ -41,38 +63,124 @@
      *
      * @param afterNextIteration runs a task on the event loop after its next poll of the connections
      * @param clock the monotonic clock, in milliseconds
+     * @param otherRouters tells whether callers can reach other routers
      */
-    ArrivalQueue(Consumer<Runnable> afterNextIteration, LongSupplier clock) {
+    ArrivalQueue(Consumer<Runnable> afterNextIteration, LongSupplier clock, BooleanSupplier otherRouters) {
         this.afterNextIteration = afterNextIteration;
         this.clock = clock;
+        this.admission = new AdmissionController<>(otherRouters);
+    }
+
+    /** Creates an empty queue of a router without other routers. */
+    ArrivalQueue(Consumer<Runnable> afterNextIteration, LongSupplier clock) {
+        this(afterNextIteration, clock, () -> false);
+    }
+
+    /** Sets whether requests are ordered and refused by admission. Otherwise they start newest first. */
+    void admissionEnabled(boolean enabled) {
+        this.admissionEnabled = enabled;
+    }
+
+    AdmissionController<Arrival> admission() {
+        return admission;
+    }
+
+    /** Returns the average time until the event loop runs its next iteration, in seconds. */
+    double loopDelaySeconds() {
+        return loopDelayMillis / MILLIS_PER_SECOND;
     }
 
     /** Adds a complete request, and starts it now or in a later iteration. */
     void add(Arrival arrival) {
-        waiting.addFirst(arrival);
+        if (admission.isEmpty() && mayStart()) {
+            if (arrival.start()) {
+                startsInIteration++;
+            }
+        } else {
+            enqueue(arrival);
+        }
         startWaiting();
     }
 
     /** Adds requests that have been held, the oldest first. */
     void addAll(List<Arrival> arrivals) {
-        arrivals.forEach(waiting::addFirst);
+        arrivals.forEach(this::enqueue);
         startWaiting();
     }
 
+    private void enqueue(Arrival arrival) {
+        Optional<AdmissionRequest> request =
+                admissionEnabled ? arrival.admissionRequest() : Optional.of(AdmissionRequest.UNRANKED);
+        if (request.isEmpty()) {
+            if (arrival.start()) {
+                startsInIteration++;
+            }
+            return;
+        }
+        long nowMillis = clock.getAsLong();
+        if (admission.isEmpty()) {
+            measuredSinceMillis = startsInIteration == 0 ? nowMillis : iterationStartMillis;
+        }
+        Optional<AdmissionRefusal> refusal = admission.offer(arrival, request.get(), nowMillis);
+        refusal.ifPresent(reason -> refusals.add(new AdmissionController.Refused<>(arrival, reason)));
+    }
+
     private void nextIteration() {
+        long nowMillis = clock.getAsLong();
+        loopDelayMillis += LOOP_DELAY_WEIGHT * (nowMillis - iterationScheduledMillis - loopDelayMillis);
         iterationScheduled = false;
+        if (!admission.isEmpty()) {
+            admission.recordIteration(startsInIteration, nowMillis - measuredSinceMillis);
+            measuredSinceMillis = nowMillis;
+            refusals.addAll(admission.checkWaiting(Arrival::abandoned, nowMillis));
+        }
         startsInIteration = 0;
         startWaiting();
+        refusalMillis += REFUSAL_TIME_FRACTION * (clock.getAsLong() - nowMillis);
+        refuseRemoved();
     }
 
     private void startWaiting() {
-        while (!waiting.isEmpty() && mayStart()) {
-            if (waiting.removeFirst().start()) {
+        while (!admission.isEmpty() && mayStart()) {
+            long nowMillis = clock.getAsLong();
+            Waiting<Arrival> next = admission.poll(nowMillis);
+            if (next == null) {
+                break;
+            }
+            Optional<AdmissionRefusal> refusal = admission.checkStart(next.request(), nowMillis);
+            if (refusal.isPresent()) {
+                refusals.add(new AdmissionController.Refused<>(next.item(), refusal.get()));
+            } else if (next.item().start()) {
                 startsInIteration++;
+                admission.started(next.request(), nowMillis);
             }
         }
-        if (startsInIteration > 0 && !iterationScheduled) {
+        if (startsInIteration > 0 || !refusals.isEmpty()) {
+            scheduleIteration();
+        }
+    }
+
+    /** Refuses requests that are no longer in the queue. */
+    private void refuseRemoved() {
+        long startMillis = clock.getAsLong();
+        double limitMillis = admission.isEmpty() ? MAX_MILLIS_PER_ITERATION : Math.max(0, refusalMillis);
+        while (!refusals.isEmpty()) {
+            AdmissionController.Refused<Arrival> refused = refusals.removeFirst();
+            refused.item().refuse(refused.refusal());
+            if (clock.getAsLong() - startMillis >= limitMillis) {
+                break;
+            }
+        }
+        refusalMillis = Math.min(MAX_MILLIS_PER_ITERATION, limitMillis - (clock.getAsLong() - startMillis));
+        if (!refusals.isEmpty()) {
+            scheduleIteration();
+        }
+    }
+
+    private void scheduleIteration() {
+        if (!iterationScheduled) {
             iterationScheduled = true;
+            iterationScheduledMillis = clock.getAsLong();
             afterNextIteration.accept(this::nextIteration);
         }
     }
@@ -94,5 +202,18 @@
          * @return false if the caller has disconnected
          */
         boolean start();
+
+        /** Returns the properties that decide about admission; empty if the request is started regardless of them. */
+        default Optional<AdmissionRequest> admissionRequest() {
+            return Optional.of(AdmissionRequest.UNRANKED);
+        }
+
+        /** Refuses the request, which will not be started. */
+        default void refuse(AdmissionRefusal refusal) {}
+
+        /** Tells whether the caller is known to have disconnected. */
+        default boolean abandoned() {
+            return false;
+        }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
@@ -19,7 +19,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.routing.admission.AdmissionRefusal;
+import org.radishpass.routing.admission.AdmissionRequest;
 import org.radishpass.routing.dialect.MalformedHeadException;
 
 /** A connection from a caller. One request is in progress at a time; pipelined requests wait until it has ended. */
@@ -32,7 +36,7 @@
     private final ResponseWriter responseWriter;
     private @Nullable ChannelHandlerContext channelContext;
     private @Nullable RequestAssembly assembly;
-    private @Nullable RequestAssembly completeRequest;
+    private @Nullable PreparedRequest completeRequest;
     private @Nullable Exchange exchange;
     private boolean closing;
     private boolean reading;
@@ -248,7 +252,7 @@
 
     private void dispatch(RequestAssembly request) {
         assembly = null;
-        completeRequest = request;
+        completeRequest = new PreparedRequest(context, request);
         if (reading) {
             enqueueAfterRead = true; // hasDisconnected() must not read from the socket while a read is in progress
         } else {
@@ -257,13 +261,14 @@
     }
 
     private void enqueue() {
-        RequestAssembly request = completeRequest;
+        PreparedRequest request = completeRequest;
         if (request == null) {
             return;
         }
         if (context.heldArrivals().shouldHoldNow()) {
             long timeoutMillis = callerTimeoutMillis(request.request());
-            context.heldArrivals().add(this, HeldArrivals.deadlineMillis(request.receivedAtMillis(), timeoutMillis));
+            context.heldArrivals()
+                    .add(this, HeldArrivals.deadlineMillis(request.record().receivedAtMillis(), timeoutMillis));
         } else {
             context.arrivalQueue().add(this);
         }
@@ -283,7 +288,7 @@
 
     @Override
     public boolean start() {
-        RequestAssembly request = completeRequest;
+        PreparedRequest request = completeRequest;
         if (request == null || hasDisconnected()) {
             return false;
         }
@@ -294,6 +299,31 @@
         return true;
     }
 
+    @Override
+    public Optional<AdmissionRequest> admissionRequest() {
+        PreparedRequest request = completeRequest;
+        return request == null ? Optional.empty() : request.admissionRequest();
+    }
+
+    @Override
+    public void refuse(AdmissionRefusal refusal) {
+        PreparedRequest request = completeRequest;
+        if (request != null) {
+            completeRequest = null;
+            request.refused(refusal);
+            int status = RefusalCode.OVERLOADED.status();
+            respond(
+                    HttpResponseStatus.valueOf(status),
+                    Refusals.body(allocator(), status, "the router cannot serve the request in time"),
+                    Refusals.seconds(refusal.retryAfterMillis()));
+        }
+    }
+
+    @Override
+    public boolean abandoned() {
+        return completeRequest == null;
+    }
+
     private void refuseMalformed(Throwable cause) {
         boolean tooLong = cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException;
         refuseEarly(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -24,6 +24,7 @@
 final class Exchange implements Attempt.Owner, BackoffWait.Owner {
     private final TrafficContext context;
     private final CallerConnection caller;
+    private final PreparedRequest prepared;
     private final HttpRequest request;
     private final ByteBuf body;
     private final ExchangeRecord record;
@@ -37,20 +38,21 @@
     private @Nullable Future<?> deadlineTimer;
     private boolean ended;
 
-    Exchange(TrafficContext context, CallerConnection caller, RequestAssembly assembly) {
+    Exchange(TrafficContext context, CallerConnection caller, PreparedRequest prepared) {
         this.context = context;
         this.caller = caller;
-        this.request = assembly.request();
-        this.body = assembly.body();
-        this.record = new ExchangeRecord(assembly.receivedAtMillis());
+        this.prepared = prepared;
+        this.request = prepared.request();
+        this.body = prepared.body();
+        this.record = prepared.record();
         this.refusal = new ExchangeRefusal(context, caller, record, history, this::end);
         this.quarantineGuard = new QuarantineGuard(context, RequestFingerprint.UNKNOWN, terms.service());
         context.exchanges().add(this);
     }
 
-    /** Resolves the request and starts the first attempt. */
+    /** Starts the first attempt, if the request can be resolved. */
     void begin() {
-        Resolution resolution = context.resolver().resolve(request, context.view(), record, context.nowMillis());
+        Resolution resolution = prepared.resolution();
         if (resolution instanceof Resolution.Refused refused) {
             refusal.refuse(refused.code(), refused.detail(), refused.delay().header());
         } else if (resolution instanceof Resolution.Resolved resolved) {
@@ -266,6 +268,9 @@
             relay.discardPending();
         }
         context.exchanges().remove(this);
+        if (prepared.returned()) {
+            context.arrivalQueue().admission().statistics().returnEnded(record.answered());
+        }
         context.requestLog().finished(record, context.nowMillis());
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -64,6 +64,11 @@
         return status;
     }
 
+    /** Tells whether the caller received a response that is not an error. */
+    boolean answered() {
+        return status > 0 && status < FIRST_ERROR_STATUS;
+    }
+
     String outcome() {
         return outcome;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
@@ -1,9 +1,11 @@
 package org.radishpass.routing.traffic;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.config.Workspace;
 
 /**
  * Ends a request without a response from an endpoint. A refusal that promises that the request was not run is sent
@@ -50,12 +52,25 @@
         }
         if (history.notRun()) {
             RefusalCode accurateCode = code == RefusalCode.ENDPOINT_FAILED ? RefusalCode.NO_ENDPOINT : code;
-            refuse(accurateCode, detail, RetryDelay.of(accurateCode).header());
+            refuse(accurateCode, detail, retryAfter(accurateCode));
             return;
         }
         refuse(code == RefusalCode.DEADLINE ? code : RefusalCode.ENDPOINT_FAILED, detail, null);
     }
 
+    private @Nullable String retryAfter(RefusalCode code) {
+        if (code == RefusalCode.OVERLOADED) {
+            RequestTerms terms = record.terms();
+            String workspace = terms.workspace().map(Workspace::name).orElse("");
+            OptionalLong untilMillis =
+                    context.capacityForecast().millisUntilCapacity(terms.service(), terms.urgency(), workspace);
+            if (untilMillis.isPresent()) {
+                return RetryDelay.header(untilMillis.getAsLong(), terms.remainingMillis(context.nowMillis()));
+            }
+        }
+        return RetryDelay.of(code).header();
+    }
+
     /**
      * Refuses the request because every endpoint that could run it is in backoff.
      *
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
@@ -0,0 +1,118 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.admission.AdmissionRefusal;
+import org.radishpass.routing.admission.AdmissionRequest;
+import org.radishpass.routing.config.Route;
+import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.health.ResponseTimes;
+import org.radishpass.routing.quarantine.RequestFingerprint;
+
+/** A completely received request, which is resolved once for each configuration that it meets. */
+final class PreparedRequest {
+    private static final int USUAL_TIME_DIVISOR = 2;
+
+    private final TrafficContext context;
+    private final RequestAssembly assembly;
+    private final ExchangeRecord record;
+    private @Nullable Resolution resolution;
+    private long resolvedInForceSinceMillis;
+    private boolean returned;
+
+    PreparedRequest(TrafficContext context, RequestAssembly assembly) {
+        this.context = context;
+        this.assembly = assembly;
+        this.record = new ExchangeRecord(assembly.receivedAtMillis());
+    }
+
+    HttpRequest request() {
+        return assembly.request();
+    }
+
+    /** Returns the body, which the recipient must release. */
+    ByteBuf body() {
+        return assembly.body();
+    }
+
+    ExchangeRecord record() {
+        return record;
+    }
+
+    /** Tells whether the caller was refused before. Known once the request has been resolved. */
+    boolean returned() {
+        return returned;
+    }
+
+    /** Returns the resolution of the request by the configuration in force. */
+    Resolution resolution() {
+        Resolution current = resolution;
+        if (current == null || outdated()) {
+            boolean first = current == null;
+            RoutingView view = context.view();
+            current = context.resolver().resolve(request(), view, record, context.nowMillis());
+            resolvedInForceSinceMillis = view.inForceSinceMillis();
+            resolution = current;
+            if (first && current instanceof Resolution.Resolved resolved) {
+                OptionalLong timeoutMillis = resolved.callerTimeoutMillis();
+                returned = timeoutMillis.isPresent()
+                        && context.usualTimeouts()
+                                .returned(resolved.terms().route().name(), timeoutMillis.getAsLong());
+            }
+        }
+        return current;
+    }
+
+    private boolean outdated() {
+        RoutingView view = context.view();
+        return view.inForceSinceMillis() != resolvedInForceSinceMillis
+                || view.configuration()
+                        .filter(configuration -> configuration.version() == record.configurationVersion())
+                        .isEmpty();
+    }
+
+    /** Returns the properties that decide about admission; empty if the request is refused regardless of the load. */
+    Optional<AdmissionRequest> admissionRequest() {
+        if (!(resolution() instanceof Resolution.Resolved resolved)) {
+            return Optional.empty();
+        }
+        RequestTerms terms = resolved.terms();
+        AdmissionRequest.Times times = new AdmissionRequest.Times(
+                record.receivedAtMillis(),
+                terms.route().targetLatencyMillis(),
+                usualMillis(terms.route()),
+                terms.deadlineMillis());
+        String workspace = terms.workspace().map(Workspace::name).orElse("");
+        return Optional.of(AdmissionRequest.of(terms.urgency(), workspace, times, returned));
+    }
+
+    /**
+     * Returns the usual time from the start to the first event in milliseconds, at most half of the timeout of the
+     * route; 0 if unknown. Without this limit, a measured time above the timeout would refuse each request that waits.
+     */
+    private long usualMillis(Route route) {
+        long medianMillis = context.responseTimes().medianMillis(route.name());
+        return medianMillis == ResponseTimes.UNKNOWN
+                ? 0
+                : Math.min(medianMillis, route.timeoutMillis() / USUAL_TIME_DIVISOR);
+    }
+
+    /** Records that the request is not admitted, and releases it. */
+    void refused(AdmissionRefusal refusal) {
+        if (resolution instanceof Resolution.Resolved resolved) {
+            record.terms(resolved.terms(), RequestFingerprint.UNKNOWN);
+        }
+        record.finished(Verdict.NOT_RUN, RefusalCode.OVERLOADED.status(), "not admitted: " + refusal.inputs());
+        context.requestLog().refused(record, refusal, context.nowMillis());
+        assembly.release();
+    }
+
+    void release() {
+        assembly.release();
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Refusals.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Refusals.java
@@ -3,11 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
-import java.util.Locale;
 
 /** Bodies and headers of the responses that the router itself creates. */
 final class Refusals {
-    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final long MILLIS_PER_HUNDREDTH = 10;
+    private static final long HUNDREDTHS_PER_SECOND = 100;
 
     private Refusals() {
         // static methods only
@@ -20,6 +20,8 @@
 
     /** Formats the value of a Retry-After header in seconds, with two decimal places. */
     static String seconds(long millis) {
-        return String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND);
+        long hundredths = (millis + MILLIS_PER_HUNDREDTH / 2) / MILLIS_PER_HUNDREDTH;
+        long fraction = hundredths % HUNDREDTHS_PER_SECOND;
+        return hundredths / HUNDREDTHS_PER_SECOND + (fraction < 10 ? ".0" : ".") + fraction;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.radishpass.routing.admission.AdmissionRefusal;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.quarantine.InProgressRequest;
@@ -40,8 +41,16 @@
      */
     private static final int MAX_LISTED_REQUESTS = 32;
 
+    /**
+     * Maximum number of request lines per second beyond which requests that are not admitted are not logged. They are
+     * many while processor time is short, and their lines differ little.
+     */
+    private static final int MAX_REFUSED_LINES_PER_SECOND = 60;
+
     private static final long SECOND_MILLIS = 1_000;
-    private static final int FIRST_ERROR_STATUS = 400;
+
+    /** Milliseconds without a refusal after which the next refusal is logged as the first of a series. */
+    private static final long REFUSING_PAUSE_MILLIS = 10_000;
 
     private final MeterRegistry metrics;
     private final Counter suppressed;
@@ -50,6 +59,7 @@
     private long currentSecond = Long.MIN_VALUE;
     private int linesInSecond;
     private long suppressedLines;
+    private long refusedAtMillis = -REFUSING_PAUSE_MILLIS;
 
     RequestLog(MeterRegistry metrics) {
         this.metrics = metrics;
@@ -63,9 +73,12 @@
 
     /** Logs the end of a request and records its duration. */
     void finished(ExchangeRecord record, long nowMillis) {
-        boolean answered = record.status() > 0 && record.status() < FIRST_ERROR_STATUS;
+        finished(record, record.answered() ? MAX_SUCCESS_LINES_PER_SECOND : MAX_LINES_PER_SECOND, nowMillis);
+    }
+
+    private void finished(ExchangeRecord record, int maxLines, long nowMillis) {
         timer(record).record(Duration.ofMillis(nowMillis - record.receivedAtMillis()));
-        if (!admitLine(answered ? MAX_SUCCESS_LINES_PER_SECOND : MAX_LINES_PER_SECOND, nowMillis)) {
+        if (!admitLine(maxLines, nowMillis)) {
             return;
         }
         LOG.info(
@@ -95,6 +108,20 @@
                 kv("millis", nowMillis - record.receivedAtMillis()));
     }
 
+    /** Logs that a request is not admitted, and that the router refuses requests if it did not do so before. */
+    void refused(ExchangeRecord record, AdmissionRefusal refusal, long nowMillis) {
+        if (nowMillis - refusedAtMillis >= REFUSING_PAUSE_MILLIS) {
+            LOG.info(
+                    "the router refuses requests that cannot be served in time: {}",
+                    refusal.inputs(),
+                    LogEvent.REFUSING.field(),
+                    kv("rate", Math.round(refusal.startsPerSecond())),
+                    kv("waiting", refusal.queued()));
+        }
+        refusedAtMillis = nowMillis;
+        finished(record, MAX_REFUSED_LINES_PER_SECOND, nowMillis);
+    }
+
     void refusedEarly(int status, String detail) {
         LOG.info(
                 "refused a request before it was completely received: {}; closing the connection",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
@@ -68,8 +68,9 @@
             return refused(RefusalCode.UNAUTHORIZED, "the key is missing or unknown");
         }
         String service = service(head, route.get());
-        return new Resolution.Resolved(RequestTerms.of(
-                head, route.get(), workspace, configuration.service(service), service, receivedAtMillis));
+        RequestTerms terms = RequestTerms.of(
+                head, route.get(), workspace, configuration.service(service), service, receivedAtMillis);
+        return new Resolution.Resolved(terms, head.timeoutMillis());
     }
 
     /** Selects the service of a traffic split by the request id, so that every router selects the same service. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
@@ -22,6 +22,9 @@
     /** Maximum jitter in milliseconds; a larger jitter would only make callers wait. */
     private static final long MAX_JITTER_MILLIS = 1_000;
 
+    /** Callers wait for at most their remaining time, divided by this number, before they return. */
+    private static final int MAX_RETURN_DIVISOR = 3;
+
     private final long millis;
 
     RetryDelay(long millis) {
@@ -56,6 +59,18 @@
         return withJitter(Math.max(untilMillis, OVERLOADED.millis));
     }
 
+    /**
+     * Returns the value of the Retry-After header if the time is known at which a service that is full accepts requests
+     * again.
+     *
+     * @param untilMillis the milliseconds until then
+     * @param leftMillis the milliseconds until the caller's deadline; callers return within a third of them only
+     */
+    static String header(long untilMillis, long leftMillis) {
+        long maxMillis = Math.max(0, leftMillis) / MAX_RETURN_DIVISOR;
+        return withJitter(Math.min(Math.max(untilMillis, OVERLOADED.millis), maxMillis * 2 / 3));
+    }
+
     private static String withJitter(long millis) {
         long maxJitterMillis = Math.min(millis / 2, MAX_JITTER_MILLIS);
         return Refusals.seconds(millis + ThreadLocalRandom.current().nextLong(maxJitterMillis + 1));
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.radishpass.routing.admission.CapacityForecast;
+import org.radishpass.routing.admission.UsualTimeouts;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealthTracker;
@@ -55,9 +57,11 @@
     private final Quarantine quarantine;
     private final FleetObservationTracker observations = new FleetObservationTracker(now -> FleetObservations.NONE);
     private final ResponseTimes responseTimes = new ResponseTimes();
+    private final UsualTimeouts usualTimeouts = new UsualTimeouts();
     private final ArrivalQueue arrivalQueue;
     private final HeldArrivals heldArrivals;
     private final BackoffQueue backoffQueue;
+    private CapacityForecast capacityForecast = CapacityForecast.UNKNOWN;
     private boolean stopping;
     private boolean refusingNew;
     private boolean stopped;
@@ -93,7 +97,8 @@
                 iteration -> {
                     var unused = loop.schedule(iteration, 0, TimeUnit.MILLISECONDS);
                 },
-                clock::millis);
+                clock::millis,
+                () -> view().routers() > 1);
         this.heldArrivals = new HeldArrivals(clock::millis, this::awaitsConfiguration, arrivalQueue::addAll, check -> {
             var unused = loop.schedule(check, QUEUE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         });
@@ -226,6 +231,20 @@
         return arrivalQueue;
     }
 
+    /** Returns what recognises callers that were refused before. */
+    UsualTimeouts usualTimeouts() {
+        return usualTimeouts;
+    }
+
+    /** Returns the forecast of when services that are full have capacity again. */
+    CapacityForecast capacityForecast() {
+        return capacityForecast;
+    }
+
+    void capacityForecast(CapacityForecast forecast) {
+        this.capacityForecast = forecast;
+    }
+
     /** Returns the requests that arrived before the configuration was known. */
     HeldArrivals heldArrivals() {
         return heldArrivals;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -114,6 +114,7 @@
                 .description(
                         "requests that wait for the end of a backoff because an endpoint is expected to take them in time")
                 .register(metrics);
+        AdmissionMetrics.register(context.arrivalQueue(), clock, metrics);
         Gauge.builder("radishpass.requests.quarantined", context.quarantine(), Quarantine::causeCount)
                 .description("different requests that are refused because endpoints end when they run them")
                 .register(metrics);
@@ -184,6 +185,17 @@
         loop.execute(() -> signals.backoffs().maxBackoffMillis(millis));
     }
 
+    /**
+     * Sets whether requests that cannot start at once are ordered and refused by admission. Otherwise they start newest
+     * first.
+     *
+     * @param enabled whether admission is enabled
+     * @since 0.8.0
+     */
+    public void admissionEnabled(boolean enabled) {
+        loop.execute(() -> context.arrivalQueue().admissionEnabled(enabled));
+    }
+
     @Override
     public void recordPeerReport(
             String peerId,
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementFixture.java
@@ -119,6 +119,15 @@
         return context.placer();
     }
 
+    TrafficContext context() {
+        return context;
+    }
+
+    /** Sets the routing view. */
+    void view(RoutingView newView) {
+        view = newView;
+    }
+
     RequestTerms terms() {
         Route route = Route.builder("r").split(TrafficSplit.all(SERVICE)).build();
         return RequestTerms.of(
