radishpass losses counts requests that were not admitted

Cause: they would be counted as errors at an endpoint, although no endpoint was asked. Change: cause NOT_ADMITTED, "router overloaded". Conclusion: losses by admission can be told from those at endpoints.

--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
@@ -28,6 +28,13 @@
             return outcomeContains(request, "newer configuration");
         }
     },
+    /** The router had more requests than it could start, and the request could not be served in time. */
+    NOT_ADMITTED("router overloaded") {
+        @Override
+        boolean matches(LoggedRequest request) {
+            return outcomeContains(request, "not admitted");
+        }
+    },
     /** The request was held back, because endpoints terminated whenever they ran it. */
     HELD_BACK("held back: it ends its endpoints") {
         @Override
--- a/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
+++ b/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
@@ -22,6 +22,7 @@
         "NOT_ALLOWED, 401, -1, the key is missing or unknown, ''",
         "ROUTER_NOT_READY, 503, -1, no configuration or endpoint list is known yet, ''",
         "NEWER_CONFIGURATION, 503, -1, a newer configuration is on its way, ''",
+        "NOT_ADMITTED, 503, -1, 'not admitted: deadline, expected wait 900 ms, 16 starts/s, 40 waiting', ''",
         "HELD_BACK, 503, -1, endpoints end when they run this request, ''",
         "NO_ENDPOINT, 503, -1, no endpoint of the service is left to try, ''",
         "BACKOFF, 503, -1, every endpoint that could run it is in backoff, ''",
