Test: a reset that waits in the socket of an idle connection costs no request

The test blocks the traffic thread, lets the request arrive before the reset, and repeats that five times.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/ConnectionReuseTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/ConnectionReuseTest.java
@@ -66,6 +66,31 @@
         }
     }
 
+    /**
+     * Guards against the loss of a request that is written to an idle connection although a reset of that connection is
+     * already waiting in the socket. The event loop processes the request first, since it arrived first.
+     */
+    @Test
+    void sendsARequestOnANewConnectionIfTheIdleOneHasJustBeenReset() throws Exception {
+        try (FakeEndpoint endpoint = new FakeEndpoint("a", (request, out) -> write(out, whole(request, 200, "ok")));
+                TestCaller caller = fixture.configure(TIMEOUT_MILLIS, endpoint).caller()) {
+            for (int attempt = 0; attempt < 5; attempt++) {
+                caller.request("POST", "/once/", "first-" + attempt, "x").readUntil("ok");
+                FakeEndpoint.ReceivedRequest first = endpoint.nextRequest();
+                try (TrafficFixture.Blockage blockage = fixture.blockTrafficThread()) {
+                    assertThat(blockage).isNotNull();
+                    caller.request("POST", "/once/", "second-" + attempt, "x");
+                    Thread.sleep(20);
+                    first.reset();
+                    Thread.sleep(20);
+                }
+                assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 200");
+                caller.readUntil("ok");
+                assertThat(endpoint.nextRequest().firstOnConnection()).isTrue();
+            }
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
