Gatherers report to their members only what has changed

Cause: a gatherer sent each member all work ten times a second, changed or not, and each member decoded it; each start logged a line for each router that became known (4,692 at 69). Change: a report is sent if this router's own work has changed, if what peers report has changed and there are members to be told, or at the heartbeat of 0.6 s as before. It is sent with each tick while an endpoint is failing, to a new member at once, and for 2 s after a router was added: with heartbeats alone DrainSpreadTest.eachRouterDiscoversAllOthers failed (31 of 63 routers known). An equal report of a peer only renews its time. Routers that become known together are one log line. The prober does not look for silent endpoints while no request is in progress.

The fake traffic side of VirtualRouter follows the new contract of WorkReportExchange.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerTable.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.slf4j.Logger;
@@ -57,7 +58,6 @@
             }
             Peer peer = peers.get(router.id());
             if (peer == null) {
-                LOG.info("router {} added to the known peers", router.id(), LogEvent.PEER_KNOWN.field());
                 peer = new Peer(router, nowMillis);
                 peers.put(router.id(), peer);
                 added.add(peer);
@@ -65,6 +65,13 @@
                 peer.recordMention(router, nowMillis);
             }
         }
+        if (!added.isEmpty()) {
+            // one line for all: at a start of 69 routers, a line for each would be 4,692 lines
+            LOG.info(
+                    "routers added to the known peers: {}",
+                    added.stream().map(Peer::id).collect(Collectors.joining(", ")),
+                    LogEvent.PEER_KNOWN.field());
+        }
         return added;
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkReporter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkReporter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.peer.message.WorkScope;
@@ -41,6 +42,13 @@
      */
     private static final int ROUTER_LIST_TICKS = 50;
 
+    /**
+     * Ticks after the last addition of a router during which a gatherer reports with each tick: 2 s. Routers learn from
+     * reports who gathers, and from gatherers of other routers. With heartbeats alone, some of 63 routers knew only 31
+     * some seconds after all had been started.
+     */
+    private static final int DISCOVERY_TICKS = 20;
+
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final FleetRouter self;
@@ -48,8 +56,10 @@
     private final ControlState controlState;
     private final PeerTable peers;
     private final PeerLinks links;
+    private Set<String> reportedMembers = Set.of();
     private boolean gathering = true;
     private int ticksSinceReport;
+    private int ticksSinceAddition;
     private int fullMeshTicks;
     private int ticksSinceRouterList = ROUTER_LIST_TICKS;
 
@@ -82,6 +92,7 @@
             sendRouterLists(clock.millis());
         }
         ticksSinceReport++;
+        ticksSinceAddition++;
         if (peers.routerCount() > GatheringPlan.MAX_FULL_MESH_ROUTERS || ++fullMeshTicks % FULL_MESH_TICKS == 0) {
             requestReport();
         }
@@ -93,8 +104,9 @@
         requestReport();
     }
 
-    /** Schedules the router lists for the next tick. */
+    /** Schedules the router lists for the next tick, because a router has been added. */
     void scheduleRouterLists() {
+        ticksSinceAddition = 0;
         ticksSinceRouterList = ROUTER_LIST_TICKS;
     }
 
@@ -116,13 +128,18 @@
     }
 
     private void requestReport() {
-        boolean heartbeatDue = ticksSinceReport >= HEARTBEAT_TICKS;
-        List<String> members = members(clock.millis()).stream().map(Peer::id).toList();
-        work.workReport(members, heartbeatDue, report -> thread.run(() -> sendReport(report)));
+        List<Peer> members = members(clock.millis());
+        // a new member would otherwise place its requests without the work of others until the next heartbeat
+        boolean newMember = members.stream().anyMatch(peer -> !reportedMembers.contains(peer.id()));
+        boolean discovering = !members.isEmpty() && ticksSinceAddition < DISCOVERY_TICKS;
+        boolean reportDue = ticksSinceReport >= HEARTBEAT_TICKS || newMember || discovering;
+        work.workReport(
+                members.stream().map(Peer::id).toList(), reportDue, report -> thread.run(() -> sendReport(report)));
     }
 
     private void sendReport(WorkReport report) {
         ticksSinceReport = 0;
+        reportedMembers = report.withoutMember().keySet();
         long nowMillis = clock.millis();
         GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
         updateRole(plan);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightTracker.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.function.BiPredicate;
 import org.radishpass.peer.message.WorkScope;
 
 /**
@@ -27,6 +27,7 @@
     private final Map<String, InFlight> total = new HashMap<>();
     private final Map<String, PeerWork> reportsByPeer = new HashMap<>();
     private final Set<String> changed = new HashSet<>();
+    private boolean peerWorkChanged;
     private long othersReportValidUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -80,6 +81,13 @@
         return changes;
     }
 
+    /** Tells whether the work that peers reported has changed since the last call. */
+    public boolean takePeerChange() {
+        boolean result = peerWorkChanged;
+        peerWorkChanged = false;
+        return result;
+    }
+
     /**
      * Returns the sum of this router's own work and of the work that the members of its group reported, by endpoint.
      */
@@ -119,13 +127,19 @@
         }
         if (scope == WorkScope.OTHERS) {
             othersReportValidUntilMillis = nowMillis + OTHERS_REPORT_VALID_MILLIS;
-            removeReports(report -> report.scope.sentByGatherer());
+            removeReports((id, report) -> report.scope.sentByGatherer() && !id.equals(peerId));
         } else if (scope == WorkScope.GROUP) {
-            removeReports(report -> report.scope == WorkScope.OTHERS);
+            removeReports((id, report) -> report.scope == WorkScope.OTHERS);
+        }
+        PeerWork previous = reportsByPeer.get(peerId);
+        if (previous != null && previous.scope == scope && previous.work.equals(work)) {
+            reportsByPeer.put(peerId, new PeerWork(scope, previous.work, nowMillis));
+            return;
         }
         removeReport(peerId);
         reportsByPeer.put(peerId, new PeerWork(scope, Map.copyOf(work), nowMillis));
         work.forEach(this::addToTotal);
+        peerWorkChanged = true;
     }
 
     /**
@@ -134,13 +148,13 @@
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public void removeExpiredReports(long nowMillis) {
-        removeReports(report -> nowMillis - report.receivedAtMillis > PEER_REPORT_VALID_MILLIS);
+        removeReports((id, report) -> nowMillis - report.receivedAtMillis > PEER_REPORT_VALID_MILLIS);
     }
 
-    private void removeReports(Predicate<PeerWork> unwanted) {
+    private void removeReports(BiPredicate<String, PeerWork> unwanted) {
         Set<String> ids = new HashSet<>();
         reportsByPeer.forEach((id, report) -> {
-            if (unwanted.test(report)) {
+            if (unwanted.test(id, report)) {
                 ids.add(id);
             }
         });
@@ -151,6 +165,7 @@
         PeerWork report = reportsByPeer.remove(peerId);
         if (report != null) {
             report.work.forEach((endpointId, amount) -> addToTotal(endpointId, InFlight.NONE.minus(amount)));
+            peerWorkChanged = true;
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
@@ -29,8 +29,8 @@
             FleetObservations observations);
 
     /**
-     * Passes a report for other routers to a consumer if the group has other members or if this router's own work has
-     * changed since the last call.
+     * Passes a report for other routers to a consumer if this router's own work has changed since the last call, or if
+     * the group has other members and what peers reported has changed.
      *
      * @param members the peers whose work this router gathers
      * @param always whether a report is made even if nothing has changed
--- a/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.peer.message.WorkScope;
 
 /**
@@ -21,8 +22,15 @@
     /** The time for which a peer's report counts, in milliseconds: five missed messages. */
     public static final long REPORT_VALID_MILLIS = 3_000;
 
+    /**
+     * The difference up to which two times of the same observation may differ, in milliseconds. They are computed from
+     * ages, which are received with varying delay.
+     */
+    private static final long MAX_TIME_DIFFERENCE_MILLIS = 50;
+
     private final ObservationSource own;
     private final Map<String, PeerReport> reportsByPeer = new HashMap<>();
+    private boolean peerObservationsChanged;
 
     /**
      * Creates a tracker without reports of peers.
@@ -49,7 +57,39 @@
         if (scope == WorkScope.OTHERS) {
             reportsByPeer.values().removeIf(report -> report.scope.sentByGatherer());
         }
-        reportsByPeer.put(peerId, new PeerReport(scope, observations, nowMillis));
+        PeerReport previous = reportsByPeer.put(peerId, new PeerReport(scope, observations, nowMillis));
+        peerObservationsChanged |= changed(previous, observations);
+    }
+
+    private static boolean changed(@Nullable PeerReport previous, FleetObservations observations) {
+        if (previous == null) {
+            return !observations.isEmpty();
+        }
+        FleetObservations before = previous.observations;
+        if (!before.demand().equals(observations.demand())
+                || before.loads().size() != observations.loads().size()) {
+            return true;
+        }
+        Map<String, EndpointObservation> loadsBefore = new HashMap<>();
+        before.loads().forEach(load -> loadsBefore.put(load.endpointId(), load));
+        return observations.loads().stream().anyMatch(load -> !same(loadsBefore.get(load.endpointId()), load));
+    }
+
+    private static boolean same(@Nullable EndpointObservation before, EndpointObservation load) {
+        return before != null
+                && Math.abs(before.observedAtMillis() - load.observedAtMillis()) <= MAX_TIME_DIFFERENCE_MILLIS
+                && before.running() == load.running()
+                && before.waiting() == load.waiting()
+                && before.slots() == load.slots()
+                && before.slowdownPercent() == load.slowdownPercent()
+                && before.samples() == load.samples();
+    }
+
+    /** Tells whether the observations that peers reported have changed since the last call. */
+    public boolean takePeerChange() {
+        boolean result = peerObservationsChanged;
+        peerObservationsChanged = false;
+        return result;
     }
 
     private static boolean fromGatherer(PeerReport report, long nowMillis) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
@@ -98,7 +98,8 @@
     }
 
     private boolean silent(ServiceEndpoint endpoint, EndpointHealth health, long nowMillis) {
-        return !health.down()
+        return !context.exchanges().isEmpty()
+                && !health.down()
                 && nowMillis - health.bytesReceivedAtMillis() > MAX_SILENCE_MILLIS
                 && context.exchanges().stream()
                         .anyMatch(exchange ->
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -201,13 +201,25 @@
     @Override
     public void workReport(List<String> members, boolean always, Consumer<WorkReport> consumer) {
         loop.execute(() -> {
-            boolean changed = !inFlight.takeChanges().isEmpty();
-            if (changed || always || !members.isEmpty()) {
+            boolean ownChanged = !inFlight.takeChanges().isEmpty();
+            if (ownChanged || always || (!members.isEmpty() && takePeerChange())) {
                 consumer.accept(report(members));
             }
         });
     }
 
+    /**
+     * Tells whether members have to be sent what peers reported. Failing endpoints are repeated with each report,
+     * because a report of them expires after a second.
+     */
+    private boolean takePeerChange() {
+        boolean workChanged = inFlight.takePeerChange();
+        boolean observationsChanged = context.observations().takePeerChange();
+        return workChanged
+                || observationsChanged
+                || !health.failing(clock.millis()).isEmpty();
+    }
+
     @Override
     public void mergeSuspects(SuspectReport report, String origin, Consumer<SuspectReport> newSuspects) {
         loop.execute(() -> {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -46,6 +46,7 @@
     private final VirtualProcess process;
     private final ControlThread thread;
     private final VirtualSuspects suspects;
+    private final Work work;
     private final ControlPlane control;
     private final Links links = new Links();
     private final Map<Long, Long> inForceAtMillis = new HashMap<>();
@@ -59,13 +60,14 @@
         this.process = new VirtualProcess(fleet.scheduler());
         this.thread = new ControlThread(process);
         this.suspects = new VirtualSuspects(fleet.scheduler()::millis);
+        this.work = new Work();
         this.control = new ControlPlane(
                 thread,
                 fleet.scheduler()::millis,
                 fleet.store().link(self.id()),
                 self,
                 VirtualRouter::decode,
-                new Work(),
+                work,
                 suspects,
                 RegionMap.EMPTY,
                 new SimpleMeterRegistry(),
@@ -111,6 +113,16 @@
                 .orElse(false);
     }
 
+    /** Sends a request to an endpoint, which stays in flight. */
+    void startRequest(String endpointId) {
+        work.inFlight.started(endpointId, 1);
+    }
+
+    /** Returns the number of requests that this router knows to be in flight at an endpoint. */
+    int requestsInFlight(String endpointId) {
+        return work.inFlight.at(endpointId).requests();
+    }
+
     /** Returns the routers whose names this router knows. */
     FleetMembers members() {
         return control.view().members();
@@ -309,8 +321,8 @@
 
         @Override
         public void workReport(List<String> members, boolean always, Consumer<WorkReport> taker) {
-            boolean changed = !inFlight.takeChanges().isEmpty();
-            if (changed || always || !members.isEmpty()) {
+            boolean ownChanged = !inFlight.takeChanges().isEmpty();
+            if (ownChanged || always || (!members.isEmpty() && inFlight.takePeerChange())) {
                 Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
                 members.forEach(id -> withoutMember.put(id, inFlight.workWithout(id)));
                 taker.accept(new WorkReport(
--- a/radishpass-routing/src/test/java/org/radishpass/routing/load/InFlightTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/load/InFlightTrackerTest.java
@@ -61,6 +61,33 @@
         assertThat(inFlight.at("a")).isEqualTo(new InFlight(7, 170));
     }
 
+    /** Guards against a gatherer that reports to its members although nothing has changed, or keeps a change back. */
+    @Test
+    void aPeerReportIsAChangeOnlyIfItsWorkDiffers() {
+        inFlight.recordPeerReport("member", WorkScope.MEMBER, Map.of("a", new InFlight(2, 30)), 0);
+        assertThat(inFlight.takePeerChange()).isTrue();
+        inFlight.recordPeerReport("member", WorkScope.MEMBER, Map.of("a", new InFlight(2, 30)), 100);
+        assertThat(inFlight.takePeerChange()).isFalse();
+        inFlight.recordPeerReport("member", WorkScope.MEMBER, Map.of("a", new InFlight(2, 31)), 200);
+        assertThat(inFlight.takePeerChange()).isTrue();
+        inFlight.recordPeerReport("member", WorkScope.MEMBER, Map.of(), 300);
+        assertThat(inFlight.takePeerChange()).isTrue();
+        assertThat(inFlight.at("a")).isEqualTo(InFlight.NONE);
+    }
+
+    /** Guards against an unchanged report that does not count as a sign of life. */
+    @Test
+    void anUnchangedReportIsValidFromItsOwnTimeOn() {
+        inFlight.recordPeerReport("peer", WorkScope.GROUP, Map.of("a", new InFlight(2, 30)), 0);
+        inFlight.recordPeerReport("peer", WorkScope.GROUP, Map.of("a", new InFlight(2, 30)), 1_000);
+
+        inFlight.removeExpiredReports(1_000 + InFlightTracker.PEER_REPORT_VALID_MILLIS);
+        assertThat(inFlight.at("a").requests()).isEqualTo(2);
+        assertThat(inFlight.takePeerChange()).isTrue();
+        inFlight.removeExpiredReports(1_001 + InFlightTracker.PEER_REPORT_VALID_MILLIS);
+        assertThat(inFlight.takePeerChange()).isTrue();
+    }
+
     @Test
     void aReportOnAllOthersReplacesReportsOfSingleGroups() {
         inFlight.recordPeerReport("early", WorkScope.GROUP, Map.of("a", new InFlight(1, 1)), 0);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/report/FleetObservationTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/report/FleetObservationTrackerTest.java
@@ -39,6 +39,23 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against reports to members ten times a second because the ages of old loads arrive with another delay. */
+    @Test
+    void aReportIsAChangeOnlyWithOtherDemandOrANewLoad() {
+        tracker.recordPeerReport("member", WorkScope.MEMBER, load(90, 300), 1_000);
+        assertThat(tracker.takePeerChange()).isTrue();
+        tracker.recordPeerReport("member", WorkScope.MEMBER, load(90, 310), 1_100);
+        assertThat(tracker.takePeerChange()).isFalse();
+        tracker.recordPeerReport("member", WorkScope.MEMBER, load(90, 700), 1_200);
+        assertThat(tracker.takePeerChange()).isTrue();
+        tracker.recordPeerReport("member", WorkScope.MEMBER, load(95, 700), 1_250);
+        assertThat(tracker.takePeerChange()).isTrue();
+        tracker.recordPeerReport("member", WorkScope.MEMBER, demand(2), 1_300);
+        assertThat(tracker.takePeerChange()).isTrue();
+        tracker.recordPeerReport("member", WorkScope.MEMBER, demand(2), 1_400);
+        assertThat(tracker.takePeerChange()).isFalse();
+    }
+
     /** Guards against an old load of an endpoint replacing a later one because of the order of the reports. */
     @Test
     void ofSeveralLoadsOfAnEndpointTheLatestCounts() {
