Reported demand stays in force for 3 s where later reports have none

Cause: demand in each report of work in flight (ten a second) would cost a gatherer of 23 members about 5 Mbit/s with 48 entries, as computed from their size; VMs have 7 Mbit/s. Change: FleetObservationTracker keeps the previous demand of a peer until it is 3 s old if the new report has none, tells the age of the latest demand and whether any peer reports; without(...) takes the time, so that expired demand is not subtracted. Keys of demand have equals and hashCode written out: the generated ones are slow before they are compiled. Conclusion: demand can be reported less often than work in flight. FleetObservationTrackerTest has a case more; its call of without(...) has the time added, the expected values are as before.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.radishpass.peer.message.WorkScope;
 
@@ -34,7 +35,8 @@
     }
 
     /**
-     * Stores a peer's report, which replaces the peer's previous report.
+     * Stores a peer's report, which replaces the peer's previous report. Demand is reported less often than work in
+     * flight: the previous demand stays in force for {@link #REPORT_VALID_MILLIS} if the new report has none.
      *
      * @param peerId the peer
      * @param scope the routers whose observations are reported
@@ -46,10 +48,12 @@
                 && reportsByPeer.values().stream().anyMatch(report -> fromGatherer(report, nowMillis))) {
             return;
         }
+        PeerReport previous = reportsByPeer.get(peerId);
         if (scope == WorkScope.OTHERS) {
             reportsByPeer.values().removeIf(report -> report.scope.sentByGatherer());
         }
-        reportsByPeer.put(peerId, new PeerReport(scope, observations, nowMillis));
+        PeerReport report = new PeerReport(scope, observations, nowMillis, nowMillis);
+        reportsByPeer.put(peerId, previous == null ? report : report.withDemandOf(previous));
     }
 
     private static boolean fromGatherer(PeerReport report, long nowMillis) {
@@ -74,6 +78,29 @@
         return own.observations(nowMillis);
     }
 
+    /**
+     * Returns the age of the latest demand that a peer reported, in milliseconds; empty if no peer reported demand
+     * within {@link #REPORT_VALID_MILLIS}.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public OptionalLong demandAgeMillis(long nowMillis) {
+        return reportsByPeer.values().stream()
+                .filter(report -> !report.demand(nowMillis).isEmpty())
+                .mapToLong(report -> nowMillis - report.demandAtMillis)
+                .min();
+    }
+
+    /**
+     * Tells whether a peer has reported within {@link #REPORT_VALID_MILLIS}, with or without observations.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public boolean hasPeerReports(long nowMillis) {
+        return reportsByPeer.values().stream()
+                .anyMatch(report -> nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS);
+    }
+
     /**
      * Returns the observations of this router and of the members of its group.
      *
@@ -97,46 +124,58 @@
      *
      * @param all the observations of all routers
      * @param peerId the peer
+     * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public FleetObservations without(FleetObservations all, String peerId) {
+    public FleetObservations without(FleetObservations all, String peerId, long nowMillis) {
         PeerReport report = reportsByPeer.get(peerId);
-        if (report == null || report.observations.demand().isEmpty()) {
+        if (report == null || all.demand().isEmpty() || report.demand(nowMillis).isEmpty()) {
             return all;
         }
         Map<ServiceDemand.Key, ServiceDemand> demand = new LinkedHashMap<>();
         all.demand().forEach(entry -> demand.put(entry.key(), entry));
-        report.observations
-                .demand()
-                .forEach(entry -> demand.computeIfPresent(entry.key(), (key, sum) -> sum.minus(entry)));
+        report.demand(nowMillis).forEach(entry -> demand.computeIfPresent(entry.key(), (key, sum) -> sum.minus(entry)));
         return new FleetObservations(new ArrayList<>(demand.values()), all.loads());
     }
 
     private FleetObservations combine(long nowMillis, Predicate<PeerReport> included) {
         Map<ServiceDemand.Key, ServiceDemand> demand = new LinkedHashMap<>();
         Map<String, EndpointObservation> loads = new LinkedHashMap<>();
-        add(own(nowMillis), demand, loads);
+        FleetObservations ownObservations = own(nowMillis);
+        add(ownObservations.demand(), ownObservations.loads(), demand, loads);
         reportsByPeer.values().stream()
                 .filter(report -> nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS)
                 .filter(included)
-                .forEach(report -> add(report.observations, demand, loads));
+                .forEach(report -> add(report.demand(nowMillis), report.observations.loads(), demand, loads));
         return demand.isEmpty() && loads.isEmpty()
                 ? FleetObservations.NONE
                 : new FleetObservations(List.copyOf(demand.values()), List.copyOf(loads.values()));
     }
 
     private static void add(
-            FleetObservations observations,
+            List<ServiceDemand> addedDemand,
+            List<EndpointObservation> addedLoads,
             Map<ServiceDemand.Key, ServiceDemand> demand,
             Map<String, EndpointObservation> loads) {
-        observations.demand().forEach(entry -> demand.merge(entry.key(), entry, ServiceDemand::plus));
-        observations
-                .loads()
-                .forEach(load -> loads.merge(
-                        load.endpointId(),
-                        load,
-                        (one, other) -> one.observedAtMillis() >= other.observedAtMillis() ? one : other));
+        addedDemand.forEach(entry -> demand.merge(entry.key(), entry, ServiceDemand::plus));
+        addedLoads.forEach(load -> loads.merge(
+                load.endpointId(),
+                load,
+                (one, other) -> one.observedAtMillis() >= other.observedAtMillis() ? one : other));
     }
 
-    /** The last report of one peer. */
-    private record PeerReport(WorkScope scope, FleetObservations observations, long receivedAtMillis) {}
+    /** The last report of one peer, with the time at which its demand was received. */
+    private record PeerReport(
+            WorkScope scope, FleetObservations observations, long receivedAtMillis, long demandAtMillis) {
+        private PeerReport withDemandOf(PeerReport previous) {
+            if (!observations.demand().isEmpty() || previous.scope != scope) {
+                return this;
+            }
+            FleetObservations both = new FleetObservations(previous.observations.demand(), observations.loads());
+            return new PeerReport(scope, both, receivedAtMillis, previous.demandAtMillis);
+        }
+
+        private List<ServiceDemand> demand(long nowMillis) {
+            return nowMillis - demandAtMillis <= REPORT_VALID_MILLIS ? observations.demand() : List.of();
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/report/ServiceDemand.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/report/ServiceDemand.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.report;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The demand of one workspace for one service at one urgency, as rates over a recent window.
  *
@@ -14,6 +16,8 @@
  */
 public record ServiceDemand(
         String service, String workspace, int urgency, double arrived, double sent, double completed, double refused) {
+    private static final int HASH_FACTOR = 31;
+
     /**
      * Returns the sum of this demand and another demand of the same service, workspace and urgency.
      *
@@ -60,5 +64,19 @@
      * @param urgency the urgency; 0 is the most urgent
      * @since 0.8.0
      */
-    public record Key(String service, String workspace, int urgency) {}
+    public record Key(String service, String workspace, int urgency) {
+        /** Written out because the generated method takes several times as long before it is compiled. */
+        @Override
+        public boolean equals(@Nullable Object other) {
+            return other instanceof Key key
+                    && urgency == key.urgency
+                    && workspace.equals(key.workspace)
+                    && service.equals(key.service);
+        }
+
+        @Override
+        public int hashCode() {
+            return (service.hashCode() * HASH_FACTOR + workspace.hashCode()) * HASH_FACTOR + urgency;
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -241,7 +241,7 @@
         FleetObservations all = members.isEmpty() ? FleetObservations.NONE : observations.all(nowMillis);
         members.forEach(id -> {
             withoutMember.put(id, inFlight.workWithout(id));
-            observationsWithoutMember.put(id, observations.without(all, id));
+            observationsWithoutMember.put(id, observations.without(all, id, nowMillis));
         });
         return new WorkReport(
                 inFlight.ownWork(),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/report/FleetObservationTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/report/FleetObservationTrackerTest.java
@@ -18,7 +18,7 @@
         tracker.recordPeerReport("gatherer", WorkScope.GROUP, demand(4), 0);
         FleetObservations all = tracker.all(0);
         assertThat(arrived(all)).isEqualTo(7);
-        assertThat(arrived(tracker.without(all, "member"))).isEqualTo(5);
+        assertThat(arrived(tracker.without(all, "member", 0))).isEqualTo(5);
         assertThat(arrived(tracker.group(0))).isEqualTo(3);
     }
 
@@ -39,6 +39,20 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against losing the demand between two reports of it, which are rarer than those of work in flight. */
+    @Test
+    void demandStaysInForceUntilItExpiresIfLaterReportsHaveNone() {
+        tracker.recordPeerReport("member", WorkScope.MEMBER, demand(2), 0);
+        tracker.recordPeerReport("member", WorkScope.MEMBER, FleetObservations.NONE, 1_000);
+        tracker.recordPeerReport("member", WorkScope.MEMBER, FleetObservations.NONE, 2_900);
+        assertThat(arrived(tracker.all(3_000))).isEqualTo(3);
+        assertThat(tracker.demandAgeMillis(3_000).orElse(-1)).isEqualTo(3_000);
+        assertThat(arrived(tracker.all(3_001))).isEqualTo(1);
+        assertThat(tracker.demandAgeMillis(3_001).isPresent()).isFalse();
+        assertThat(arrived(tracker.without(tracker.all(3_001), "member", 3_001)))
+                .isEqualTo(1);
+    }
+
     /** Guards against an old load of an endpoint replacing a later one because of the order of the reports. */
     @Test
     void ofSeveralLoadsOfAnEndpointTheLatestCounts() {
