Routers admit requests to contended services by shares

Cause: the shares decide nothing yet. TrafficContext.ownObservations combines what parts observe. The fixture of the traffic tests has a less urgent route /later/. Conclusion: off while nothing is refused for lack of capacity.

--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/LossCause.java
@@ -49,6 +49,13 @@
             return outcomeContains(request, "in backoff");
         }
     },
+    /** The service was contended, and more urgent requests or other workspaces came first. */
+    BEYOND_SHARE("beyond its share of a contended service") {
+        @Override
+        boolean matches(LoggedRequest request) {
+            return outcomeContains(request, "the share of the workspace and urgency is used up");
+        }
+    },
     /** All suitable endpoints were full, or an endpoint did not accept the request. */
     FULL("endpoints full") {
         @Override
--- a/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
+++ b/radishpass-cli/src/test/java/org/radishpass/cli/internal/LossesTest.java
@@ -25,6 +25,7 @@
         "HELD_BACK, 503, -1, endpoints end when they run this request, ''",
         "NO_ENDPOINT, 503, -1, no endpoint of the service is left to try, ''",
         "BACKOFF, 503, -1, every endpoint that could run it is in backoff, ''",
+        "BEYOND_SHARE, 503, -1, the service is contended and the share of the workspace and urgency is used up, chosen 0 sent -1 head -1",
         "FULL, 503, -1, every endpoint of the service is full, chosen 0 sent -1 head -1",
         "WAITED_TO_BE_SENT, 503, -1, the time for an answer is over, chosen 0 sent -1 head -1",
         "SILENT_ENDPOINT, 504, -1, the time for an answer is over, chosen 0 sent 1 head -1",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -101,6 +101,14 @@
     /** See {@link #meaning}. */
     REQUEST_CLEARED("request-cleared", "a request with which several endpoints had ended was answered: it is harmless"),
     /** See {@link #meaning}. */
+    SHARES(
+            "shares",
+            "whether requests to `service` are admitted by shares has changed: `contended` is true from its first refusal for lack of capacity until there has been none for some seconds"),
+    /** See {@link #meaning}. */
+    DEMAND_IMPOSSIBLE(
+            "demand-impossible",
+            "a router reported demand with impossible figures; it is not used; `dropped` is how many such reports there were since the last line"),
+    /** See {@link #meaning}. */
     MALFORMED("malformed", "a request was refused before it was whole: malformed or larger than the limits"),
     /** See {@link #meaning}. */
     LOG_SUPPRESSED("log-suppressed", "lines that were left out in the second before, to keep the volume bounded");
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -11,6 +11,7 @@
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.config.Workspace;
 import org.radishpass.routing.dialect.ForwardingHeaders;
+import org.radishpass.routing.fairness.ShareDecision;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -71,6 +72,7 @@
         long remainingMillis = terms.remainingMillis(context.nowMillis());
         deadlineTimer =
                 context.loop().schedule(this::deadlineExpired, Math.max(0, remainingMillis), TimeUnit.MILLISECONDS);
+        context.shareGuard().arrived(terms);
         placeAndAttempt();
     }
 
@@ -93,14 +95,34 @@
             waitOrGiveUp();
             return;
         }
-        if (terms.atQueueLimit(choice.get())) {
+        ShareDecision decision = shareDecision();
+        boolean beyondShare = !decision.admitted();
+        if (beyondShare || terms.atQueueLimit(choice.get(), decision)) {
             record.chosen(choice.get(), context.view(), context.nowMillis());
-            giveUp(RefusalCode.OVERLOADED, "every endpoint of the service is full");
+            giveUpForCapacity(beyondShare ? ShareGuard.BEYOND_SHARE : "every endpoint of the service is full");
             return;
         }
         startAttempt(choice.get());
     }
 
+    private ShareDecision shareDecision() {
+        ShareDecision decision = record.shareDecision();
+        if (decision == null) {
+            decision = history.sends() > 0
+                    ? ShareDecision.UNCONTENDED
+                    : context.shareGuard().decide(terms);
+            record.shareDecided(decision);
+        }
+        return decision;
+    }
+
+    private void giveUpForCapacity(String detail) {
+        if (history.notRun()) {
+            context.shareGuard().refused(terms);
+        }
+        giveUp(RefusalCode.OVERLOADED, detail);
+    }
+
     private BackoffWait backoffWait() {
         BackoffWait current = currentBackoffWait;
         if (current == null) {
@@ -306,6 +328,7 @@
         record.sent(nowMillis, context.signals().countUnwantedSend(current.endpoint()));
         quarantineGuard.sent();
         current.markSent();
+        context.shareGuard().sent(terms);
         terms.prompt().ifPresent(prompt -> context.chooser().sent(prompt, current.endpoint(), nowMillis));
         ForwardingHeaders forwarding = terms.forwardingHeaders(
                 current.endpoint(), terms.remainingMillis(nowMillis), relay().lastEventId(), current.cacheHolder());
@@ -370,11 +393,13 @@
         record.attemptEnded("not run, status " + status);
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             context.reportEndpointReplaced(refused.endpoint());
+        } else {
+            context.shareGuard().rejected(terms);
         }
         if (mayRetry()) {
             placeAndAttempt();
         } else {
-            giveUp(RefusalCode.OVERLOADED, "the endpoint did not take the request");
+            giveUpForCapacity("the endpoint did not take the request");
         }
     }
 
@@ -385,6 +410,7 @@
         record.finished(Verdict.RAN, status, "answered");
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
             quarantineGuard.responseCompleted();
+            context.shareGuard().completed(terms);
         }
         if (relay().complete()) {
             end();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.dialect.ResponseHead;
+import org.radishpass.routing.fairness.ShareDecision;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -23,6 +24,7 @@
     private long configurationVersion;
     private long configurationAgeMillis;
     private RequestTerms terms = RequestTerms.UNKNOWN;
+    private @Nullable ShareDecision shareDecision;
     private Verdict verdict = Verdict.NOT_RUN;
     private int status;
     private long responseAfterMillis = -1;
@@ -97,6 +99,22 @@
         return fingerprint;
     }
 
+    /** Returns the decision by the share of the request, or null before it was taken. */
+    @Nullable
+    ShareDecision shareDecision() {
+        return shareDecision;
+    }
+
+    /** Returns the decision by the share of the request as written to the log; empty if there was none. */
+    String shareText() {
+        return shareDecision == null ? "" : shareDecision.text();
+    }
+
+    /** Records the decision by the share of the request. */
+    void shareDecided(ShareDecision decision) {
+        this.shareDecision = decision;
+    }
+
     /** Records the choice of an endpoint. */
     void chosen(PlacementChoice choice, RoutingView view, long nowMillis) {
         attempts.add(new AttemptRecord(choice, view.origin(), receivedAtMillis, nowMillis));
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -87,6 +87,7 @@
                 kv("service", record.terms().service()),
                 kv("fingerprint", record.fingerprint().toString()),
                 kv("urgency", record.terms().urgency()),
+                kv("share", record.shareText()),
                 kv("attempts", record.attempts().stream().map(Object::toString).toList()),
                 kv("status", record.status()),
                 kv("verdict", record.verdict()),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestTerms.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestTerms.java
@@ -12,6 +12,8 @@
 import org.radishpass.routing.dialect.ForwardingHeaders;
 import org.radishpass.routing.dialect.PromptDescription;
 import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.fairness.RequestClass;
+import org.radishpass.routing.fairness.ShareDecision;
 import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.QueueLimit;
@@ -106,9 +108,27 @@
 
     /** Tells whether the chosen endpoint already has as many requests as it should. */
     boolean atQueueLimit(PlacementChoice choice) {
-        boolean engine = serviceSpec != null && serviceSpec.engine().isPresent();
-        QueueLimit limit = engine ? QueueLimit.ENGINE : QueueLimit.PLAIN;
-        return choice.load() >= limit.requests(choice.endpoint().slots());
+        return choice.load() >= queueLimit().requests(choice.endpoint().slots());
+    }
+
+    /**
+     * Tells whether the chosen endpoint already has as many requests as it should, given the decision by the share of
+     * the request.
+     */
+    boolean atQueueLimit(PlacementChoice choice, ShareDecision decision) {
+        return decision.extendsQueueLimit()
+                ? choice.load()
+                        >= queueLimit().requestsWithinShares(choice.endpoint().slots())
+                : atQueueLimit(choice);
+    }
+
+    private QueueLimit queueLimit() {
+        return QueueLimit.of(serviceSpec);
+    }
+
+    /** Returns the class of the request in the shares of its service. */
+    RequestClass requestClass() {
+        return new RequestClass(workspaceSpec == null ? "" : workspaceSpec.name(), urgency());
     }
 
     /** Returns the limits for endpoints that have just started, or null if there are none. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -16,6 +16,7 @@
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.report.FleetObservationTracker;
 import org.radishpass.routing.report.FleetObservations;
+import org.radishpass.routing.report.ServiceDemand;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,7 +54,8 @@
     private final EndpointProber prober = new EndpointProber(this);
     private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
     private final Quarantine quarantine;
-    private final FleetObservationTracker observations = new FleetObservationTracker(now -> FleetObservations.NONE);
+    private final FleetObservationTracker observations = new FleetObservationTracker(this::ownObservations);
+    private final ShareGuard shareGuard = new ShareGuard(this);
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final ArrivalQueue arrivalQueue;
     private final HeldArrivals heldArrivals;
@@ -203,6 +205,17 @@
         }
     }
 
+    /** Combines what the parts of this router observe; each part supplies one of the lists. */
+    private FleetObservations ownObservations(long nowMillis) {
+        List<ServiceDemand> demand = shareGuard.demand(nowMillis);
+        return demand.isEmpty() ? FleetObservations.NONE : new FleetObservations(demand, List.of());
+    }
+
+    /** Returns the shares of workspaces and urgencies in contended services. */
+    ShareGuard shareGuard() {
+        return shareGuard;
+    }
+
     /** Returns the demand for services and the loads of endpoints that routers report to each other. */
     FleetObservationTracker observations() {
         return observations;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -18,9 +18,11 @@
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.dialect.RequestDialect;
+import org.radishpass.routing.fairness.ServiceShares;
 import org.radishpass.routing.health.EndpointHealthTracker;
 import org.radishpass.routing.load.ColdStartAllowance;
 import org.radishpass.routing.load.InFlight;
@@ -114,6 +116,7 @@
                 .description(
                         "requests that wait for the end of a backoff because an endpoint is expected to take them in time")
                 .register(metrics);
+        context.shareGuard().registerMetrics(metrics);
         Gauge.builder("radishpass.requests.quarantined", context.quarantine(), Quarantine::causeCount)
                 .description("different requests that are refused because endpoints end when they run them")
                 .register(metrics);
@@ -151,6 +154,7 @@
                     }
                 });
         context.scheduleRepeatedly(PROBE_INTERVAL_MILLIS, context.prober()::probeDue);
+        context.scheduleRepeatedly(ServiceShares.REFRESH_MILLIS, context.shareGuard()::refresh);
         context.scheduleRepeatedly(CLEANUP_INTERVAL_MILLIS, this::cleanUp);
         return serving;
     }
@@ -184,6 +188,16 @@
         loop.execute(() -> signals.backoffs().maxBackoffMillis(millis));
     }
 
+    /**
+     * Enables or disables the shares of workspaces and urgencies in contended services.
+     *
+     * @param enabled whether requests to contended services are admitted by shares
+     * @since 0.8.0
+     */
+    public void serviceShares(boolean enabled) {
+        loop.execute(() -> context.shareGuard().enabled(enabled));
+    }
+
     @Override
     public void recordPeerReport(
             String peerId,
@@ -192,7 +206,8 @@
             List<String> failing,
             FleetObservations reported) {
         loop.execute(() -> {
-            context.observations().recordPeerReport(peerId, scope, reported, clock.millis());
+            FleetObservations checked = context.shareGuard().checked(peerId, reported);
+            context.observations().recordPeerReport(peerId, scope, checked, clock.millis());
             inFlight.recordPeerReport(peerId, scope, work, clock.millis());
             health.recordReportedFailing(failing, scope, clock.millis());
         });
@@ -238,7 +253,9 @@
         Map<String, FleetObservations> observationsWithoutMember = new LinkedHashMap<>();
         long nowMillis = clock.millis();
         FleetObservationTracker observations = context.observations();
-        FleetObservations all = members.isEmpty() ? FleetObservations.NONE : observations.all(nowMillis);
+        UnaryOperator<FleetObservations> reported = context.shareGuard().reportFilter(nowMillis);
+        FleetObservations all =
+                members.isEmpty() ? FleetObservations.NONE : reported.apply(observations.all(nowMillis));
         members.forEach(id -> {
             withoutMember.put(id, inFlight.workWithout(id));
             observationsWithoutMember.put(id, observations.without(all, id, nowMillis));
@@ -249,8 +266,8 @@
                 withoutMember,
                 health.failingInGroup(nowMillis),
                 health.failing(nowMillis),
-                observations.own(nowMillis),
-                observations.group(nowMillis),
+                reported.apply(observations.own(nowMillis)),
+                reported.apply(observations.group(nowMillis)),
                 observationsWithoutMember);
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -38,6 +38,9 @@
     /** The warm-up of the endpoints. With the default allowance, this router alone sends two requests per second. */
     private static final ColdStart COLD_START = new ColdStart(3_000, 4);
 
+    /** The priority of the route /later/; the other routes have priority 0. */
+    private static final int LESS_URGENT = 5;
+
     private final LoopResources loops = LoopResources.create("bed", 1, 1, true, false);
     private final AtomicLong skippedMillis = new AtomicLong();
     private final TrafficServer server;
@@ -75,7 +78,7 @@
 
     /**
      * Sets a routing view with the given endpoints and the routes /once/, /again/, /stream/ and /resume/ with a
-     * timeout.
+     * timeout, and the less urgent idempotent route /later/.
      */
     public TrafficFixture configure(long timeoutMillis, FakeEndpoint... endpoints) {
         List<ServiceEndpoint> known = new ArrayList<>();
@@ -87,6 +90,7 @@
         route(configuration, "/again/", RequestKind.IDEMPOTENT, timeoutMillis);
         route(configuration, "/stream/", RequestKind.STREAM, timeoutMillis);
         route(configuration, "/resume/", RequestKind.RESUMABLE_STREAM, timeoutMillis);
+        route(configuration, "/later/", RequestKind.IDEMPOTENT, timeoutMillis, LESS_URGENT);
         view = new RoutingView(
                 configuration.build(), 0, new EndpointDirectory(known), true, false, DirectoryOrigin.UNKNOWN, 1);
         return this;
@@ -186,11 +190,21 @@
 
     private void route(
             RoutingConfiguration.Builder configuration, String prefix, RequestKind kind, long timeoutMillis) {
+        route(configuration, prefix, kind, timeoutMillis, 0);
+    }
+
+    private void route(
+            RoutingConfiguration.Builder configuration,
+            String prefix,
+            RequestKind kind,
+            long timeoutMillis,
+            int priority) {
         configuration.route(Route.builder(prefix)
                 .match("api", prefix)
                 .kind(kind)
                 .split(TrafficSplit.all(SERVICE))
                 .timeoutMillis(timeoutMillis)
+                .priority(priority)
                 .maxAttempts(maxAttempts)
                 .targetLatencyMillis(targetMillis)
                 .build());
