--- a/radishpass-routing/src/main/java/org/radishpass/routing/dialect/ResponseHead.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/dialect/ResponseHead.java
@@ -16,6 +16,7 @@
  * @param closing whether the endpoint closes the connection after this response
  * @param leaving whether the endpoint states that it is leaving: it completes its requests and accepts no new ones
  * @param retryAfterMillis the time for which the endpoint asks to be sent nothing, in milliseconds, if stated
+ * @param invalidLoad whether the endpoint reports a load that is ignored because it is malformed or implausible
  * @since 0.2.0
  */
 public record ResponseHead(
@@ -27,7 +28,8 @@
         boolean signed,
         boolean closing,
         boolean leaving,
-        OptionalLong retryAfterMillis) {
+        OptionalLong retryAfterMillis,
+        boolean invalidLoad) {
     private static final int FIRST_SUCCESS = 200;
     private static final int LAST_SUCCESS = 299;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -85,6 +87,7 @@
         private boolean closing;
         private boolean leaving;
         private OptionalLong retryAfterMillis = OptionalLong.empty();
+        private boolean invalidLoad;
 
         private Builder(int status) {
             this.status = status;
@@ -138,6 +141,16 @@
             return this;
         }
 
+        /**
+         * Sets whether the endpoint reports a load that is ignored because it is malformed or implausible.
+         *
+         * @since 0.8.0
+         */
+        public Builder invalidLoad(boolean ignored) {
+            this.invalidLoad = ignored;
+            return this;
+        }
+
         /** Returns the head. */
         public ResponseHead build() {
             return new ResponseHead(
@@ -149,7 +162,8 @@
                     signed,
                     closing,
                     leaving,
-                    retryAfterMillis);
+                    retryAfterMillis,
+                    invalidLoad);
         }
     }
 }
