Combine the slowdowns that routers report by samples and age

Cause: of the loads that several routers reported of one endpoint, only the latest counted. A slowdown changes many times a second, so that a single figure says little; 134 routers observe an engine 5 times a second together, but each only every 26 s. A gatherer would also send each of its members the loads of all endpoints ten times a second.

Change: the load of an endpoint is still that of the latest observation; its slowdown is a mean over all routers, weighted by samples and age. A stated slowdown takes precedence over one measured by response times (slots 0). Loads of peers with impossible figures are ignored and counted, and those that are not recent are left out. Reports to members contain loads every 300 ms; receivers keep the previous ones in between.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.peer.message.WorkScope;
 
 /**
- * Tracks the observations that peers last reported, and combines them with this router's own: demand is added up, and
- * of the loads of an endpoint the latest counts.
+ * Tracks the observations that peers last reported, and combines them with this router's own: demand is added up, of
+ * the loads of an endpoint the latest counts, and its slowdown is a mean weighted by samples and age. Loads in which a
+ * figure is impossible are ignored and counted.
  *
  * <p>Confined to the traffic thread. The scopes of reports replace each other by the same rules as those of the work
  * in flight.
@@ -21,8 +23,16 @@
     /** The time for which a peer's report counts, in milliseconds: five missed messages. */
     public static final long REPORT_VALID_MILLIS = 3_000;
 
+    /**
+     * The time between reports of loads to the members of a group, in milliseconds. A gatherer sends each member the
+     * loads of up to all endpoints of the fleet, about 50 bytes each.
+     */
+    private static final long LOADS_FOR_MEMBERS_MILLIS = 300;
+
     private final ObservationSource own;
     private final Map<String, PeerReport> reportsByPeer = new HashMap<>();
+    private long ignoredLoads;
+    private long nextLoadsForMembersMillis = Long.MIN_VALUE;
 
     /**
      * Creates a tracker without reports of peers.
@@ -46,10 +56,40 @@
                 && reportsByPeer.values().stream().anyMatch(report -> fromGatherer(report, nowMillis))) {
             return;
         }
+        PeerReport before = reportsByPeer.get(peerId);
         if (scope == WorkScope.OTHERS) {
             reportsByPeer.values().removeIf(report -> report.scope.sentByGatherer());
         }
-        reportsByPeer.put(peerId, new PeerReport(scope, observations, nowMillis));
+        reportsByPeer.put(peerId, new PeerReport(scope, withLoads(observations, scope, before), nowMillis));
+    }
+
+    /** Returns a report with its plausible loads; with those of the previous report if it contains none. */
+    private FleetObservations withLoads(FleetObservations reported, WorkScope scope, @Nullable PeerReport before) {
+        if (reported.loads().isEmpty()) {
+            return before == null
+                            || before.scope != scope
+                            || before.observations.loads().isEmpty()
+                    ? reported
+                    : new FleetObservations(reported.demand(), before.observations.loads());
+        }
+        List<EndpointObservation> plausible = new ArrayList<>(reported.loads());
+        plausible.removeIf(load -> !load.plausible());
+        ignoredLoads += reported.loads().size() - plausible.size();
+        return new FleetObservations(reported.demand(), plausible);
+    }
+
+    /** Returns the number of loads reported by peers that were ignored because a figure is impossible. */
+    public long ignoredLoads() {
+        return ignoredLoads;
+    }
+
+    /**
+     * Returns the recent loads of endpoints as seen by all routers that are known here.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public List<EndpointObservation> loads(long nowMillis) {
+        return combine(nowMillis, report -> true).loads();
     }
 
     private static boolean fromGatherer(PeerReport report, long nowMillis) {
@@ -84,12 +124,21 @@
     }
 
     /**
-     * Returns the observations of all routers that are known here.
+     * Returns the observations of all routers that are known here, for reports to the members of the group. Loads are
+     * included every {@link #LOADS_FOR_MEMBERS_MILLIS} only; receivers keep the previous ones until then.
      *
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public FleetObservations all(long nowMillis) {
-        return combine(nowMillis, report -> true);
+        FleetObservations all = combine(nowMillis, report -> true);
+        if (all.loads().isEmpty()) {
+            return all;
+        }
+        if (nowMillis < nextLoadsForMembersMillis) {
+            return new FleetObservations(all.demand(), List.of());
+        }
+        nextLoadsForMembersMillis = nowMillis + LOADS_FOR_MEMBERS_MILLIS;
+        return all;
     }
 
     /**
@@ -113,28 +162,36 @@
 
     private FleetObservations combine(long nowMillis, Predicate<PeerReport> included) {
         Map<ServiceDemand.Key, ServiceDemand> demand = new LinkedHashMap<>();
-        Map<String, EndpointObservation> loads = new LinkedHashMap<>();
-        add(own(nowMillis), demand, loads);
-        reportsByPeer.values().stream()
-                .filter(report -> nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS)
-                .filter(included)
-                .forEach(report -> add(report.observations, demand, loads));
+        Map<String, CombinedObservation> loads = new LinkedHashMap<>();
+        add(own(nowMillis), nowMillis, demand, loads);
+        for (PeerReport report : reportsByPeer.values()) {
+            if (nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS && included.test(report)) {
+                add(report.observations, nowMillis, demand, loads);
+            }
+        }
         return demand.isEmpty() && loads.isEmpty()
                 ? FleetObservations.NONE
-                : new FleetObservations(List.copyOf(demand.values()), List.copyOf(loads.values()));
+                : new FleetObservations(
+                        List.copyOf(demand.values()),
+                        loads.values().stream().map(CombinedObservation::result).toList());
     }
 
     private static void add(
             FleetObservations observations,
+            long nowMillis,
             Map<ServiceDemand.Key, ServiceDemand> demand,
-            Map<String, EndpointObservation> loads) {
+            Map<String, CombinedObservation> loads) {
         observations.demand().forEach(entry -> demand.merge(entry.key(), entry, ServiceDemand::plus));
-        observations
-                .loads()
-                .forEach(load -> loads.merge(
-                        load.endpointId(),
-                        load,
-                        (one, other) -> one.observedAtMillis() >= other.observedAtMillis() ? one : other));
+        for (EndpointObservation load : observations.loads()) {
+            if (load.recent(nowMillis)) {
+                CombinedObservation combined = loads.get(load.endpointId());
+                if (combined == null) {
+                    loads.put(load.endpointId(), new CombinedObservation(load));
+                } else {
+                    combined.add(load);
+                }
+            }
+        }
     }
 
     /** The last report of one peer. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservations.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservations.java
@@ -1,5 +1,6 @@
 package org.radishpass.routing.report;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -19,6 +20,25 @@
         loads = List.copyOf(loads);
     }
 
+    /**
+     * Returns these observations and others of which neither repeats a demand or a load of the other.
+     *
+     * @param other the observations to add
+     */
+    public FleetObservations plus(FleetObservations other) {
+        if (other.isEmpty()) {
+            return this;
+        }
+        if (isEmpty()) {
+            return other;
+        }
+        List<ServiceDemand> demands = new ArrayList<>(demand);
+        demands.addAll(other.demand);
+        List<EndpointObservation> allLoads = new ArrayList<>(loads);
+        allLoads.addAll(other.loads);
+        return new FleetObservations(demands, allLoads);
+    }
+
     /** Tells whether there are no observations. */
     public boolean isEmpty() {
         return demand.isEmpty() && loads.isEmpty();
