Place requests by the speed of endpoints where they differ

Cause: placement counted requests. An endpoint at half the usual speed got as many requests as the others, and the load that endpoints state was decoded and used nowhere.

Change: EndpointPerformance averages the slowdown that endpoints state (decay 1.5 s, per incarnation), assesses endpoints that state none by their times to the first event, and reports what is recent once an endpoint states a slowdown or differs. RADISHPASS_PLACEMENT selects the method: two-choices (default), expected-time or requests. Without shared prompt parts, endpoints are chosen at random in inverse proportion to the expected time. Prompts leave their first endpoint only for the second in their ranking. Work in flight and ranks are looked up once per choice, and the hash of a prompt's parts once per request.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/LoadLimit.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/LoadLimit.java
@@ -36,6 +36,18 @@
         for (ServiceEndpoint endpoint : endpoints) {
             sum += inFlight.at(endpoint.id()).requests();
         }
-        return factor * sum / Math.max(1, endpoints.size()) + slack;
+        return requests(sum, endpoints.size());
+    }
+
+    /**
+     * Returns the maximum number of requests in flight at one endpoint, including a request that is about to be placed.
+     *
+     * @param sum the requests in flight at all endpoints over which the mean is taken, including the request that is
+     *     about to be placed
+     * @param endpoints the number of these endpoints
+     * @since 0.8.0
+     */
+    public double requests(int sum, int endpoints) {
+        return factor * sum / Math.max(1, endpoints) + slack;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/placement/EndpointChooser.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/placement/EndpointChooser.java
@@ -9,6 +9,8 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.load.LoadLimit;
+import org.radishpass.routing.performance.EndpointPerformance;
+import org.radishpass.routing.performance.PlacementEstimate;
 
 /**
  * Chooses the endpoint of a request. Confined to the traffic thread.
@@ -18,6 +20,10 @@
  * in the rendezvous ranking, which is told from which endpoint to fetch the cached prompt. All other requests go to the
  * endpoint with the fewest requests in flight per slot.
  *
+ * <p>Where the endpoints of a service differ in speed, requests are placed by the expected time to the first event
+ * instead. A prompt then moves to the second endpoint of its ranking if it is served sooner there, including the time
+ * to read its shared parts.
+ *
  * @since 0.2.0
  */
 public final class EndpointChooser {
@@ -41,6 +47,12 @@
     private final InFlightTracker inFlight;
     private final DataCentre localDataCentre;
     private final PromptPlacementHistory promptHistory = new PromptPlacementHistory();
+    private final EndpointPerformance performance = new EndpointPerformance();
+    private final SpeedPlacement speedPlacement = new SpeedPlacement(performance);
+    private final Candidates candidates = new Candidates();
+    private @Nullable PromptDescription lastPrompt;
+    private long lastPromptKey;
+    private long movedPrompts;
 
     /**
      * Creates a chooser without a history of prompts.
@@ -53,6 +65,24 @@
         this.localDataCentre = localDataCentre;
     }
 
+    /**
+     * Returns the speed of the endpoints and the method of placement.
+     *
+     * @since 0.8.0
+     */
+    public EndpointPerformance performance() {
+        return performance;
+    }
+
+    /**
+     * Returns how often the second endpoint in the ranking of a prompt was chosen because it was expected to be faster.
+     *
+     * @since 0.8.0
+     */
+    public long movedPrompts() {
+        return movedPrompts;
+    }
+
     /**
      * Chooses the endpoint of a request; empty if there are no candidates.
      *
@@ -62,30 +92,82 @@
         if (query.candidates().isEmpty()) {
             return Optional.empty();
         }
-        Optional<PromptDescription> prompt = query.prompt().filter(description -> description.sharedParts() > 0);
-        return Optional.of(prompt.isPresent() ? chooseByPrompt(query, prompt.get()) : chooseByLoad(query));
+        PromptDescription prompt = query.prompt().orElse(null);
+        boolean uneven = performance.uneven(query.candidates(), query.nowMillis());
+        if (prompt != null && prompt.sharedParts() > 0) {
+            return Optional.of(chooseByPrompt(query, prompt, uneven));
+        }
+        PromptTokens tokens = PromptTokens.of(prompt);
+        return Optional.of(uneven ? chooseBySpeed(query, tokens) : chooseByLoad(query, tokens));
     }
 
-    private PlacementChoice chooseByPrompt(PlacementQuery query, PromptDescription prompt) {
-        long key = prompt.chainHash(prompt.sharedParts());
-        double limit = Math.min(
-                LoadLimit.PROMPT_AFFINITY.requests(query.candidates(), inFlight),
-                LoadLimit.PROMPT_AFFINITY_WHOLE_SERVICE.requests(query.wholeService(), inFlight));
-        ServiceEndpoint chosen = firstWithinLimit(query.candidates(), key, limit);
-        if (chosen == null) {
-            chosen = leastLoaded(candidatesToCompare(query));
+    private PlacementChoice chooseByPrompt(PlacementQuery query, PromptDescription prompt, boolean uneven) {
+        long key = key(prompt);
+        PromptTokens tokens = PromptTokens.of(prompt);
+        candidates.load(query.candidates(), inFlight);
+        candidates.rank(key);
+        double limit = limit(query);
+        int first = candidates.firstWithinLimit(limit, Candidates.NONE);
+        int index = first;
+        if (first != Candidates.NONE && uneven) {
+            index = fasterOf(first, query, key, tokens, limit);
         }
-        int rank = rankOf(query.candidates(), key, chosen);
-        ServiceEndpoint holder = promptHistory.sentRecently(key, chosen, query.nowMillis())
-                ? null
-                : probableCacheHolder(query, key, chosen);
+        ServiceEndpoint chosen =
+                index == Candidates.NONE ? leastLoaded(candidatesToCompare(query)) : candidates.endpoint(index);
+        int rank = candidates.rankOf(key, chosen);
+        boolean sentRecently = promptHistory.sentRecently(key, chosen, query.nowMillis());
+        ServiceEndpoint holder = sentRecently ? null : probableCacheHolder(query, key, chosen, uneven);
+        int tokensToRead = tokens.toRead(rank == 0 || sentRecently);
+        PlacementEstimate estimate = uneven && index != Candidates.NONE
+                ? speedPlacement.estimateForPrompt(candidates, index, tokensToRead, query.nowMillis())
+                : PlacementEstimate.withoutTime(tokensToRead);
         return new PlacementChoice(
                 chosen,
                 rank,
                 requestsInFlight(chosen),
                 limit,
                 query.candidates().size(),
-                holder);
+                holder,
+                estimate);
+    }
+
+    private double limit(PlacementQuery query) {
+        return Math.min(
+                LoadLimit.PROMPT_AFFINITY.requests(candidates.requestSum() + 1, candidates.size()),
+                LoadLimit.PROMPT_AFFINITY_WHOLE_SERVICE.requests(query.wholeService(), inFlight));
+    }
+
+    /**
+     * Returns the faster of the first two endpoints in the ranking of a prompt. Only these two are compared, so that all
+     * routers agree and the parts are cached at two endpoints at most, while the prompts of a slow endpoint spread over
+     * all others.
+     */
+    private int fasterOf(int first, PlacementQuery query, long key, PromptTokens tokens, double limit) {
+        int second = candidates.firstWithinLimit(limit, first);
+        if (second == Candidates.NONE) {
+            return first;
+        }
+        long nowMillis = query.nowMillis();
+        boolean firstIsHome = candidates.rankOf(key, candidates.endpoint(first)) == 0;
+        boolean cachedAtFirst = firstIsHome || promptHistory.sentRecently(key, candidates.endpoint(first), nowMillis);
+        boolean cachedAtSecond = promptHistory.sentRecently(key, candidates.endpoint(second), nowMillis);
+        boolean atSecond = candidates.endpoint(second).id().equals(promptHistory.recentEndpoint(key, nowMillis));
+        boolean chooseSecond = atSecond
+                ? !speedPlacement.moves(candidates, second, first, tokens, cachedAtSecond, cachedAtFirst, nowMillis)
+                : speedPlacement.moves(candidates, first, second, tokens, cachedAtFirst, cachedAtSecond, nowMillis);
+        if (chooseSecond) {
+            movedPrompts++;
+        }
+        return chooseSecond ? second : first;
+    }
+
+    /** Returns the hash of the shared parts of a prompt, which is computed once for the placements of one request. */
+    private long key(PromptDescription prompt) {
+        if (!prompt.equals(lastPrompt)) {
+            lastPromptKey = prompt.chainHash(prompt.sharedParts());
+            lastPrompt = prompt;
+        }
+        return lastPromptKey;
     }
 
     /**
@@ -98,23 +180,13 @@
      */
     public void sent(PromptDescription prompt, ServiceEndpoint endpoint, long nowMillis) {
         if (prompt.sharedParts() > 0) {
-            promptHistory.sent(prompt.chainHash(prompt.sharedParts()), endpoint, nowMillis);
+            promptHistory.sent(key(prompt), endpoint, nowMillis);
         }
     }
 
-    private @Nullable ServiceEndpoint firstWithinLimit(List<ServiceEndpoint> candidates, long key, double limit) {
-        ServiceEndpoint best = null;
-        for (ServiceEndpoint endpoint : candidates) {
-            if (requestsInFlight(endpoint) + 1 <= limit && (best == null || ranksBefore(key, endpoint, best))) {
-                best = endpoint;
-            }
-        }
-        return best;
-    }
-
-    private ServiceEndpoint leastLoaded(List<ServiceEndpoint> candidates) {
-        ServiceEndpoint least = candidates.get(0);
-        for (ServiceEndpoint endpoint : candidates) {
+    private ServiceEndpoint leastLoaded(List<ServiceEndpoint> compared) {
+        ServiceEndpoint least = compared.get(0);
+        for (ServiceEndpoint endpoint : compared) {
             if (requestsInFlight(endpoint) < requestsInFlight(least)) {
                 least = endpoint;
             }
@@ -122,24 +194,18 @@
         return least;
     }
 
-    private static int rankOf(List<ServiceEndpoint> candidates, long key, ServiceEndpoint chosen) {
-        int higherRanked = 0;
-        for (ServiceEndpoint endpoint : candidates) {
-            if (ranksBefore(key, endpoint, chosen)) {
-                higherRanked++;
-            }
-        }
-        return higherRanked;
-    }
-
     /**
      * Guesses which other endpoint caches the shared parts of the prompt: the endpoint to which this router last sent
      * them, or else the first in the rendezvous ranking. A wrong guess costs one query between engines and transfers no
      * data.
      */
-    private @Nullable ServiceEndpoint probableCacheHolder(PlacementQuery query, long key, ServiceEndpoint chosen) {
-        String last = promptHistory.lastEndpoint(key).orElse("");
+    private @Nullable ServiceEndpoint probableCacheHolder(
+            PlacementQuery query, long key, ServiceEndpoint chosen, boolean recentOnly) {
+        String last = recentOnly
+                ? promptHistory.recentEndpoint(key, query.nowMillis())
+                : promptHistory.lastEndpoint(key).orElse(null);
         ServiceEndpoint first = null;
+        long firstRank = 0;
         for (ServiceEndpoint endpoint : query.cacheSources()) {
             if (endpoint.id().equals(chosen.id())) {
                 continue;
@@ -147,14 +213,31 @@
             if (endpoint.id().equals(last)) {
                 return endpoint;
             }
-            if (first == null || ranksBefore(key, endpoint, first)) {
+            long rank = Rendezvous.mix(key, endpoint.hash());
+            if (first == null || rank > firstRank) {
                 first = endpoint;
+                firstRank = rank;
             }
         }
         return first;
     }
 
-    private PlacementChoice chooseByLoad(PlacementQuery query) {
+    private PlacementChoice chooseBySpeed(PlacementQuery query, PromptTokens tokens) {
+        candidates.load(query.candidates(), inFlight);
+        double limit = LoadLimit.PROMPT_AFFINITY_WHOLE_SERVICE.requests(query.wholeService(), inFlight);
+        int index = speedPlacement.choose(candidates, query, tokens.whole(), limit);
+        ServiceEndpoint chosen = candidates.endpoint(index);
+        return new PlacementChoice(
+                chosen,
+                0,
+                candidates.requests(index),
+                chosen.slots(),
+                candidates.size(),
+                null,
+                speedPlacement.estimate(candidates, index, tokens.whole(), query.nowMillis()));
+    }
+
+    private PlacementChoice chooseByLoad(PlacementQuery query, PromptTokens tokens) {
         List<ServiceEndpoint> compared = candidatesToCompare(query);
         ServiceEndpoint best = compared.get(0);
         double bestCost = Double.MAX_VALUE;
@@ -171,7 +254,8 @@
                 requestsInFlight(best),
                 best.slots(),
                 query.candidates().size(),
-                null);
+                null,
+                PlacementEstimate.withoutTime(tokens.whole()));
     }
 
     private static List<ServiceEndpoint> candidatesToCompare(PlacementQuery query) {
@@ -201,10 +285,6 @@
         return (requestsInFlight(endpoint) + distance + MAX_RANDOM_COST * random) / Math.max(1, endpoint.slots());
     }
 
-    private static boolean ranksBefore(long key, ServiceEndpoint one, ServiceEndpoint other) {
-        return Rendezvous.mix(key, one.hash()) > Rendezvous.mix(key, other.hash());
-    }
-
     private int requestsInFlight(ServiceEndpoint endpoint) {
         return inFlight.at(endpoint.id()).requests();
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/placement/PromptPlacementHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/placement/PromptPlacementHistory.java
@@ -58,6 +58,23 @@
         return Optional.ofNullable(lastEndpoint.get(key));
     }
 
+    /**
+     * Returns the id of the endpoint to which a prompt with the same shared parts was last sent, or null if it was not
+     * sent recently. Engines have probably evicted older prompts.
+     *
+     * @param key the hash of the prompt's shared parts
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.8.0
+     */
+    public @Nullable String recentEndpoint(long key, long nowMillis) {
+        String id = lastEndpoint.get(key);
+        if (id == null) {
+            return null;
+        }
+        Long lastSentAt = sentAtMillis.get(Rendezvous.mix(key, Rendezvous.hash(id)));
+        return lastSentAt != null && nowMillis - lastSentAt < ENTRY_VALID_MILLIS ? id : null;
+    }
+
     private static <V> Map<Long, V> boundedMap() {
         return new LinkedHashMap<>() {
             private static final long serialVersionUID = 1L;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -4,9 +4,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.dialect.EndpointLoad;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealth;
+import org.radishpass.routing.performance.EndpointPerformance;
 import org.radishpass.routing.placement.PlacementChoice;
 
 /**
@@ -23,9 +25,11 @@
     private final ServiceEndpoint endpoint;
     private final @Nullable ServiceEndpoint cacheHolder;
     private final long tokens;
+    private final int tokensToRead;
     private final ResponseTimer responseTimer;
     private @Nullable EndpointConnection connection;
     private boolean notRun;
+    private boolean firstEventReceived;
     private int status;
     private long sentAtMillis;
     private boolean testsBackoffEnd;
@@ -58,6 +62,7 @@
         this.endpoint = choice.endpoint();
         this.cacheHolder = choice.cacheHolder();
         this.tokens = tokens;
+        this.tokensToRead = choice.estimate().tokensToRead();
         this.responseTimer = new ResponseTimer(context, endpoint, record.terms().route(), () -> owner.overdue(this));
         context.inFlight().started(endpoint.id(), tokens);
     }
@@ -147,6 +152,7 @@
     public void head(HttpResponse response, ResponseHead head) {
         status = head.status();
         record.headReceived(context.nowMillis(), head);
+        recordLoad(head);
         reportBackoffTest(!head.notRun() && head.backoffMillis().isEmpty());
         notRun = head.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
         if (notRun) {
@@ -170,6 +176,7 @@
             part.release();
             return;
         }
+        recordFirstEvent();
         relay.relayContent(part);
         if (connection != null && !caller.writable()) {
             connection.autoRead(false);
@@ -204,6 +211,25 @@
         owner.responseFailed(this, cause);
     }
 
+    private void recordLoad(ResponseHead head) {
+        EndpointPerformance performance = context.chooser().performance();
+        if (head.invalidLoad()) {
+            performance.invalidLoadReceived();
+        }
+        EndpointLoad load = head.endpointLoad();
+        if (load != null) {
+            performance.loadReceived(endpoint, load, context.nowMillis());
+        }
+    }
+
+    private void recordFirstEvent() {
+        if (!firstEventReceived && status < HttpResponseStatus.BAD_REQUEST.code()) {
+            long nowMillis = context.nowMillis();
+            context.chooser().performance().firstEvent(endpoint, tokensToRead, nowMillis - sentAtMillis, nowMillis);
+        }
+        firstEventReceived = true;
+    }
+
     private void recordFailure() {
         if (health().failed(context.nowMillis())) {
             context.requestLog().endpointFailing(endpoint);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -7,6 +7,8 @@
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.DirectoryOrigin;
+import org.radishpass.routing.performance.EndpointSpeed;
+import org.radishpass.routing.performance.PlacementEstimate;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 
@@ -146,6 +148,7 @@
      */
     static final class AttemptRecord {
         private final PlacementChoice choice;
+        private final long chosenAtMillis;
         private final long chosenAfterMillis;
         private final DirectoryOrigin origin;
         private final long directoryAgeMillis;
@@ -158,6 +161,7 @@
         private AttemptRecord(PlacementChoice choice, DirectoryOrigin origin, long receivedAtMillis, long nowMillis) {
             this.choice = choice;
             this.origin = origin;
+            this.chosenAtMillis = nowMillis;
             this.chosenAfterMillis = nowMillis - receivedAtMillis;
             this.directoryAgeMillis = nowMillis - origin.readAtMillis();
         }
@@ -169,10 +173,20 @@
                     + " from "
                     + origin.source() + (origin.settled() ? "" : " unsettled") + " listAge " + directoryAgeMillis
                     + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis + stated
+                    + describeEstimate(choice.estimate())
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
                     + (head == null ? "" : describeResponse(head)) + (end == null ? "" : ": " + end);
         }
 
+        private String describeEstimate(PlacementEstimate estimate) {
+            if (!estimate.timeEstimated()) {
+                return "";
+            }
+            EndpointSpeed speed = estimate.speed();
+            return " expected " + Math.round(estimate.expectedMillis()) + " slowdown " + speed.slowdownPercent()
+                    + (speed.known() ? " slowdownAge " + (chosenAtMillis - speed.observedAtMillis()) : "");
+        }
+
         private static String describeResponse(ResponseHead head) {
             OptionalLong backoffMillis = head.backoffMillis();
             return " status " + head.status() + (head.leaving() ? " leaving" : "")
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -15,7 +15,7 @@
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.report.FleetObservationTracker;
-import org.radishpass.routing.report.FleetObservations;
+import org.radishpass.routing.report.ObservationSource;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,7 +53,7 @@
     private final EndpointProber prober = new EndpointProber(this);
     private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
     private final Quarantine quarantine;
-    private final FleetObservationTracker observations = new FleetObservationTracker(now -> FleetObservations.NONE);
+    private final FleetObservationTracker observations;
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final ArrivalQueue arrivalQueue;
     private final HeldArrivals heldArrivals;
@@ -83,6 +83,8 @@
         this.connections = connections;
         this.signals = signals;
         this.chooser = chooser;
+        this.observations = new FleetObservationTracker(ObservationSource.combined(List.of(chooser.performance())));
+        chooser.performance().fleetLoads(observations::loads);
         this.inFlight = inFlight;
         this.health = health;
         this.retryBudget = retryBudget;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -1,5 +1,6 @@
 package org.radishpass.routing.traffic;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.bootstrap.ServerBootstrap;
@@ -27,6 +28,8 @@
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
+import org.radishpass.routing.performance.EndpointPerformance;
+import org.radishpass.routing.performance.PlacementMethod;
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.quarantine.Suspect;
@@ -117,6 +120,29 @@
         Gauge.builder("radishpass.requests.quarantined", context.quarantine(), Quarantine::causeCount)
                 .description("different requests that are refused because endpoints end when they run them")
                 .register(metrics);
+        registerPlacementMetrics(metrics);
+    }
+
+    private void registerPlacementMetrics(MeterRegistry metrics) {
+        EndpointChooser chooser = context.chooser();
+        Gauge.builder("radishpass.endpoints.speed.known", chooser.performance(), EndpointPerformance::knownEndpoints)
+                .description("endpoints whose slowdown is known, so that placement takes it into account")
+                .register(metrics);
+        FunctionCounter.builder("radishpass.placement.moved", chooser, EndpointChooser::movedPrompts)
+                .description("placements at the second endpoint of a prompt because it was expected to be faster")
+                .register(metrics);
+        FunctionCounter.builder(
+                        "radishpass.endpoint.loads.ignored", chooser.performance(), EndpointPerformance::invalidLoads)
+                .tag("source", "answer")
+                .description("loads of endpoints that were ignored because a figure is malformed or implausible")
+                .register(metrics);
+        FunctionCounter.builder(
+                        "radishpass.endpoint.loads.ignored",
+                        context.observations(),
+                        FleetObservationTracker::ignoredLoads)
+                .tag("source", "peer")
+                .description("loads of endpoints that were ignored because a figure is malformed or implausible")
+                .register(metrics);
     }
 
     /**
@@ -184,6 +210,16 @@
         loop.execute(() -> signals.backoffs().maxBackoffMillis(millis));
     }
 
+    /**
+     * Sets the method of placing requests where endpoints differ in speed.
+     *
+     * @param method the method
+     * @since 0.8.0
+     */
+    public void placementMethod(PlacementMethod method) {
+        loop.execute(() -> context.chooser().performance().method(method));
+    }
+
     @Override
     public void recordPeerReport(
             String peerId,
@@ -310,6 +346,7 @@
         connections.closeUnusable(view.directory());
         health.retain(view.directory());
         signals.retain(view.directory());
+        context.chooser().performance().retain(view.directory());
         context.exitDetector().removeExpired(nowMillis);
         context.quarantine().tidy(nowMillis);
         context.coldGuard().shares().tidy(nowMillis);
