--- a/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/report/FleetObservationTracker.java
@@ -11,8 +11,9 @@
 import org.radishpass.peer.message.WorkScope;
 
 /**
- * Tracks the observations that peers last reported, and combines them with this router's own: demand is added up, and
- * of the loads of an endpoint the latest counts.
+ * Tracks the observations that peers last reported, and combines them with this router's own: demand is added up, of
+ * the loads of an endpoint the latest counts, and its slowdown is a mean weighted by samples and age. Loads in which a
+ * figure is impossible are ignored and counted.
  *
  * <p>Confined to the traffic thread. The scopes of reports replace each other by the same rules as those of the work
  * in flight.
@@ -29,9 +30,17 @@
      */
     private static final long MAX_TIME_DIFFERENCE_MILLIS = 50;
 
+    /**
+     * The time between reports of loads to the members of a group, in milliseconds. A gatherer sends each member the
+     * loads of up to all endpoints of the fleet, about 50 bytes each.
+     */
+    private static final long LOADS_FOR_MEMBERS_MILLIS = 300;
+
     private final ObservationSource own;
     private final Map<String, PeerReport> reportsByPeer = new HashMap<>();
     private boolean peerObservationsChanged;
+    private long ignoredLoads;
+    private long nextLoadsForMembersMillis = Long.MIN_VALUE;
 
     /**
      * Creates a tracker without reports of peers.
@@ -60,7 +69,7 @@
         if (scope == WorkScope.OTHERS) {
             reportsByPeer.values().removeIf(report -> report.scope.sentByGatherer());
         }
-        PeerReport received = new PeerReport(scope, observations, nowMillis, nowMillis);
+        PeerReport received = new PeerReport(scope, withLoads(observations, scope, previous), nowMillis, nowMillis);
         PeerReport report = previous == null ? received : received.withDemandOf(previous);
         reportsByPeer.put(peerId, report);
         peerObservationsChanged |= changed(previous, report.observations);
@@ -97,6 +106,35 @@
         return result;
     }
 
+    /** Returns a report with its plausible loads; with those of the previous report if it contains none. */
+    private FleetObservations withLoads(FleetObservations reported, WorkScope scope, @Nullable PeerReport before) {
+        if (reported.loads().isEmpty()) {
+            return before == null
+                            || before.scope != scope
+                            || before.observations.loads().isEmpty()
+                    ? reported
+                    : new FleetObservations(reported.demand(), before.observations.loads());
+        }
+        List<EndpointObservation> plausible = new ArrayList<>(reported.loads());
+        plausible.removeIf(load -> !load.plausible());
+        ignoredLoads += reported.loads().size() - plausible.size();
+        return new FleetObservations(reported.demand(), plausible);
+    }
+
+    /** Returns the number of loads reported by peers that were ignored because a figure is impossible. */
+    public long ignoredLoads() {
+        return ignoredLoads;
+    }
+
+    /**
+     * Returns the recent loads of endpoints as seen by all routers that are known here.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public List<EndpointObservation> loads(long nowMillis) {
+        return combine(nowMillis, report -> true).loads();
+    }
+
     private static boolean fromGatherer(PeerReport report, long nowMillis) {
         return report.scope == WorkScope.OTHERS && nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS;
     }
@@ -160,6 +198,24 @@
         return combine(nowMillis, report -> true);
     }
 
+    /**
+     * Returns the observations of all routers that are known here, for reports to the members of the group. Loads are
+     * included every {@link #LOADS_FOR_MEMBERS_MILLIS} only; receivers keep the previous ones until then.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    public FleetObservations forMembers(long nowMillis) {
+        FleetObservations all = all(nowMillis);
+        if (all.loads().isEmpty()) {
+            return all;
+        }
+        if (nowMillis < nextLoadsForMembersMillis) {
+            return new FleetObservations(all.demand(), List.of());
+        }
+        nextLoadsForMembersMillis = nowMillis + LOADS_FOR_MEMBERS_MILLIS;
+        return all;
+    }
+
     /**
      * Returns given observations of all routers without the demand that one peer reported.
      *
@@ -180,28 +236,38 @@
 
     private FleetObservations combine(long nowMillis, Predicate<PeerReport> included) {
         Map<ServiceDemand.Key, ServiceDemand> demand = new LinkedHashMap<>();
-        Map<String, EndpointObservation> loads = new LinkedHashMap<>();
+        Map<String, CombinedObservation> loads = new LinkedHashMap<>();
         FleetObservations ownObservations = own(nowMillis);
-        add(ownObservations.demand(), ownObservations.loads(), demand, loads);
-        reportsByPeer.values().stream()
-                .filter(report -> nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS)
-                .filter(included)
-                .forEach(report -> add(report.demand(nowMillis), report.observations.loads(), demand, loads));
+        add(ownObservations.demand(), demand);
+        add(ownObservations.loads(), nowMillis, loads);
+        for (PeerReport report : reportsByPeer.values()) {
+            if (nowMillis - report.receivedAtMillis <= REPORT_VALID_MILLIS && included.test(report)) {
+                add(report.demand(nowMillis), demand);
+                add(report.observations.loads(), nowMillis, loads);
+            }
+        }
         return demand.isEmpty() && loads.isEmpty()
                 ? FleetObservations.NONE
-                : new FleetObservations(List.copyOf(demand.values()), List.copyOf(loads.values()));
-    }
-
-    private static void add(
-            List<ServiceDemand> addedDemand,
-            List<EndpointObservation> addedLoads,
-            Map<ServiceDemand.Key, ServiceDemand> demand,
-            Map<String, EndpointObservation> loads) {
-        addedDemand.forEach(entry -> demand.merge(entry.key(), entry, ServiceDemand::plus));
-        addedLoads.forEach(load -> loads.merge(
-                load.endpointId(),
-                load,
-                (one, other) -> one.observedAtMillis() >= other.observedAtMillis() ? one : other));
+                : new FleetObservations(
+                        List.copyOf(demand.values()),
+                        loads.values().stream().map(CombinedObservation::result).toList());
+    }
+
+    private static void add(List<ServiceDemand> added, Map<ServiceDemand.Key, ServiceDemand> demand) {
+        added.forEach(entry -> demand.merge(entry.key(), entry, ServiceDemand::plus));
+    }
+
+    private static void add(List<EndpointObservation> added, long nowMillis, Map<String, CombinedObservation> loads) {
+        for (EndpointObservation load : added) {
+            if (load.recent(nowMillis)) {
+                CombinedObservation combined = loads.get(load.endpointId());
+                if (combined == null) {
+                    loads.put(load.endpointId(), new CombinedObservation(load));
+                } else {
+                    combined.add(load);
+                }
+            }
+        }
     }
 
     /** The last report of one peer, with the time at which its demand was received. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -19,6 +19,7 @@
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.report.FleetObservationTracker;
 import org.radishpass.routing.report.FleetObservations;
+import org.radishpass.routing.report.ObservationSource;
 import org.radishpass.routing.report.ServiceDemand;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.slf4j.Logger;
@@ -57,7 +58,7 @@
     private final EndpointProber prober = new EndpointProber(this);
     private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
     private final Quarantine quarantine;
-    private final FleetObservationTracker observations = new FleetObservationTracker(this::ownObservations);
+    private final FleetObservationTracker observations;
     private final ShareGuard shareGuard = new ShareGuard(this);
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final UsualTimeouts usualTimeouts = new UsualTimeouts();
@@ -91,6 +92,9 @@
         this.connections = connections;
         this.signals = signals;
         this.chooser = chooser;
+        this.observations = new FleetObservationTracker(
+                ObservationSource.combined(List.of(chooser.performance(), this::ownObservations)));
+        chooser.performance().fleetLoads(observations::loads);
         this.inFlight = inFlight;
         this.health = health;
         this.retryBudget = retryBudget;
