--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/ReflectiveCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/ReflectiveCodec.java
@@ -8,8 +8,8 @@
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
- * Encodes and decodes all messages by reflection. In a class of its own, because its initialisation takes much of the
- * processor time of a start, and a router that exchanges only frequent messages does not need it.
+ * Encodes and decodes all messages by reflection. In a class of its own, so that a router that exchanges only
+ * frequent messages does not initialise it.
  */
 final class ReflectiveCodec {
     private static final ObjectMapper MAPPER = new MessagePackMapper()
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessageCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessageCodec.java
@@ -14,8 +14,8 @@
 
 /**
  * Encodes and decodes the frequent routing messages without reflection. The bytes are the same as those of {@link
- * ReflectiveCodec}, which handles all other messages. A router runs mostly interpreted code, in which reflective
- * encoding takes several times as long, and its first use takes a tenth of the processor time of a start.
+ * ReflectiveCodec}, which handles all other messages. Routers run mostly interpreted code, in which encoding by reflection
+ * is expensive.
  */
 final class RoutingMessageCodec {
     private static final String STATE = "rs";
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -79,7 +79,7 @@
             "list-source",
             "whose readings of the endpoints this router uses has changed: `source` is `store` for its own, or a router"),
     /** See {@link #meaning}. */
-    PEER_KNOWN("peer-known", "another router was heard of for the first time"),
+    PEER_KNOWN("peer-known", "other routers were heard of for the first time"),
     /** See {@link #meaning}. */
     PEER_LOST("peer-lost", "another router does not answer; it is tried again after a pause"),
     /** See {@link #meaning}. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ReportFreshnessTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ReportFreshnessTest.java
@@ -11,8 +11,7 @@
 /**
  * Checks that routers report a change of their work at once, and nothing but heartbeats while nothing changes.
  *
- * <p>Guards against gatherers that report all work to each member ten times a second, changed or not: a tenth of the
- * processor time of an idle fleet. It also guards against the reverse, a change that waits for the next heartbeat.
+ * <p>Guards against gatherers that report all work to each member ten times a second, changed or not. It also guards against the reverse, a change that waits for the next heartbeat.
  */
 final class ReportFreshnessTest {
     private static final Duration WARM_UP = Duration.ofSeconds(15);
