Codec of frequent messages: absent lists are not null

Change: required lists and contents are rejected where they are read, lists that earlier releases do not send are empty; ArrayReader has a file of its own. The bytes and what is rejected stay.

--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessageCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessageCodec.java
@@ -1,7 +1,6 @@
 package org.radishpass.peer.message;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -140,7 +139,6 @@
         };
     }
 
-    @SuppressWarnings("NullAway") // the constructor rejects a missing list
     private static RoutingMessage.RouterList routerList(ArrayReader reader) throws IOException {
         List<RoutingMessage.RouterEntry> routers = reader.list(RoutingMessageCodec::router);
         reader.end();
@@ -179,140 +177,4 @@
     private static RoutingMessage.RouterEntry router(ArrayReader reader) throws IOException {
         return new RoutingMessage.RouterEntry(reader.text(), reader.text(), reader.number());
     }
-
-    /**
-     * Reads the components of one array in order. Components that the array lacks, or that are nil, are null or 0, as
-     * in messages of earlier releases; components that this release does not know are skipped.
-     */
-    static final class ArrayReader {
-        /** The initial capacity of a list. A damaged header may state billions of elements. */
-        private static final int MAX_INITIAL_CAPACITY = 1_024;
-
-        private final MessageUnpacker unpacker;
-        private final int messageBytes;
-        private int remaining;
-
-        /**
-         * Creates a reader that starts with the header of the array.
-         *
-         * @param unpacker supplies the bytes
-         * @param messageBytes the size of the whole message, which bounds the size of each component
-         */
-        ArrayReader(MessageUnpacker unpacker, int messageBytes) throws IOException {
-            this.unpacker = unpacker;
-            this.messageBytes = messageBytes;
-            this.remaining = unpacker.unpackArrayHeader();
-        }
-
-        private boolean absent() throws IOException {
-            return remaining-- <= 0 || unpacker.tryUnpackNil();
-        }
-
-        long integer() throws IOException {
-            return absent() ? 0 : unpacker.unpackLong();
-        }
-
-        int smallInteger() throws IOException {
-            return absent() ? 0 : unpacker.unpackInt();
-        }
-
-        double number() throws IOException {
-            if (absent()) {
-                return 0;
-            }
-            return unpacker.getNextFormat().getValueType().isIntegerType()
-                    ? unpacker.unpackLong()
-                    : unpacker.unpackDouble();
-        }
-
-        boolean flag() throws IOException {
-            return !absent() && unpacker.unpackBoolean();
-        }
-
-        @Nullable
-        String text() throws IOException {
-            return absent() ? null : unpacker.unpackString();
-        }
-
-        byte @Nullable [] binary() throws IOException {
-            if (absent()) {
-                return null;
-            }
-            int length = unpacker.unpackBinaryHeader();
-            if (length > messageBytes) {
-                throw new IOException("a component of " + length + " bytes in a message of " + messageBytes);
-            }
-            return unpacker.readPayload(length);
-        }
-
-        <E extends Enum<E>> @Nullable E constant(E[] constants) throws IOException {
-            if (absent()) {
-                return null;
-            }
-            int ordinal = unpacker.unpackInt();
-            if (ordinal < 0 || ordinal >= constants.length) {
-                throw new IOException("unknown constant " + ordinal);
-            }
-            return constants[ordinal];
-        }
-
-        /** Reads a component that is an array itself. */
-        <T> @Nullable T nested(Decoder<T> decoder) throws IOException {
-            if (absent()) {
-                return null;
-            }
-            ArrayReader reader = new ArrayReader(unpacker, messageBytes);
-            T value = decoder.decode(reader);
-            reader.end();
-            return value;
-        }
-
-        /** Reads a list of arrays. */
-        <T> @Nullable List<T> list(Decoder<T> decoder) throws IOException {
-            if (absent()) {
-                return null;
-            }
-            ArrayReader elements = new ArrayReader(unpacker, messageBytes);
-            List<T> values = new ArrayList<>(Math.min(MAX_INITIAL_CAPACITY, elements.remaining));
-            while (elements.remaining > 0) {
-                T value = elements.nested(decoder);
-                if (value == null) {
-                    throw new IOException("a list contains nil");
-                }
-                values.add(value);
-            }
-            return values;
-        }
-
-        @Nullable
-        List<String> texts() throws IOException {
-            if (absent()) {
-                return null;
-            }
-            ArrayReader elements = new ArrayReader(unpacker, messageBytes);
-            List<String> values = new ArrayList<>(Math.min(MAX_INITIAL_CAPACITY, elements.remaining));
-            while (elements.remaining > 0) {
-                String value = elements.text();
-                if (value == null) {
-                    throw new IOException("a list contains nil");
-                }
-                values.add(value);
-            }
-            return values;
-        }
-
-        /** Skips the components that this release does not know. */
-        void end() throws IOException {
-            while (remaining > 0) {
-                remaining--;
-                unpacker.skipValue();
-            }
-        }
-    }
-
-    /** Decodes an array. */
-    @FunctionalInterface
-    interface Decoder<T> {
-        T decode(ArrayReader reader) throws IOException;
-    }
 }
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingStateCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingStateCodec.java
@@ -90,8 +90,8 @@
         }
     }
 
-    @SuppressWarnings("NullAway") // the constructor rejects or replaces missing components
-    static RoutingMessage.RoutingState decode(RoutingMessageCodec.ArrayReader reader) throws IOException {
+    @SuppressWarnings("NullAway") // the constructor rejects a missing scope
+    static RoutingMessage.RoutingState decode(ArrayReader reader) throws IOException {
         // arguments are evaluated from left to right, in the order of the components
         RoutingMessage.RoutingState state = new RoutingMessage.RoutingState(
                 reader.integer(),
@@ -103,29 +103,29 @@
                 reader.texts(),
                 reader.constant(WorkScope.values()),
                 reader.integer(),
-                reader.list(RoutingStateCodec::drain),
-                reader.texts(),
+                reader.optionalList(RoutingStateCodec::drain),
+                reader.optionalTexts(),
                 reader.integer(),
                 reader.integer(),
-                reader.list(RoutingStateCodec::demand),
-                reader.list(RoutingStateCodec::load));
+                reader.optionalList(RoutingStateCodec::demand),
+                reader.optionalList(RoutingStateCodec::load));
         reader.end();
         return state;
     }
 
     @SuppressWarnings("NullAway") // the constructor rejects a missing endpoint
-    private static RoutingMessage.EndpointWork work(RoutingMessageCodec.ArrayReader reader) throws IOException {
+    private static RoutingMessage.EndpointWork work(ArrayReader reader) throws IOException {
         return new RoutingMessage.EndpointWork(reader.text(), reader.smallInteger(), reader.integer());
     }
 
     @SuppressWarnings("NullAway") // the constructor rejects a missing data centre
-    private static RoutingMessage.DrainEntry drain(RoutingMessageCodec.ArrayReader reader) throws IOException {
+    private static RoutingMessage.DrainEntry drain(ArrayReader reader) throws IOException {
         return new RoutingMessage.DrainEntry(
                 reader.text(), reader.integer(), reader.flag(), reader.integer(), reader.integer());
     }
 
     @SuppressWarnings("NullAway") // the constructor rejects missing names
-    private static RoutingMessage.DemandEntry demand(RoutingMessageCodec.ArrayReader reader) throws IOException {
+    private static RoutingMessage.DemandEntry demand(ArrayReader reader) throws IOException {
         return new RoutingMessage.DemandEntry(
                 reader.text(),
                 reader.text(),
@@ -137,7 +137,7 @@
     }
 
     @SuppressWarnings("NullAway") // the constructor rejects a missing endpoint
-    private static RoutingMessage.LoadEntry load(RoutingMessageCodec.ArrayReader reader) throws IOException {
+    private static RoutingMessage.LoadEntry load(ArrayReader reader) throws IOException {
         return new RoutingMessage.LoadEntry(
                 reader.text(),
                 reader.smallInteger(),
