The gauge of promised returns changes no state

Cause: metrics are read on another thread than the traffic event loop, and counting the promised returns discarded expired slots. Change: ReturnSchedule.pending only reads. Conclusion: a scrape cannot disturb the schedule.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/ReturnSchedule.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/ReturnSchedule.java
@@ -67,12 +67,14 @@
         return fewest;
     }
 
-    /** Returns the number of callers whose time to return has not passed. */
+    /**
+     * Returns the number of callers whose time to return has not passed. Changes nothing, since metrics are read on
+     * another thread.
+     */
     int pending(long nowMillis) {
-        expire(nowMillis);
         int count = 0;
-        for (int[] slot : booked) {
-            count += slot[RANKS - 1];
+        for (long slot = Math.max(firstSlot, Math.floorDiv(nowMillis, SLOT_MILLIS)); slot < firstSlot + SLOTS; slot++) {
+            count += booked[Math.floorMod(slot, SLOTS)][RANKS - 1];
         }
         return count;
     }
