The guard of a request's capacity is a class of its own

Change: CapacityGuard holds the decisions by share, queue limit and connections of one request; no change of behaviour.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/fairness/ShareDecision.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/fairness/ShareDecision.java
@@ -38,7 +38,7 @@
                 : String.format(
                         Locale.ROOT,
                         "%s fraction %.2f allocated %.1f demand %.1f capacity %.1f age %d",
-                        basis.text,
+                        basis.text(),
                         fraction,
                         allocated,
                         demand,
@@ -66,5 +66,10 @@
         Basis(String text) {
             this.text = text;
         }
+
+        /** Returns the name of the basis as written in the log. */
+        public String text() {
+            return text;
+        }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -82,6 +82,11 @@
         testsBackoffEnd = context.signals().requestSent(endpoint);
     }
 
+    /** Tells whether a response from the endpoint is awaited. */
+    boolean awaitsResponseFrom(String endpointId) {
+        return endpoint.id().equals(endpointId) && awaitingResponse();
+    }
+
     /** Tells whether the attempt has a connection and has not ended. */
     boolean awaitingResponse() {
         return connection != null && !ended;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -11,7 +11,6 @@
 import org.radishpass.core.outcome.Verdict;
 import org.radishpass.routing.config.Workspace;
 import org.radishpass.routing.dialect.ForwardingHeaders;
-import org.radishpass.routing.fairness.ShareDecision;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.RequestFingerprint;
@@ -29,12 +28,6 @@
      */
     private static final int CONNECTION_WAIT_DIVISOR = 4;
 
-    /**
-     * Maximum number of endpoints without a free connection at which the request is tried. If they all have none, most
-     * others have none either.
-     */
-    private static final int MAX_ENDPOINTS_WITHOUT_CONNECTION = 8;
-
     private final TrafficContext context;
     private final CallerConnection caller;
     private final PreparedRequest prepared;
@@ -43,13 +36,13 @@
     private final ExchangeRecord record;
     private final SendHistory history = new SendHistory();
     private final ExchangeRefusal refusal;
+    private final CapacityGuard capacityGuard;
     private QuarantineGuard quarantineGuard;
     private RequestTerms terms = RequestTerms.UNKNOWN;
     private @Nullable ResponseRelay relay;
     private @Nullable Attempt attempt;
     private @Nullable BackoffWait currentBackoffWait;
     private @Nullable Future<?> deadlineTimer;
-    private int endpointsWithoutConnection;
     private boolean ended;
 
     Exchange(TrafficContext context, CallerConnection caller, PreparedRequest prepared) {
@@ -60,6 +53,7 @@
         this.body = prepared.body();
         this.record = prepared.record();
         this.refusal = new ExchangeRefusal(context, caller, record, history, this::end);
+        this.capacityGuard = new CapacityGuard(context, record, history);
         this.quarantineGuard = new QuarantineGuard(context, RequestFingerprint.UNKNOWN, terms.service());
         context.exchanges().add(this);
     }
@@ -110,31 +104,17 @@
             waitOrGiveUp();
             return;
         }
-        ShareDecision decision = shareDecision();
-        boolean beyondShare = !decision.admitted();
-        if (beyondShare || terms.atQueueLimit(choice.get(), decision)) {
+        String lackOfCapacity = capacityGuard.refusal(terms, choice.get());
+        if (lackOfCapacity == null) {
+            startAttempt(choice.get());
+        } else {
             record.chosen(choice.get(), context.view(), context.nowMillis());
-            giveUpForCapacity(beyondShare ? ShareGuard.BEYOND_SHARE : "every endpoint of the service is full");
-            return;
+            giveUpForCapacity(lackOfCapacity);
         }
-        startAttempt(choice.get());
-    }
-
-    private ShareDecision shareDecision() {
-        ShareDecision decision = record.shareDecision();
-        if (decision == null) {
-            decision = history.sends() > 0
-                    ? ShareDecision.UNCONTENDED
-                    : context.shareGuard().decide(terms);
-            record.shareDecided(decision);
-        }
-        return decision;
     }
 
     private void giveUpForCapacity(String detail) {
-        if (history.notRun()) {
-            context.shareGuard().refused(terms);
-        }
+        capacityGuard.refused(terms);
         giveUp(RefusalCode.OVERLOADED, detail);
     }
 
@@ -150,7 +130,7 @@
     private void waitOrGiveUp() {
         BackoffWait current = backoffWait();
         boolean certainlyNotRun = !relay().started() && history.notRun();
-        if (endpointsWithoutConnection > 0) {
+        if (capacityGuard.lacksConnections()) {
             giveUpWithoutConnection();
         } else if (!certainlyNotRun || !current.backoffOnly()) {
             giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
@@ -248,7 +228,7 @@
 
     /** Tells whether a response from the endpoint is awaited. */
     boolean awaitsResponseFrom(String endpointId) {
-        return attempt != null && attempt.endpoint().id().equals(endpointId) && attempt.awaitingResponse();
+        return attempt != null && attempt.awaitsResponseFrom(endpointId);
     }
 
     /** Returns the current attempt, or null. */
@@ -391,8 +371,7 @@
     public void noConnectionFree(Attempt full) {
         attempt = null;
         history.tried(full.endpoint());
-        endpointsWithoutConnection++;
-        if (endpointsWithoutConnection < MAX_ENDPOINTS_WITHOUT_CONNECTION) {
+        if (capacityGuard.noConnectionFree()) {
             placeAndAttempt();
         } else {
             giveUpWithoutConnection();
