Shares are computed again: the guard is created after the observations

Cause: after the merge of the parts the guard of shares was created before the tracker of observations, so that each computation of shares ended with a NullPointerException that is logged as a failed periodic task.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -28,6 +29,8 @@
      */
     private static final int CONNECTION_WAIT_DIVISOR = 4;
 
+    private static final Future<?> NO_TIMER = ImmediateEventExecutor.INSTANCE.newSucceededFuture(null);
+
     private final TrafficContext context;
     private final CallerConnection caller;
     private final PreparedRequest prepared;
@@ -42,7 +45,7 @@
     private @Nullable ResponseRelay relay;
     private @Nullable Attempt attempt;
     private @Nullable BackoffWait currentBackoffWait;
-    private @Nullable Future<?> deadlineTimer;
+    private Future<?> deadlineTimer = NO_TIMER;
     private boolean ended;
 
     Exchange(TrafficContext context, CallerConnection caller, PreparedRequest prepared) {
@@ -276,10 +279,7 @@
 
     private void end() {
         ended = true;
-        Future<?> running = deadlineTimer;
-        if (running != null) {
-            running.cancel(false);
-        }
+        deadlineTimer.cancel(false);
         body.release();
         if (currentBackoffWait != null) {
             currentBackoffWait.cancel();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -59,7 +59,7 @@
     private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
     private final Quarantine quarantine;
     private final FleetObservationTracker observations;
-    private final ShareGuard shareGuard = new ShareGuard(this);
+    private final ShareGuard shareGuard;
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final UsualTimeouts usualTimeouts = new UsualTimeouts();
     private final ArrivalQueue arrivalQueue;
@@ -95,6 +95,7 @@
         this.observations = new FleetObservationTracker(
                 ObservationSource.combined(List.of(chooser.performance(), this::ownObservations)));
         chooser.performance().fleetLoads(observations::loads);
+        this.shareGuard = new ShareGuard(this);
         this.inFlight = inFlight;
         this.health = health;
         this.retryBudget = retryBudget;
