Limit the usual time of callers to the timeout of the route

Cause: Deadline-Ms is not bounded. One caller that states an hour marks all other callers of the route as returned.

Change: UsualTimeouts counts at most the timeout of the route.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/UsualTimeouts.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/UsualTimeouts.java
@@ -26,14 +26,17 @@
      *
      * @param route the name of the route
      * @param timeoutMillis the time that the caller states, in milliseconds
+     * @param routeTimeoutMillis the timeout of the route in milliseconds; longer times count as this one, since a
+     *     single caller that states an hour would otherwise mark all others as returned
      * @return whether the time indicates that the caller was refused before
      */
-    public boolean returned(String route, long timeoutMillis) {
+    public boolean returned(String route, long timeoutMillis, long routeTimeoutMillis) {
         if (maximumByRoute.size() >= MAX_ROUTES) {
             maximumByRoute.clear();
         }
         double usual = maximumByRoute.getOrDefault(route, 0.0);
-        maximumByRoute.put(route, Math.max((double) timeoutMillis, usual * DECAY));
-        return timeoutMillis < usual * RETURNED_FRACTION;
+        long countedMillis = Math.min(timeoutMillis, routeTimeoutMillis);
+        maximumByRoute.put(route, Math.max((double) countedMillis, usual * DECAY));
+        return countedMillis < usual * RETURNED_FRACTION;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
@@ -60,9 +60,10 @@
             resolution = current;
             if (first && current instanceof Resolution.Resolved resolved) {
                 OptionalLong timeoutMillis = resolved.callerTimeoutMillis();
+                Route route = resolved.terms().route();
                 returned = timeoutMillis.isPresent()
                         && context.usualTimeouts()
-                                .returned(resolved.terms().route().name(), timeoutMillis.getAsLong());
+                                .returned(route.name(), timeoutMillis.getAsLong(), route.timeoutMillis());
             }
         }
         return current;
