Count only remaining requests for the position of a waiting request

Cause: the check of waiting requests counted requests that it had just removed, and multiplied the depth in a workspace by the number of workspaces, also of those with a single request. Waits were overestimated.

Change: requests are tested in the order in which they start, the workspaces in turn, and the position counts those that remain.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/UrgencyLevel.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/UrgencyLevel.java
@@ -1,9 +1,12 @@
 package org.radishpass.routing.admission;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.TreeSet;
@@ -101,24 +104,24 @@
     }
 
     /**
-     * Removes requests. Each request is tested once.
+     * Removes requests. Each request is tested once, in the order in which they start; those removed do not count for
+     * the positions of later ones.
      *
      * @param test tells whether a request is removed
      * @param levelArrivals the arrivals per second of this urgency
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     void removeIf(RemovalTest<T> test, double levelArrivals, long nowMillis) {
-        int size = size();
         int competing = activeWorkspaces;
-        int punctualBefore = punctualCount;
-        for (WorkspaceQueue<T> queue : workspaces.values()) {
+        List<Turn<T>> punctual = new ArrayList<>();
+        for (WorkspaceQueue<T> queue : punctualTurns) {
             double inflow = Math.min(levelArrivals, queue.arrivals.perSecond(nowMillis) * competing);
-            Depth depth = new Depth();
-            queue.punctual.removeIf(waiting -> test.remove(waiting, Math.min(size, depth.next() * competing), inflow));
-            Depth lateDepth = new Depth();
-            queue.late.removeIf(waiting ->
-                    test.remove(waiting, Math.min(size, punctualBefore + lateDepth.next() * competing), levelArrivals));
+            punctual.add(new Turn<>(queue.punctual.iterator(), inflow));
         }
+        int remaining = removeInTurns(punctual, 0, test);
+        List<Turn<T>> late = new ArrayList<>();
+        lateTurns.forEach(queue -> late.add(new Turn<>(queue.late.iterator(), levelArrivals)));
+        removeInTurns(late, remaining, test);
         punctualTurns.removeIf(queue -> queue.punctual.isEmpty());
         lateTurns.removeIf(queue -> queue.late.isEmpty());
         workspaces
@@ -134,6 +137,25 @@
                 workspaces.values().stream().filter(queue -> queue.size() > 0).count();
     }
 
+    /**
+     * Tests the requests in the order in which they start.
+     *
+     * @param turns the workspaces, which take turns
+     * @param ahead the number of requests that start before
+     * @param test tells whether a request is removed
+     * @return the number of requests that start before, and of those that have not been removed
+     */
+    private static <T> int removeInTurns(List<Turn<T>> turns, int ahead, RemovalTest<T> test) {
+        int remaining = ahead;
+        while (!turns.isEmpty()) {
+            for (Turn<T> turn : turns) {
+                remaining += turn.keepsNext(remaining + 1, test) ? 1 : 0;
+            }
+            turns.removeIf(turn -> !turn.waiting.hasNext());
+        }
+        return remaining;
+    }
+
     /**
      * Decides whether a request is removed.
      *
@@ -151,12 +173,22 @@
         boolean remove(Waiting<T> waiting, int position, double inflow);
     }
 
-    /** Counts the requests of one workspace in the order in which they start. */
-    private static final class Depth {
-        private int count;
-
-        private int next() {
-            return ++count;
+    /**
+     * The requests of a workspace that have not been tested yet.
+     *
+     * @param waiting the requests in the order in which they start
+     * @param inflow the arrivals per second of requests of this urgency that start before these
+     */
+    private record Turn<T>(Iterator<Waiting<T>> waiting, double inflow) {
+        /** Removes requests up to the first one that is not to be removed. Returns false if there is none. */
+        private boolean keepsNext(int position, RemovalTest<T> test) {
+            while (waiting.hasNext()) {
+                if (!test.remove(waiting.next(), position, inflow)) {
+                    return true;
+                }
+                waiting.remove();
+            }
+            return false;
         }
     }
 
