Keep earned starts of rare urgencies, and bound rate and inflow errors

Causes: an urgency lost the starts it had earned whenever none of its requests waited, and the expected wait ignored them, so that urgencies with few arrivals were refused on arrival and never served. An iteration of 2 s, as in a suspension, lowered the measured rate to near zero, and the rate of a cold start kept its weight until the next backlog. In a long backlog, an inflow was expected to last for minutes.

Changes: earned starts are kept, at most one, and shorten the expected wait. An iteration counts as at most 250 ms, earlier backlogs as at most 100 ms. An inflow is expected to last for at most 2 s.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionController.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionController.java
@@ -50,6 +50,13 @@
     /** The maximum expected wait in milliseconds; an infinite one would overflow when added to a time. */
     private static final double MAX_WAIT_MILLIS = 1e9;
 
+    /**
+     * The longest time in milliseconds for which an inflow is expected to last: twice the time constant of its
+     * measurement. With the whole length of a backlog of a minute, one instant in which the inflow exceeds the starts
+     * would refuse all less urgent requests.
+     */
+    private static final long MAX_INFLOW_MILLIS = 2_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final BooleanSupplier otherRouters;
@@ -110,6 +117,7 @@
         if (isEmpty()) {
             backlogSinceMillis = nowMillis;
             checkedAtMillis = nowMillis;
+            startRate.backlogBegins();
         }
         queue.recordArrival(request.urgency(), nowMillis);
         arrivals.record(nowMillis);
@@ -188,6 +196,7 @@
         return refused;
     }
 
+    /** The inflow is expected to last as long again as the backlog has lasted, up to a limit. */
     private WaitEstimate estimate(int urgency, long nowMillis) {
         double rate = startRate.perSecond();
         return new WaitEstimate(
@@ -195,7 +204,8 @@
                 queue.queuedAbove(urgency),
                 queue.arrivalsAbove(urgency, nowMillis),
                 rate * queue.reservedFraction(urgency, nowMillis),
-                (nowMillis - backlogSinceMillis) / MILLIS_PER_SECOND);
+                queue.credit(urgency),
+                Math.min(nowMillis - backlogSinceMillis, MAX_INFLOW_MILLIS) / MILLIS_PER_SECOND);
     }
 
     /** Tells whether callers may be sent to other routers, which are then assumed to have less work than this one. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionQueue.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionQueue.java
@@ -65,16 +65,23 @@
         return polled;
     }
 
-    /** Records a start, which counts toward the guaranteed starts of each urgency. */
+    /**
+     * Records a start, which counts toward the guaranteed starts of each urgency. An urgency earns credit also while
+     * none of its requests wait. Otherwise one with few arrivals, which are refused because of the wait for its next
+     * guaranteed start, would never be served.
+     */
     void started(int urgency, long nowMillis) {
         for (int waiting = 0; waiting < AdmissionRequest.URGENCIES; waiting++) {
-            credits[waiting] = level(waiting).size() == 0
-                    ? 0
-                    : Math.min(1, credits[waiting] + reservedFraction(waiting, nowMillis));
+            credits[waiting] = Math.min(1, credits[waiting] + reservedFraction(waiting, nowMillis));
         }
         credits[urgency] = Math.max(0, credits[urgency] - 1);
     }
 
+    /** Returns the guaranteed starts that an urgency has not used yet, at most 1. */
+    double credit(int urgency) {
+        return credits[urgency];
+    }
+
     /** Returns the fraction of the starts that is guaranteed to an urgency. */
     double reservedFraction(int urgency, long nowMillis) {
         double all = arrivalsAbove(AdmissionRequest.URGENCIES, nowMillis);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/StartRate.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/StartRate.java
@@ -11,12 +11,31 @@
     /** The time in milliseconds for which the assumed rate counts; a quarter of a second of measurement outweighs it. */
     private static final double ASSUMED_MILLIS = 250;
 
+    /**
+     * The maximum weight in milliseconds of earlier backlogs when a backlog begins. The router may have become faster
+     * since, as after a cold start.
+     */
+    private static final double EARLIER_MILLIS = 100;
+
+    /**
+     * The maximum weight in milliseconds of one iteration. A suspension or a stall says little about the rate
+     * afterwards.
+     */
+    private static final long MAX_ITERATION_MILLIS = 250;
+
     private static final double TIME_CONSTANT_MILLIS = 1_000;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private double starts = COLD_STARTS_PER_SECOND * ASSUMED_MILLIS / MILLIS_PER_SECOND;
     private double millis = ASSUMED_MILLIS;
 
+    /** Reduces the weight of what was measured in earlier backlogs. */
+    void backlogBegins() {
+        double kept = Math.min(1, EARLIER_MILLIS / millis);
+        starts *= kept;
+        millis *= kept;
+    }
+
     /**
      * Records the starts of an iteration of the event loop after which requests still waited.
      *
@@ -24,9 +43,10 @@
      * @param elapsedMillis the time until the next iteration, in milliseconds
      */
     void record(int started, long elapsedMillis) {
-        double kept = Math.exp(-elapsedMillis / TIME_CONSTANT_MILLIS);
+        long countedMillis = Math.min(elapsedMillis, MAX_ITERATION_MILLIS);
+        double kept = Math.exp(-countedMillis / TIME_CONSTANT_MILLIS);
         starts = starts * kept + started;
-        millis = millis * kept + elapsedMillis;
+        millis = millis * kept + countedMillis;
     }
 
     double perSecond() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/WaitEstimate.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/WaitEstimate.java
@@ -7,14 +7,16 @@
  * @param aheadByUrgency the number of waiting requests that are more urgent
  * @param inflowByUrgency the arrivals per second of more urgent requests
  * @param reservedPerSecond the starts per second that are reserved for the urgency
- * @param backlogSeconds for how long requests have been waiting without interruption
+ * @param credit the number of starts reserved for the urgency that it has not used yet
+ * @param inflowSeconds for how long the inflow is expected to last
  */
 record WaitEstimate(
         double startsPerSecond,
         int aheadByUrgency,
         double inflowByUrgency,
         double reservedPerSecond,
-        double backlogSeconds) {
+        double credit,
+        double inflowSeconds) {
     /**
      * Requests at a position that is reached within this time, in seconds, are not expected to be overtaken by later
      * ones of the same urgency. Without this rule, all requests would be refused in a long overload, and the router
@@ -27,16 +29,13 @@
     /**
      * Returns the expected wait in milliseconds.
      *
-     * <p>The inflow of requests that start earlier is expected to last as long again as the backlog has lasted. Thus a
-     * short burst causes few refusals, and a long overload causes early ones.
-     *
      * @param position the number of requests of the same urgency that start up to and including this one
      * @param inflow the arrivals per second of requests of the same urgency that start before this one
      */
     double waitMillis(double position, double inflow) {
         double overtaking = position > startsPerSecond * NEXT_SECONDS ? inflow : 0;
         double byUrgency = seconds(aheadByUrgency + position, inflowByUrgency + overtaking, startsPerSecond);
-        double byReserve = seconds(position, overtaking, reservedPerSecond);
+        double byReserve = seconds(Math.max(0, position - credit), overtaking, reservedPerSecond);
         return Math.min(byUrgency, byReserve) * MILLIS_PER_SECOND;
     }
 
@@ -44,7 +43,7 @@
         if (rate <= 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double whileItLasts = (ahead + inflow * backlogSeconds) / rate;
+        double whileItLasts = (ahead + inflow * inflowSeconds) / rate;
         return inflow < rate ? Math.min(ahead / (rate - inflow), whileItLasts) : whileItLasts;
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/admission/AdmissionControllerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/admission/AdmissionControllerTest.java
@@ -70,6 +70,56 @@
         assertThat(lessUrgent).isAtMost(13);
     }
 
+    /**
+     * Guards against starvation of an urgency with few arrivals: its reserve of 0.2 starts per second corresponds to an
+     * expected wait of 5 s, by which each of its requests would be refused on arrival.
+     */
+    @Test
+    void servesAnUrgencyWithFewArrivals() {
+        int orders = 0;
+        for (int step = 0; step < 1_200; step++) {
+            long now = NOW + step * 50L;
+            int urgency = step % 20 == 0 ? 2 : 0;
+            admission.offer(urgency == 2 ? "order" : "question", request(urgency, "a", now, 200, 2_600, false), now);
+            admission.checkWaiting(item -> false, now);
+            Waiting<String> next = step % 5 == 0 ? null : admission.poll(now);
+            if (next != null) {
+                admission.started(next.request(), now);
+                orders += next.item().equals("order") ? 1 : 0;
+            }
+            admission.recordIteration(next == null ? 0 : 1, 50);
+        }
+        assertThat(orders).isAtLeast(10); // of 60; a quarter of the share of all requests is 12
+    }
+
+    /** Guards against refusals long after a cold start by the rate that was measured then. */
+    @Test
+    void givesLittleWeightToTheRateOfAnEarlierBacklog() {
+        for (int iteration = 0; iteration < 20; iteration++) {
+            admission.recordIteration(1, 330);
+        }
+        offer("question", 0, "a", 1_000, 10_000);
+        for (int iteration = 0; iteration < 5; iteration++) {
+            admission.recordIteration(1, 10);
+        }
+        assertThat(admission.startsPerSecond()).isAtLeast(20.0);
+    }
+
+    /** Guards against refusing the less urgent in a long backlog because of one burst of more urgent requests. */
+    @Test
+    void expectsAnInflowToLastForSecondsOnly() {
+        admission.offer("label", request(1, "a", NOW, 200, 600_000, false), NOW);
+        for (int iteration = 0; iteration < 3_000; iteration++) {
+            admission.recordIteration(1, 20);
+        }
+        long later = NOW + 60_000;
+        for (int number = 0; number < 60; number++) {
+            admission.offer("question", request(0, "a", later, 500, 12_000, false), later);
+        }
+        assertThat(admission.offer("order", request(2, "a", later, 200, 4_500, false), later))
+                .isEmpty();
+    }
+
     /** Guards against refusals by rates that have hardly been measured. */
     @Test
     void refusesNothingByItsExpectedWaitAtTheBeginningOfABacklog() {
