Remove an unused query of pooled connections; one comment in plain words

Cause: a hook for placement has no caller. Conclusion: placement may get it back when it prefers endpoints with an idle connection.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionController.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/admission/AdmissionController.java
@@ -169,7 +169,7 @@
     /**
      * Checks all waiting requests, if the last check is long enough ago.
      *
-     * @param abandoned tells whether nobody waits for a request any more; such requests are dropped
+     * @param abandoned tells whether the caller of a request has disconnected; such requests are dropped
      * @param nowMillis the time
      * @return the requests that have been removed because they are refused
      */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -148,12 +148,6 @@
                 .orElse(ConnectionCap.NONE);
     }
 
-    /** Tells whether a connection to the endpoint is idle that a request could be sent on. */
-    boolean hasReusable(String endpointId, boolean retryable) {
-        EndpointPool pool = pools.get(endpointId);
-        return pool != null && pool.hasReusable(retryable);
-    }
-
     /** Runs a task on the event loop after a delay in milliseconds. */
     void schedule(long millis, Runnable task) {
         var unused = loop.schedule(task, millis, TimeUnit.MILLISECONDS);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -138,13 +138,6 @@
         return null;
     }
 
-    /** Tells whether an idle connection may be used for a request. */
-    boolean hasReusable(boolean retryable) {
-        long nowMillis = nowMillis();
-        EndpointConnection newest = idle.peekFirst();
-        return newest != null && newest.reusable(nowMillis) && mayReuse(retryable, nowMillis);
-    }
-
     /** Processes the failure of a connection attempt. */
     void connectFailed(ConnectFailure failure, ConnectionCallback callback) {
         boolean byCap = failure.reset() && resetByCap(true, nowMillis());
