Test of contended services: the share of connections limits nothing

Cause: merged with the cap on connections the test never contended: a router that knows no fleet opens four connections to an endpoint, fewer than the endpoint's slots. Change: the test sets a limit of 100 connections and one router; its checks are the same. Conclusion: the two parts work together where the fleet is known; a router that is not registered yet sends an endpoint at most 4 at a time.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/ContendedServiceTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/ContendedServiceTest.java
@@ -31,6 +31,9 @@
 
     private static final int OTHER_CALLERS = 24;
 
+    /** More than callers, so that the number of connections limits nothing. */
+    private static final int MAX_CONNECTIONS = 100;
+
     private final TrafficFixture fixture;
     private final Semaphore slots = new Semaphore(SLOTS);
     private final Set<String> reachedEndpoint = ConcurrentHashMap.newKeySet();
@@ -53,7 +56,7 @@
     @Test
     void refusesTheLessUrgentRequestsBeforeTheyAreSent() throws Exception {
         try (FakeEndpoint endpoint = endpoint()) {
-            fixture.configure(TIMEOUT_MILLIS, endpoint);
+            fixture.cap(MAX_CONNECTIONS, 1).configure(TIMEOUT_MILLIS, endpoint);
             Load load = new Load().run();
             assertThat(beyondShare.get()).isGreaterThan(0);
             assertThat(load.urgent.servedFraction()).isGreaterThan(load.other.servedFraction() + 0.15);
@@ -67,7 +70,10 @@
     @Test
     void decidesByTheQueueLimitAloneIfSharesAreOff() throws Exception {
         try (FakeEndpoint endpoint = endpoint()) {
-            fixture.configure(TIMEOUT_MILLIS, endpoint).server().serviceShares(false);
+            fixture.cap(MAX_CONNECTIONS, 1)
+                    .configure(TIMEOUT_MILLIS, endpoint)
+                    .server()
+                    .serviceShares(false);
             new Load().run();
             assertThat(refused).isNotEmpty();
             assertThat(beyondShare.get()).isEqualTo(0);
