--- a/radishpass-routing/src/main/java/org/radishpass/routing/performance/PlacementMethod.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/performance/PlacementMethod.java
@@ -37,7 +37,7 @@
     };
 
     /** The method that applies unless a setting selects another. */
-    public static final PlacementMethod DEFAULT = TWO_CHOICES;
+    public static final PlacementMethod DEFAULT = REQUESTS;
 
     private final String setting;
     private final int compared;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/performance/EndpointPerformanceTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/performance/EndpointPerformanceTest.java
@@ -20,7 +20,7 @@
     private static final ServiceEndpoint ENDPOINT = endpoint("e@1");
     private static final ServiceEndpoint RESTARTED = endpoint("e@2");
 
-    private final EndpointPerformance performance = new EndpointPerformance();
+    private final EndpointPerformance performance = withSpeeds();
 
     /** Load pattern: an endpoint that is twice as slow as the others. */
     @Test
@@ -79,7 +79,7 @@
         List<EndpointPerformance> fleet = new ArrayList<>();
         List<FleetObservationTracker> trackers = new ArrayList<>();
         for (int router = 0; router < routers; router++) {
-            EndpointPerformance member = new EndpointPerformance();
+            EndpointPerformance member = withSpeeds();
             FleetObservationTracker tracker = new FleetObservationTracker(member);
             member.fleetLoads(tracker::loads);
             fleet.add(member);
@@ -165,4 +165,10 @@
     private static ServiceEndpoint endpoint(String id) {
         return new ServiceEndpoint(id, "s", new Address("10.0.0.1", 80), new DataCentre("dc"), 12, false);
     }
+
+    private static EndpointPerformance withSpeeds() {
+        EndpointPerformance performance = new EndpointPerformance();
+        performance.method(PlacementMethod.TWO_CHOICES);
+        return performance;
+    }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/placement/UnevenEndpointsTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/placement/UnevenEndpointsTest.java
@@ -28,7 +28,7 @@
     private static final int ROUTERS = 134;
 
     private final InFlightTracker inFlight = new InFlightTracker();
-    private final EndpointChooser chooser = new EndpointChooser(inFlight, new DataCentre("dc-0"));
+    private final EndpointChooser chooser = chooserBySpeed();
     private final List<ServiceEndpoint> endpoints = endpoints(8);
 
     /**
@@ -95,7 +95,7 @@
         List<ServiceEndpoint> many = endpoints(78);
         Map<String, Integer> sent = new HashMap<>();
         for (int router = 0; router < ROUTERS; router++) {
-            EndpointChooser other = new EndpointChooser(inFlight, new DataCentre("dc-0"));
+            EndpointChooser other = chooserBySpeed();
             other.performance().method(method);
             for (ServiceEndpoint endpoint : many) {
                 int slowdown = endpoint.id().equals("e5") ? 10 : 100;
@@ -301,4 +301,10 @@
         }
         return endpoints;
     }
+
+    private EndpointChooser chooserBySpeed() {
+        EndpointChooser bySpeed = new EndpointChooser(inFlight, new DataCentre("dc-0"));
+        bySpeed.performance().method(PlacementMethod.TWO_CHOICES);
+        return bySpeed;
+    }
 }
