--- a/radishpass-routing/src/test/java/org/radishpass/routing/placement/UnevenFleetTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/placement/UnevenFleetTest.java
@@ -44,6 +44,7 @@
         UnevenFleet.Result before = run(ENGINES, PlacementMethod.REQUESTS);
         UnevenFleet.Result now = run(ENGINES, method);
         assertThat(now.meanMillis()).isLessThan(before.meanMillis());
+        assertThat((double) now.readTokens()).isLessThan(1.25 * before.readTokens());
         assertThat(now.overCap()).isAtMost(before.overCap());
     }
 
