Take the exchange of reports out of TrafficServer

Change: WorkReports implements the exchange of work reports; no behaviour changes. Conclusion: a class of its own for one job.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -73,7 +73,7 @@
                 builder.source,
                 self,
                 builder.decoder,
-                traffic,
+                traffic.workReports(),
                 traffic,
                 builder.regions,
                 metrics,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -12,23 +12,17 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
-import java.util.function.UnaryOperator;
 import org.radishpass.core.fleet.DataCentre;
-import org.radishpass.peer.message.WorkScope;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fairness.ServiceShares;
 import org.radishpass.routing.health.EndpointHealthTracker;
 import org.radishpass.routing.load.ColdStartAllowance;
-import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.InFlightTracker;
-import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
 import org.radishpass.routing.performance.EndpointPerformance;
 import org.radishpass.routing.performance.PlacementMethod;
@@ -39,7 +33,6 @@
 import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.report.FleetObservationTracker;
-import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
 
@@ -49,7 +42,7 @@
  *
  * @since 0.2.0
  */
-public final class TrafficServer implements WorkReportExchange, SuspectExchange {
+public final class TrafficServer implements SuspectExchange {
     /**
      * Milliseconds between checks for endpoints to probe; a fraction of the silence after which an endpoint is probed.
      */
@@ -70,6 +63,7 @@
     private final EndpointSignals signals;
     private final EndpointConnections connections;
     private final TrafficContext context;
+    private final WorkReports workReports;
     private final List<Channel> listening = new ArrayList<>();
 
     /**
@@ -112,6 +106,7 @@
                 retryBudget,
                 log,
                 listener);
+        this.workReports = new WorkReports(context);
         Gauge.builder("radishpass.requests.active", context.exchanges(), java.util.Set::size)
                 .description("requests in progress")
                 .register(metrics);
@@ -246,41 +241,9 @@
         loop.execute(() -> context.chooser().performance().method(method));
     }
 
-    @Override
-    public void recordPeerReport(
-            String peerId,
-            WorkScope scope,
-            Map<String, InFlight> work,
-            List<String> failing,
-            FleetObservations reported) {
-        loop.execute(() -> {
-            FleetObservations checked = context.shareGuard().checked(peerId, reported);
-            context.observations().recordPeerReport(peerId, scope, checked, clock.millis());
-            inFlight.recordPeerReport(peerId, scope, work, clock.millis());
-            health.recordReportedFailing(failing, scope, clock.millis());
-        });
-    }
-
-    @Override
-    public void workReport(List<String> members, boolean always, Consumer<WorkReport> consumer) {
-        loop.execute(() -> {
-            boolean ownChanged = !inFlight.takeChanges().isEmpty();
-            if (ownChanged || always || (!members.isEmpty() && takePeerChange())) {
-                consumer.accept(report(members));
-            }
-        });
-    }
-
-    /**
-     * Tells whether members have to be sent what peers reported. Failing endpoints are repeated with each report,
-     * because a report of them expires after a second.
-     */
-    private boolean takePeerChange() {
-        boolean workChanged = inFlight.takePeerChange();
-        boolean observationsChanged = context.observations().takePeerChange();
-        return workChanged
-                || observationsChanged
-                || !health.failing(clock.millis()).isEmpty();
+    /** Returns the exchange of reports with other routers. */
+    public WorkReportExchange workReports() {
+        return workReports;
     }
 
     @Override
@@ -308,29 +271,6 @@
         loop.execute(() -> context.quarantine().setSuspectListener(listener));
     }
 
-    private WorkReport report(List<String> members) {
-        Map<String, Map<String, InFlight>> withoutMember = new LinkedHashMap<>();
-        Map<String, FleetObservations> observationsWithoutMember = new LinkedHashMap<>();
-        long nowMillis = clock.millis();
-        FleetObservationTracker observations = context.observations();
-        UnaryOperator<FleetObservations> reported = context.shareGuard().reportFilter(nowMillis);
-        FleetObservations all =
-                members.isEmpty() ? FleetObservations.NONE : reported.apply(observations.forMembers(nowMillis));
-        members.forEach(id -> {
-            withoutMember.put(id, inFlight.workWithout(id));
-            observationsWithoutMember.put(id, observations.without(all, id, nowMillis));
-        });
-        return new WorkReport(
-                inFlight.ownWork(),
-                inFlight.groupWork(),
-                withoutMember,
-                health.failingInGroup(nowMillis),
-                health.failing(nowMillis),
-                reported.apply(observations.own(nowMillis)),
-                reported.apply(observations.group(nowMillis)),
-                observationsWithoutMember);
-    }
-
     /**
      * Closes each connection after its next response from now on. Idle connections are closed later by {@link
      * #closeIdle}.
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -97,7 +97,7 @@
     /** Returns the ids of the endpoints that the traffic server reports as failing. */
     public List<String> failingEndpoints() throws Exception {
         CompletableFuture<List<String>> failing = new CompletableFuture<>();
-        server.workReport(List.of(), true, report -> failing.complete(report.allFailing()));
+        server.workReports().workReport(List.of(), true, report -> failing.complete(report.allFailing()));
         return failing.get(20, TimeUnit.SECONDS);
     }
 
