Tell endpoints that are down from endpoints that one router does not reach

Cause: endpoint-down is the same line for an endpoint that has stopped and one that only this router cannot reach; nothing counts unreached endpoints, and no peer knows what a router has lost. Change: each endpoint has a link state (reached, unreached, unknown) with its evidence and age; the log says by which evidence an endpoint is not reached and how many requests peers have in flight there; services of which no endpoint is reached are logged, measured and reported to peers (partitions in rs, at most 64 entries, none in a fleet without them). radishpass losses counts the first attempts that each router served. No routing decision uses any of it yet. A message with a component of a later release is tested with the new component counted among the known ones; the case without it stays.

--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/LoggedRequest.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/LoggedRequest.java
@@ -10,6 +10,8 @@
  * A finished request, parsed from the log line that a router writes at its end. Times are in milliseconds since the
  * request arrived, or -1 if the event did not happen.
  *
+ * @param vm the VM of the router
+ * @param firstAttempt whether the router took the request from its caller, and the caller had not been refused before
  * @param outcome the message of the log line, which says how the request ended
  * @param route the name of the request's route
  * @param workspace the name of the request's workspace, or empty
@@ -20,6 +22,8 @@
  * @param attempts the attempts to run the request at an endpoint, in order
  */
 record LoggedRequest(
+        String vm,
+        boolean firstAttempt,
         String outcome,
         String route,
         String workspace,
@@ -44,6 +48,9 @@
         line.path("attempts").forEach(attempt -> Attempt.parse(attempt.asText(), attempts));
         String time = line.path("@timestamp").asText();
         return new LoggedRequest(
+                line.path("vm").asText("-"),
+                !line.path("returned").asBoolean()
+                        && line.path("relayedFor").asText().isEmpty(),
                 line.path("message").asText(),
                 line.path("route").asText(),
                 line.path("workspace").asText(),
@@ -56,12 +63,22 @@
 
     /** Tells whether the answer was complete and successful but began after the target time. */
     boolean late() {
-        return status > 0 && status < 400 && targetMillis > 0 && beganMillis > targetMillis;
+        return served() && targetMillis > 0 && beganMillis > targetMillis;
+    }
+
+    /** Tells whether the answer was complete and successful, in time or late. */
+    boolean served() {
+        return status > 0 && status < 400;
+    }
+
+    /** Tells whether the configuration allows the request, so that an answer was owed. */
+    boolean owed() {
+        return status != 401 && status != 403 && status != 404;
     }
 
     /** Tells whether the answer was complete and successful and began within the target time. */
     boolean inTime() {
-        return status > 0 && status < 400 && !late();
+        return served() && !late();
     }
 
     /** Returns the last attempt, or {@link Attempt#NONE} if there was none. */
--- a/radishpass-cli/src/main/java/org/radishpass/cli/internal/Losses.java
+++ b/radishpass-cli/src/main/java/org/radishpass/cli/internal/Losses.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -25,6 +26,7 @@
     private static final int MAX_ROWS = 12;
 
     private final List<LoggedRequest> lostRequests = new ArrayList<>();
+    private final Map<String, ServedCount> firstAttemptsByVm = new TreeMap<>();
     private int inTimeCount;
     private int unreadableLines;
 
@@ -49,6 +51,11 @@
             return;
         }
         LoggedRequest request = LoggedRequest.of(line);
+        if (request.firstAttempt() && request.owed()) {
+            firstAttemptsByVm
+                    .computeIfAbsent(request.vm(), vm -> new ServedCount())
+                    .add(request.served());
+        }
         if (request.inTime()) {
             inTimeCount++;
         } else {
@@ -74,10 +81,18 @@
         root.set(
                 "endpoints",
                 JSON.valueToTree(countBy(request -> request.lastAttempt().endpoint())));
+        root.set("routers", routersJson());
         root.set("seconds", JSON.valueToTree(countBy(LoggedRequest::second)));
         return root;
     }
 
+    private JsonNode routersJson() {
+        ObjectNode routers = JSON.createObjectNode();
+        firstAttemptsByVm.forEach((vm, count) ->
+                routers.putObject(vm).put("firstAttempts", count.total).put("served", count.served));
+        return routers;
+    }
+
     /** Returns the lines of the printed tables. */
     public List<String> table() {
         List<String> lines = new ArrayList<>();
@@ -88,9 +103,26 @@
         addTable(lines, "workspace", LoggedRequest::workspace);
         addTable(lines, "endpoint", request -> request.lastAttempt().endpoint());
         addTable(lines, "second", LoggedRequest::second);
+        addRouters(lines);
         return lines;
     }
 
+    /** Adds the share of first attempts that each router served, those with the smallest share first. */
+    private void addRouters(List<String> lines) {
+        lines.add("");
+        lines.add("first attempts served by router");
+        firstAttemptsByVm.entrySet().stream()
+                .sorted(Map.Entry.comparingByValue(Comparator.comparingDouble(ServedCount::share)))
+                .limit(MAX_ROWS)
+                .forEach(count -> lines.add(String.format(
+                        Locale.ROOT,
+                        "%8.3f  %s: %d of %d",
+                        count.getValue().share(),
+                        count.getKey(),
+                        count.getValue().served,
+                        count.getValue().total)));
+    }
+
     private void addTable(List<String> lines, String title, Function<LoggedRequest, String> key) {
         lines.add("");
         lines.add("by " + title);
@@ -105,4 +137,19 @@
         lostRequests.forEach(request -> counts.merge(key.apply(request), 1, Integer::sum));
         return counts;
     }
+
+    /** The number of requests of one router, and how many of them were served. */
+    private static final class ServedCount {
+        private int served;
+        private int total;
+
+        private void add(boolean isServed) {
+            total++;
+            served += isServed ? 1 : 0;
+        }
+
+        private double share() {
+            return (double) served / total;
+        }
+    }
 }
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -84,6 +84,7 @@
      *     0 from earlier releases
      * @param demand the demand for services, of the routers in the scope; empty while no service is contended
      * @param loads the loads that endpoints stated to the routers in the scope; empty while no router uses them
+     * @param partitions the services that the sender and other routers do not reach; empty from earlier releases
      * @since 0.2.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -102,11 +103,12 @@
             long directoryEra,
             long storeEra,
             List<DemandEntry> demand,
-            List<LoadEntry> loads)
+            List<LoadEntry> loads,
+            List<PartitionEntry> partitions)
             implements RoutingMessage {
         /**
-         * Rejects a message that lacks a component, except drained data centres, leaving endpoints, demand and loads:
-         * earlier releases do not send them.
+         * Rejects a message that lacks a component, except drained data centres, leaving endpoints, demand, loads and
+         * partitions: earlier releases do not send them.
          */
         @SuppressWarnings("NullAway") // the decoder passes null for components that a message lacks
         public RoutingState {
@@ -117,6 +119,24 @@
             leaving = List.copyOf(Objects.requireNonNullElse(leaving, List.of()));
             demand = List.copyOf(Objects.requireNonNullElse(demand, List.of()));
             loads = List.copyOf(Objects.requireNonNullElse(loads, List.of()));
+            partitions = List.copyOf(Objects.requireNonNullElse(partitions, List.of()));
+        }
+    }
+
+    /**
+     * The services of which a router reaches no endpoint.
+     *
+     * @param router the id of the router
+     * @param services the services
+     * @param ageMillis the time since the router observed it, in milliseconds
+     * @since 0.9.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record PartitionEntry(String router, List<String> services, long ageMillis) {
+        /** Rejects a message that lacks a component. */
+        public PartitionEntry {
+            Objects.requireNonNull(router, "router");
+            services = List.copyOf(services);
         }
     }
 
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingStateCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingStateCodec.java
@@ -6,11 +6,12 @@
 
 /** Encodes and decodes the components of a {@link RoutingMessage.RoutingState}, for {@link RoutingMessageCodec}. */
 final class RoutingStateCodec {
-    private static final int STATE_COMPONENTS = 15;
+    private static final int STATE_COMPONENTS = 16;
     private static final int WORK_COMPONENTS = 3;
     private static final int DRAIN_COMPONENTS = 5;
     private static final int DEMAND_COMPONENTS = 7;
     private static final int LOAD_COMPONENTS = 7;
+    private static final int PARTITION_COMPONENTS = 3;
 
     private RoutingStateCodec() {
         // static methods only
@@ -31,6 +32,7 @@
         packer.packLong(state.directoryEra()).packLong(state.storeEra());
         packDemand(state.demand(), packer);
         packLoads(state.loads(), packer);
+        packPartitions(state.partitions(), packer);
     }
 
     private static void packWork(List<RoutingMessage.EndpointWork> work, MessagePacker packer) throws IOException {
@@ -83,6 +85,16 @@
         }
     }
 
+    private static void packPartitions(List<RoutingMessage.PartitionEntry> partitions, MessagePacker packer)
+            throws IOException {
+        packer.packArrayHeader(partitions.size());
+        for (RoutingMessage.PartitionEntry entry : partitions) {
+            packer.packArrayHeader(PARTITION_COMPONENTS).packString(entry.router());
+            packTexts(entry.services(), packer);
+            packer.packLong(entry.ageMillis());
+        }
+    }
+
     private static void packTexts(List<String> texts, MessagePacker packer) throws IOException {
         packer.packArrayHeader(texts.size());
         for (String text : texts) {
@@ -108,7 +120,8 @@
                 reader.integer(),
                 reader.integer(),
                 reader.optionalList(RoutingStateCodec::demand),
-                reader.optionalList(RoutingStateCodec::load));
+                reader.optionalList(RoutingStateCodec::load),
+                reader.optionalList(RoutingStateCodec::partition));
         reader.end();
         return state;
     }
@@ -136,6 +149,11 @@
                 reader.number());
     }
 
+    @SuppressWarnings("NullAway") // the constructor rejects a missing router
+    private static RoutingMessage.PartitionEntry partition(ArrayReader reader) throws IOException {
+        return new RoutingMessage.PartitionEntry(reader.text(), reader.texts(), reader.integer());
+    }
+
     @SuppressWarnings("NullAway") // the constructor rejects a missing endpoint
     private static RoutingMessage.LoadEntry load(ArrayReader reader) throws IOException {
         return new RoutingMessage.LoadEntry(
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageCodecTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageCodecTest.java
@@ -86,6 +86,7 @@
                 count,
                 other,
                 List.of(new RoutingMessage.DemandEntry(name, "w", count, rate, 0, 1, -rate)),
-                List.of(new RoutingMessage.LoadEntry(name, count, 61, 67, 71, 73, other)));
+                List.of(new RoutingMessage.LoadEntry(name, count, 61, 67, 71, 73, other)),
+                List.of(new RoutingMessage.PartitionEntry(name, List.of("s", name), amount)));
     }
 }
--- a/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
+++ b/radishpass-peer/src/test/java/org/radishpass/peer/message/RoutingMessageTest.java
@@ -36,7 +36,8 @@
             31,
             37,
             List.of(new RoutingMessage.DemandEntry("s", "w", 2, 41, 43, 47, 53)),
-            List.of(new RoutingMessage.LoadEntry("e", 59, 61, 67, 71, 73, 79)));
+            List.of(new RoutingMessage.LoadEntry("e", 59, 61, 67, 71, 73, 79)),
+            List.of(new RoutingMessage.PartitionEntry("10.0.0.2:7340", List.of("s", "t"), 83)));
 
     static Stream<RoutingMessage> messages() {
         return Stream.of(
@@ -77,7 +78,7 @@
      * not know.
      */
     @ParameterizedTest
-    @CsvSource({"'', 0", "',31,37', 31", "',31,37,[],[],\"more\"', 31"})
+    @CsvSource({"'', 0", "',31,37', 31", "',31,37,[],[]', 31", "',31,37,[],[],[],\"more\"', 31"})
     void routingStatesOfEarlierAndLaterReleasesAreDecoded(String end, long directoryEra) throws IOException {
         String json = "[0,[\"rs\",[1,2,[],3,4,true,[],1,5,[[\"there\",19,true,23]],[]" + end + "]]]";
         Object tree = new com.fasterxml.jackson.databind.ObjectMapper().readValue(json, Object.class);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -145,7 +145,8 @@
                     state.scope(),
                     RoutingMessageMapper.toWork(state),
                     state.failing(),
-                    ObservationMapper.toObservations(state, clock.millis()));
+                    ObservationMapper.toObservations(state, clock.millis()),
+                    PartitionMapper.toPartitions(state, clock.millis()));
             return runOnControlThread(() -> onState(from, state));
         }
         if (message instanceof RoutingMessage.Introduction introduction) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkReporter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/WorkReporter.java
@@ -143,9 +143,10 @@
         long nowMillis = clock.millis();
         GatheringPlan plan = GatheringPlan.of(self, peers.all(), nowMillis);
         updateRole(plan);
+        List<RoutingMessage.PartitionEntry> partitions = PartitionMapper.toEntries(self, report, nowMillis);
         PeerMessage ownState = plan.gathers()
-                ? state(report.group(), report.failing(), WorkScope.GROUP, report.groupObservations())
-                : state(report.own(), report.failing(), WorkScope.MEMBER, report.ownObservations());
+                ? state(report.group(), report.failing(), WorkScope.GROUP, report.groupObservations(), partitions)
+                : state(report.own(), report.failing(), WorkScope.MEMBER, report.ownObservations(), partitions);
         plan.ownGatherer().ifPresent(peer -> sendExpectingReply(peer, ownState, nowMillis));
         plan.peerGatherers().forEach(peer -> sendExpectingReply(peer, ownState, nowMillis));
         report.withoutMember()
@@ -156,7 +157,8 @@
                                         othersWork,
                                         report.allFailing(),
                                         WorkScope.OTHERS,
-                                        report.observationsWithoutMember().getOrDefault(id, FleetObservations.NONE)))));
+                                        report.observationsWithoutMember().getOrDefault(id, FleetObservations.NONE),
+                                        partitions))));
         probe(plan, nowMillis);
     }
 
@@ -207,7 +209,11 @@
     }
 
     private PeerMessage state(
-            Map<String, InFlight> work, List<String> failing, WorkScope scope, FleetObservations observations) {
+            Map<String, InFlight> work,
+            List<String> failing,
+            WorkScope scope,
+            FleetObservations observations,
+            List<RoutingMessage.PartitionEntry> partitions) {
         long nowMillis = clock.millis();
         DirectoryTracker directory = controlState.directory();
         return new RoutingMessage.RoutingState(
@@ -226,6 +232,7 @@
                         StorePosition.NO_ERA, directory.listVersion().position().era()),
                 controlState.era().eraForPeers(),
                 ObservationMapper.toDemandEntries(observations),
-                ObservationMapper.toLoadEntries(observations, nowMillis));
+                ObservationMapper.toLoadEntries(observations, nowMillis),
+                partitions);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -36,7 +36,19 @@
     /** See {@link #meaning}. */
     ENDPOINT_GONE("endpoint-gone", "another process answers at an endpoint's address"),
     /** See {@link #meaning}. */
-    ENDPOINT_DOWN("endpoint-down", "connections to an endpoint fail; it gets nothing until one succeeds"),
+    ENDPOINT_DOWN(
+            "endpoint-down",
+            "connections of this router to an endpoint fail, by `evidence`; it gets nothing until one succeeds; `peerRequests` is how many requests other routers have in flight there"),
+    /** See {@link #meaning}. */
+    SERVICE_UNREACHED(
+            "service-unreached",
+            "this router reaches no endpoint of `service`; `evidence` counts how connections failed"),
+    /** See {@link #meaning}. */
+    SERVICE_REACHED("service-reached", "this router reaches an endpoint of `service` again"),
+    /** See {@link #meaning}. */
+    PEER_PARTITION(
+            "peer-partition",
+            "the services of which `router` reaches no endpoint, as it has reported; none when it reaches them again"),
     /** See {@link #meaning}. */
     ENDPOINT_ENDED(
             "endpoint-ended",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -57,6 +57,7 @@
     private long retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
     private long bytesReceivedAtMillis;
     private long unreachableAtMillis = NEVER;
+    private final EndpointLink link;
 
     /**
      * Creates the health of an endpoint without any observation so far.
@@ -75,6 +76,7 @@
      */
     EndpointHealth(long nowMillis, ImpairedEndpoints impairedEndpoints) {
         this.bytesReceivedAtMillis = nowMillis;
+        this.link = new EndpointLink(nowMillis);
         this.impairedEndpoints = impairedEndpoints;
     }
 
@@ -90,6 +92,7 @@
         probeInProgress = false;
         retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
         bytesReceivedAtMillis = nowMillis;
+        link.observe(LinkEvidence.CONNECTED, nowMillis);
     }
 
     /**
@@ -99,6 +102,19 @@
      * @return whether the endpoint counted as reachable until now
      */
     public boolean unreachable(long nowMillis) {
+        return unreachable(LinkEvidence.NO_ANSWER, nowMillis);
+    }
+
+    /**
+     * Records that a connection to the endpoint failed.
+     *
+     * @param evidence how the connection failed
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @return whether the endpoint counted as reachable until now
+     * @since 0.9.0
+     */
+    public boolean unreachable(LinkEvidence evidence, long nowMillis) {
+        link.observe(evidence, nowMillis);
         boolean wasUp = !down;
         unreachableAtMillis = nowMillis;
         down = true;
@@ -117,9 +133,17 @@
         return unreachableAtMillis;
     }
 
+    /** Returns whether this router reaches the endpoint, and by which evidence. */
+    public EndpointLink link() {
+        return link;
+    }
+
     /** Records that bytes arrived from the endpoint. */
     public void bytesReceived(long nowMillis) {
         bytesReceivedAtMillis = nowMillis;
+        if (!down) {
+            link.observe(LinkEvidence.RECEIVED, nowMillis);
+        }
         possiblyUnreachable = false;
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/InFlightTracker.java
@@ -68,6 +68,17 @@
         return own.getOrDefault(endpointId, InFlight.NONE);
     }
 
+    /**
+     * Returns the number of requests in flight at an endpoint that its peers have reported. A peer that has requests in
+     * flight most likely reaches the endpoint.
+     *
+     * @param endpointId the endpoint
+     * @since 0.9.0
+     */
+    public int peersAt(String endpointId) {
+        return at(endpointId).requests() - ownAt(endpointId).requests();
+    }
+
     /** Returns this router's own work in flight, by endpoint; endpoints without such work are absent. */
     public Map<String, InFlight> ownWork() {
         return Map.copyOf(own);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReport.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReport.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import org.radishpass.routing.reachability.RouterPartition;
+import org.radishpass.routing.reachability.UnreachedService;
 import org.radishpass.routing.report.FleetObservations;
 
 /**
@@ -15,6 +17,8 @@
  * @param ownObservations this router's own observations
  * @param groupObservations the observations of this router and of the members of its group
  * @param observationsWithoutMember for each member, the observations of all routers without the member's own demand
+ * @param unreachedServices the services of which this router reaches no endpoint
+ * @param peerPartitions the services that other routers do not reach, as far as is known
  * @since 0.3.0
  */
 public record WorkReport(
@@ -25,4 +29,6 @@
         List<String> allFailing,
         FleetObservations ownObservations,
         FleetObservations groupObservations,
-        Map<String, FleetObservations> observationsWithoutMember) {}
+        Map<String, FleetObservations> observationsWithoutMember,
+        List<UnreachedService> unreachedServices,
+        List<RouterPartition> peerPartitions) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.radishpass.peer.message.WorkScope;
+import org.radishpass.routing.reachability.RouterPartition;
 import org.radishpass.routing.report.FleetObservations;
 
 /**
@@ -20,13 +21,15 @@
      * @param work the work by endpoint
      * @param failing the endpoints that fail too often
      * @param observations the demand and the loads of endpoints that are reported
+     * @param partitions the services that the peer and other routers do not reach
      */
     void recordPeerReport(
             String peerId,
             WorkScope scope,
             Map<String, InFlight> work,
             List<String> failing,
-            FleetObservations observations);
+            FleetObservations observations,
+            List<RouterPartition> partitions);
 
     /**
      * Passes a report for other routers to a consumer if this router's own work has changed since the last call, or if
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectFailure.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ConnectFailure.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import org.radishpass.routing.health.LinkEvidence;
 
 /**
  * The reason why a connection to an endpoint could not be established.
@@ -19,6 +20,14 @@
         return new ConnectFailure(String.valueOf(cause), refused, isReset(cause));
     }
 
+    /** Returns what the failure shows about the link to the endpoint. */
+    LinkEvidence evidence() {
+        if (refused) {
+            return LinkEvidence.REFUSED;
+        }
+        return reset ? LinkEvidence.RESET : LinkEvidence.NO_ANSWER;
+    }
+
     /** Tells whether an error of a connection means that the other side has reset it. */
     static boolean isReset(Throwable cause) {
         String message = String.valueOf(cause.getMessage());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
@@ -43,6 +43,7 @@
     /** Probes every endpoint that is due for a probe or silent. */
     void probeDue() {
         long nowMillis = context.nowMillis();
+        context.reachability().refresh();
         EndpointDirectory directory = context.view().directory();
         if (directory != knownDirectory) {
             knownDirectory = directory;
@@ -109,8 +110,9 @@
         if (failure.refused()) {
             context.exitDetector().connectionRefused(endpoint, nowMillis);
         }
-        if (context.health().of(endpoint.id(), nowMillis).unreachable(nowMillis)) {
-            context.requestLog().endpointDown(endpoint, failure.cause());
+        if (context.health().of(endpoint.id(), nowMillis).unreachable(failure.evidence(), nowMillis)) {
+            context.requestLog()
+                    .endpointDown(endpoint, failure, context.inFlight().peersAt(endpoint.id()));
             if (!failure.refused()) {
                 probeOthers(endpoint); // a machine that refuses connections is reachable, so others may well be
             }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -31,6 +31,7 @@
     private int status;
     private long responseAfterMillis = -1;
     private String outcome = "";
+    private boolean returned;
 
     ExchangeRecord(long receivedAtMillis) {
         this.receivedAtMillis = receivedAtMillis;
@@ -89,6 +90,16 @@
         return attempts;
     }
 
+    /** Tells whether the caller was refused before and has returned. */
+    boolean returned() {
+        return returned;
+    }
+
+    /** Records whether the caller was refused before and has returned. */
+    void returned(boolean callerReturned) {
+        this.returned = callerReturned;
+    }
+
     /** Records the request id and the configuration in force. */
     void requestIdentified(String id, long version, long inForceSinceMillis) {
         this.requestId = id;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
@@ -64,6 +64,7 @@
                 returned = timeoutMillis.isPresent()
                         && context.usualTimeouts()
                                 .returned(route.name(), timeoutMillis.getAsLong(), route.timeoutMillis());
+                record.returned(returned);
             }
         }
         return current;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -106,7 +106,8 @@
                 kv("verdict", record.verdict()),
                 kv("target", record.terms().route().targetLatencyMillis()),
                 kv("began", record.responseAfterMillis()),
-                kv("millis", nowMillis - record.receivedAtMillis()));
+                kv("millis", nowMillis - record.receivedAtMillis()),
+                kv("returned", record.returned()));
     }
 
     /** Logs that a request is not admitted, and that the router refuses requests if it did not do so before. */
@@ -131,13 +132,15 @@
                 kv("status", status));
     }
 
-    void endpointDown(ServiceEndpoint endpoint, String cause) {
+    void endpointDown(ServiceEndpoint endpoint, ConnectFailure failure, int peerRequests) {
         LOG.info(
-                "endpoint {} at {} cannot be reached: {}; it receives no requests until a connection succeeds",
+                "endpoint {} at {} cannot be reached by this router: {}; it receives no requests until a connection succeeds",
                 endpoint.id(),
                 endpoint.address(),
-                cause,
-                LogEvent.ENDPOINT_DOWN.field());
+                failure.cause(),
+                LogEvent.ENDPOINT_DOWN.field(),
+                kv("evidence", failure.evidence().text()),
+                kv("peerRequests", peerRequests));
     }
 
     void endpointBack(ServiceEndpoint endpoint) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -17,6 +17,7 @@
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.reachability.ReachabilityMonitor;
 import org.radishpass.routing.report.FleetObservationTracker;
 import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.report.ObservationSource;
@@ -59,6 +60,7 @@
     private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
     private final Quarantine quarantine;
     private final FleetObservationTracker observations;
+    private final ReachabilityMonitor reachability;
     private final ShareGuard shareGuard;
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final UsualTimeouts usualTimeouts = new UsualTimeouts();
@@ -96,6 +98,7 @@
                 ObservationSource.combined(List.of(chooser.performance(), this::ownObservations)));
         chooser.performance().fleetLoads(observations::loads);
         this.shareGuard = new ShareGuard(this);
+        this.reachability = new ReachabilityMonitor(health, () -> view().directory(), clock::millis);
         this.inFlight = inFlight;
         this.health = health;
         this.retryBudget = retryBudget;
@@ -239,6 +242,11 @@
         return observations;
     }
 
+    /** Returns what is known of the links between routers and endpoints. */
+    ReachabilityMonitor reachability() {
+        return reachability;
+    }
+
     SharedRetryBudget retryBudget() {
         return retryBudget;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -116,6 +116,7 @@
                 .register(metrics);
         AdmissionMetrics.register(context.arrivalQueue(), clock, metrics);
         context.shareGuard().registerMetrics(metrics);
+        context.reachability().registerMetrics(metrics);
         Gauge.builder("radishpass.requests.quarantined", context.quarantine(), Quarantine::causeCount)
                 .description("different requests that are refused because endpoints end when they run them")
                 .register(metrics);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/WorkReports.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/WorkReports.java
@@ -9,6 +9,7 @@
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
+import org.radishpass.routing.reachability.RouterPartition;
 import org.radishpass.routing.report.FleetObservationTracker;
 import org.radishpass.routing.report.FleetObservations;
 
@@ -29,20 +30,23 @@
             WorkScope scope,
             Map<String, InFlight> work,
             List<String> failing,
-            FleetObservations reported) {
+            FleetObservations reported,
+            List<RouterPartition> partitions) {
         context.loop().execute(() -> {
             long nowMillis = context.nowMillis();
             FleetObservations checked = context.shareGuard().checked(peerId, reported);
             context.observations().recordPeerReport(peerId, scope, checked, nowMillis);
             context.inFlight().recordPeerReport(peerId, scope, work, nowMillis);
             context.health().recordReportedFailing(failing, scope, nowMillis);
+            context.reachability().recordPeerReport(peerId, partitions);
         });
     }
 
     @Override
     public void workReport(List<String> members, boolean always, Consumer<WorkReport> consumer) {
         context.loop().execute(() -> {
-            boolean ownChanged = !context.inFlight().takeChanges().isEmpty();
+            boolean workChanged = !context.inFlight().takeChanges().isEmpty();
+            boolean ownChanged = context.reachability().takeChange() || workChanged;
             if (ownChanged || always || (!members.isEmpty() && takePeerChange())) {
                 consumer.accept(report(members));
             }
@@ -56,8 +60,10 @@
     private boolean takePeerChange() {
         boolean workChanged = context.inFlight().takePeerChange();
         boolean observationsChanged = context.observations().takePeerChange();
+        boolean partitionsChanged = context.reachability().takePeerChange();
         return workChanged
                 || observationsChanged
+                || partitionsChanged
                 || !context.health().failing(context.nowMillis()).isEmpty();
     }
 
@@ -81,6 +87,8 @@
                 context.health().failing(nowMillis),
                 reported.apply(observations.own(nowMillis)),
                 reported.apply(observations.group(nowMillis)),
-                observationsWithoutMember);
+                observationsWithoutMember,
+                context.reachability().unreachedServices(),
+                context.reachability().peers().toReport(nowMillis));
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -161,6 +161,7 @@
                             version.position().era(),
                             version.position().era(),
                             List.of(),
+                            List.of(),
                             List.of()));
         }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/GatheringPlanTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/GatheringPlanTest.java
@@ -95,7 +95,8 @@
 
     private static RoutingMessage.RoutingState state(WorkScope scope) {
         return new RoutingMessage.RoutingState(
-                1, 1, List.of(), 0, 0, true, List.of(), scope, 0, List.of(), List.of(), 1, 1, List.of(), List.of());
+                1, 1, List.of(), 0, 0, true, List.of(), scope, 0, List.of(), List.of(), 1, 1, List.of(), List.of(),
+                List.of());
     }
 
     private static FleetRouter router(int number) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreReadScopeTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/StoreReadScopeTest.java
@@ -45,6 +45,7 @@
                 1,
                 1,
                 List.of(),
+                List.of(),
                 List.of());
         peer.recordState(state, RoutingMessageMapper.toListVersion(state, new StoreEra()), 10_000);
         assertThat(peer.listVersion().storeMillis()).isEqualTo(9_900);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -30,6 +30,7 @@
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
+import org.radishpass.routing.reachability.RouterPartition;
 import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.testing.VirtualProcess;
 import org.radishpass.runtime.thread.ControlThread;
@@ -315,7 +316,8 @@
                 WorkScope scope,
                 Map<String, InFlight> work,
                 List<String> failing,
-                FleetObservations observations) {
+                FleetObservations observations,
+                List<RouterPartition> partitions) {
             inFlight.recordPeerReport(peerId, scope, work, fleet.scheduler().millis());
         }
 
@@ -333,7 +335,9 @@
                         List.of(),
                         FleetObservations.NONE,
                         FleetObservations.NONE,
-                        Map.of()));
+                        Map.of(),
+                        List.of(),
+                        List.of()));
             }
         }
     }
