Soak: a link for each pair of router and endpoint, which can be cut

Cause: each endpoint of the soak has one proxy for all routers, so that a router that loses its links while others keep theirs cannot be brought about. Change: a proxy for each pair, all on the listed port of the endpoint and on a host for each router; the routers of the soak translate the listed host into their own (TrafficServer.endpointAddresses, identity by default).

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -18,7 +18,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import jdk.net.ExtendedSocketOptions;
+import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.connection.ConnectionCap;
 import org.radishpass.routing.connection.RouterCount;
 import org.radishpass.routing.dialect.RequestDialect;
@@ -62,6 +64,7 @@
     private final Map<String, EndpointPool> pools = new HashMap<>();
     private final Set<String> retired = new HashSet<>();
     private final RouterCount routerCount = new RouterCount();
+    private UnaryOperator<Address> addresses = UnaryOperator.identity();
 
     EndpointConnections(
             EventLoop loop,
@@ -107,6 +110,11 @@
                 });
     }
 
+    /** Sets how the listed address of an endpoint is translated into the one to connect to. */
+    void addresses(UnaryOperator<Address> translation) {
+        addresses = translation;
+    }
+
     RequestDialect dialect() {
         return dialect;
     }
@@ -122,9 +130,8 @@
 
     /** Opens a connection that the pool has counted against the router's share. */
     void connect(EndpointPool pool, ConnectionCallback callback) {
-        InetSocketAddress address = new InetSocketAddress(
-                pool.endpoint().address().host(), pool.endpoint().address().port());
-        ChannelFuture connecting = bootstrap.connect(address);
+        Address address = addresses.apply(pool.endpoint().address());
+        ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(address.host(), address.port()));
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
                 pool.connectFailed(ConnectFailure.of(future.cause()), callback);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -17,6 +17,8 @@
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fairness.ServiceShares;
@@ -201,6 +203,17 @@
         loop.execute(() -> context.coldGuard().shares().allowance(allowance));
     }
 
+    /**
+     * Sets how the listed address of an endpoint is translated into the one that this router connects to. A router
+     * behind network address translation needs it; by default the addresses are the same.
+     *
+     * @param translation returns the address to connect to
+     * @since 0.9.0
+     */
+    public void endpointAddresses(UnaryOperator<Address> translation) {
+        loop.execute(() -> connections.addresses(translation));
+    }
+
     /**
      * Sets the maximum backoff, which limits the Retry-After time of an endpoint that rejects requests.
      *
