--- a/radishpass-routing/src/test/java/org/radishpass/routing/health/EndpointHealthTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/health/EndpointHealthTrackerTest.java
@@ -65,6 +65,17 @@
         assertThat(tracker.failingInGroup(100)).containsExactly("e0");
     }
 
+    /** Guards against healthy endpoints that all routers leave out because one router has lost its links to them. */
+    @Test
+    void anEndpointThatThisRouterDoesNotReachIsNotReportedAsFailing() {
+        for (ServiceEndpoint endpoint : open) {
+            fail(endpoint.id(), 4);
+            tracker.of(endpoint.id(), 0).unreachable(0);
+        }
+        assertThat(tracker.failingInGroup(100)).isEmpty();
+        assertThat(tracker.failing(100)).isEmpty();
+    }
+
     @Test
     void anEndpointEjectedForSlownessIsEjectedAgainAfterOneSlowResponse() {
         EndpointHealth health = tracker.of("e0", 0);
