Take the planning of attempts out of Exchange

Change: AttemptPlanner decides the next step of a request (send, wait for a backoff, give up), Exchange performs it. No behaviour changes. Conclusion: a further step is added in one place.

--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
@@ -0,0 +1,83 @@
+package org.radishpass.routing.traffic;
+
+import java.util.Optional;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.routing.placement.PlacementChoice;
+
+/** Decides what is done next with one request that is at no endpoint: at its start, and after each failed attempt. */
+final class AttemptPlanner {
+    private static final NextStep QUARANTINED =
+            new NextStep.GiveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
+    private static final NextStep NO_ENDPOINT =
+            new NextStep.GiveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
+    private static final NextStep NO_CONNECTION = new NextStep.GiveUp(
+            RefusalCode.OVERLOADED, "every endpoint of the service holds as many connections as it may");
+
+    private final TrafficContext context;
+    private final ExchangeRecord record;
+    private final SendHistory history;
+    private final CapacityGuard capacityGuard;
+
+    /**
+     * Creates the planner of one request.
+     *
+     * @param context the shared state of the traffic event loop
+     * @param record the log record of the request
+     * @param history the previous sends of the request
+     */
+    AttemptPlanner(TrafficContext context, ExchangeRecord record, SendHistory history) {
+        this.context = context;
+        this.record = record;
+        this.history = history;
+        this.capacityGuard = new CapacityGuard(context, record, history);
+    }
+
+    /**
+     * Decides what is done next.
+     *
+     * @param terms the terms of the request
+     * @param quarantineGuard tells whether the request is quarantined
+     * @param backoffWait tells whether the request can wait for a backoff to end
+     * @param responseStarted whether a part of the response has been sent to the caller
+     */
+    NextStep next(
+            RequestTerms terms, QuarantineGuard quarantineGuard, BackoffWait backoffWait, boolean responseStarted) {
+        if (!quarantineGuard.admitted()) {
+            return QUARANTINED;
+        }
+        Optional<PlacementChoice> choice = context.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
+        if (choice.isEmpty() || backoffWait.overtakes(choice.get())) {
+            return withoutEndpoint(backoffWait, responseStarted);
+        }
+        String lackOfCapacity = capacityGuard.refusal(terms, choice.get());
+        if (lackOfCapacity == null) {
+            return new NextStep.Send(choice.get());
+        }
+        record.chosen(choice.get(), context.view(), context.nowMillis());
+        return lacksCapacity(terms, lackOfCapacity);
+    }
+
+    private NextStep withoutEndpoint(BackoffWait backoffWait, boolean responseStarted) {
+        if (capacityGuard.lacksConnections()) {
+            return NO_CONNECTION;
+        }
+        boolean certainlyNotRun = !responseStarted && history.notRun();
+        return certainlyNotRun && backoffWait.backoffOnly() ? new NextStep.AwaitBackoff() : NO_ENDPOINT;
+    }
+
+    /** Returns the step after an endpoint had no free connection; empty if another endpoint may be tried. */
+    Optional<NextStep> noConnectionFree() {
+        return capacityGuard.noConnectionFree() ? Optional.empty() : Optional.of(NO_CONNECTION);
+    }
+
+    /** Returns the step for a request that no endpoint has the capacity to run. */
+    NextStep lacksCapacity(RequestTerms terms, String detail) {
+        capacityGuard.refused(terms);
+        return new NextStep.GiveUp(RefusalCode.OVERLOADED, detail);
+    }
+
+    /** Returns the step for a request that is quarantined. */
+    NextStep quarantined() {
+        return QUARANTINED;
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -39,7 +39,7 @@
     private final ExchangeRecord record;
     private final SendHistory history = new SendHistory();
     private final ExchangeRefusal refusal;
-    private final CapacityGuard capacityGuard;
+    private final AttemptPlanner planner;
     private QuarantineGuard quarantineGuard;
     private RequestTerms terms = RequestTerms.UNKNOWN;
     private @Nullable ResponseRelay relay;
@@ -56,7 +56,7 @@
         this.body = prepared.body();
         this.record = prepared.record();
         this.refusal = new ExchangeRefusal(context, caller, record, history, this::end);
-        this.capacityGuard = new CapacityGuard(context, record, history);
+        this.planner = new AttemptPlanner(context, record, history);
         this.quarantineGuard = new QuarantineGuard(context, RequestFingerprint.UNKNOWN, terms.service());
         context.exchanges().add(this);
     }
@@ -98,27 +98,17 @@
     }
 
     private void placeAndAttempt() {
-        if (!quarantineGuard.admitted()) {
-            giveUpQuarantined();
-            return;
-        }
-        Optional<PlacementChoice> choice = context.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
-        if (choice.isEmpty() || backoffWait().overtakes(choice.get())) {
-            waitOrGiveUp();
-            return;
-        }
-        String lackOfCapacity = capacityGuard.refusal(terms, choice.get());
-        if (lackOfCapacity == null) {
-            startAttempt(choice.get());
-        } else {
-            record.chosen(choice.get(), context.view(), context.nowMillis());
-            giveUpForCapacity(lackOfCapacity);
-        }
+        perform(planner.next(terms, quarantineGuard, backoffWait(), relay().started()));
     }
 
-    private void giveUpForCapacity(String detail) {
-        capacityGuard.refused(terms);
-        giveUp(RefusalCode.OVERLOADED, detail);
+    private void perform(NextStep step) {
+        if (step instanceof NextStep.Send send) {
+            startAttempt(send.choice());
+        } else if (step instanceof NextStep.GiveUp end) {
+            giveUp(end.code(), end.detail());
+        } else if (!backoffWait().enqueue()) {
+            refuseInBackoff(backoffWait().earliestEndMillis());
+        }
     }
 
     private BackoffWait backoffWait() {
@@ -130,18 +120,6 @@
         return current;
     }
 
-    private void waitOrGiveUp() {
-        BackoffWait current = backoffWait();
-        boolean certainlyNotRun = !relay().started() && history.notRun();
-        if (capacityGuard.lacksConnections()) {
-            giveUpWithoutConnection();
-        } else if (!certainlyNotRun || !current.backoffOnly()) {
-            giveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
-        } else if (!current.enqueue()) {
-            refuseInBackoff(current.earliestEndMillis());
-        }
-    }
-
     @Override
     public void endpointAvailable(PlacementChoice choice) {
         startAttempt(choice);
@@ -152,10 +130,6 @@
         refusal.refuseInBackoff(endMillis);
     }
 
-    private void giveUpQuarantined() {
-        giveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
-    }
-
     private void startAttempt(PlacementChoice choice) {
         record.chosen(choice, context.view(), context.nowMillis());
         Attempt next = new Attempt(context, this, caller, relay(), record, choice, terms.maxTokens());
@@ -314,7 +288,7 @@
             deadlineExpired();
         } else if (!quarantineGuard.admitted()) {
             withdrawAttempt();
-            giveUpQuarantined();
+            perform(planner.quarantined());
         } else if (!context.placer().stillEligible(terms, endpoint)) {
             withdrawAttempt();
             record.attemptEnded("the endpoint accepts no new requests");
@@ -371,15 +345,7 @@
     public void noConnectionFree(Attempt full) {
         attempt = null;
         history.tried(full.endpoint());
-        if (capacityGuard.noConnectionFree()) {
-            placeAndAttempt();
-        } else {
-            giveUpWithoutConnection();
-        }
-    }
-
-    private void giveUpWithoutConnection() {
-        giveUp(RefusalCode.OVERLOADED, "every endpoint of the service holds as many connections as it may");
+        planner.noConnectionFree().ifPresentOrElse(this::perform, this::placeAndAttempt);
     }
 
     @Override
@@ -417,7 +383,7 @@
         if (mayRetry()) {
             placeAndAttempt();
         } else {
-            giveUpForCapacity("the endpoint did not take the request");
+            perform(planner.lacksCapacity(terms, "the endpoint did not take the request"));
         }
     }
 
