--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -38,10 +38,12 @@
      * @param address the address on which the router listens for peers, as IP:PORT
      * @param dataCentre the data centre of the router; empty if the sender does not know it
      * @param cores the processor time that the router may use, in cores
+     * @param relayPort the port at which the router accepts requests that other routers relay; 0 for none, and from
+     *     earlier releases
      * @since 0.3.0
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record RouterEntry(String address, String dataCentre, double cores) {
+    record RouterEntry(String address, String dataCentre, double cores, int relayPort) {
         /** Rejects a message that lacks a component. */
         public RouterEntry {
             Objects.requireNonNull(address, "address");
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessageCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessageCodec.java
@@ -91,10 +91,11 @@
     }
 
     private static void packRouter(RoutingMessage.RouterEntry router, MessagePacker packer) throws IOException {
-        packer.packArrayHeader(3)
+        packer.packArrayHeader(4)
                 .packString(router.address())
                 .packString(router.dataCentre())
-                .packDouble(router.cores());
+                .packDouble(router.cores())
+                .packInt(router.relayPort());
     }
 
     /**
@@ -175,6 +176,6 @@
 
     @SuppressWarnings("NullAway") // the constructor rejects missing components
     private static RoutingMessage.RouterEntry router(ArrayReader reader) throws IOException {
-        return new RoutingMessage.RouterEntry(reader.text(), reader.text(), reader.number());
+        return new RoutingMessage.RouterEntry(reader.text(), reader.text(), reader.number(), reader.smallInteger());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/config/RoutingConfiguration.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/config/RoutingConfiguration.java
@@ -16,6 +16,7 @@
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<String, ServiceSpec> services;
     private final Map<String, Workspace> workspacesByKey;
+    private final Map<String, Workspace> workspacesByName = new HashMap<>();
     private final boolean keysRequired;
     private final CallerLimits limits;
 
@@ -24,6 +25,7 @@
         this.routesByHost = builder.routesByHost;
         this.services = Map.copyOf(builder.services);
         this.workspacesByKey = Map.copyOf(builder.workspacesByKey);
+        workspacesByKey.values().forEach(workspace -> workspacesByName.put(workspace.name(), workspace));
         this.keysRequired = builder.keysRequired;
         this.limits = builder.limits;
     }
@@ -95,6 +97,16 @@
         return Optional.ofNullable(workspacesByKey.get(key));
     }
 
+    /**
+     * Finds a workspace that has an API key by its name.
+     *
+     * @param name the name of the workspace
+     * @since 0.9.0
+     */
+    public Optional<Workspace> workspaceNamed(String name) {
+        return Optional.ofNullable(workspacesByName.get(name));
+    }
+
     /**
      * Builder of a {@link RoutingConfiguration}.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -329,6 +329,7 @@
             listener.routersExpired(expired);
         }
         workReporter().ifPresent(WorkReporter::tick);
+        peers.reportChange(work::routersChanged);
     }
 
     /** Receives what peers report. Called on the control thread. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerTable.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.FleetRouter;
@@ -24,6 +25,8 @@
 
     private final FleetRouter self;
     private final Map<String, Peer> peers = new LinkedHashMap<>();
+    private List<FleetRouter> reportedKnown = List.of();
+    private List<FleetRouter> reportedUnsuspected = List.of();
 
     PeerTable(FleetRouter self) {
         this.self = self;
@@ -102,6 +105,20 @@
         return active;
     }
 
+    /** Reports the peers to a consumer if they, or which of them are suspected, have changed since the last call. */
+    void reportChange(BiConsumer<List<FleetRouter>, List<FleetRouter>> consumer) {
+        List<FleetRouter> known = peers.values().stream().map(Peer::router).toList();
+        List<FleetRouter> unsuspected = peers.values().stream()
+                .filter(peer -> !peer.suspected())
+                .map(Peer::router)
+                .toList();
+        if (!known.equals(reportedKnown) || !unsuspected.equals(reportedUnsuspected)) {
+            reportedKnown = known;
+            reportedUnsuspected = unsuspected;
+            consumer.accept(known, unsuspected);
+        }
+    }
+
     /** Returns this router and all peers that are not suspected, including those known only from other routers. */
     List<FleetRouter> unsuspectedRouters() {
         List<FleetRouter> unsuspected = new ArrayList<>();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -55,7 +55,7 @@
 
     private RoutedRouter(Builder builder) {
         this.loops = builder.loops;
-        this.self = new FleetRouter(builder.peerAddress, builder.home, builder.cores);
+        this.self = new FleetRouter(builder.peerAddress, builder.home, builder.cores, builder.relayPort);
         this.metrics = builder.metrics;
         EventLoop loop = loops.onServer(false).next();
         this.traffic = new TrafficServer(
@@ -123,6 +123,23 @@
             return;
         }
         control.join(node, seeds);
+        if (self.relays()) {
+            traffic.identify(self);
+            serveRelayedRequests();
+        }
+    }
+
+    private void serveRelayedRequests() {
+        InetSocketAddress address = new InetSocketAddress(self.address().host(), self.relayPort());
+        var unused = traffic.serveRelayed(address).whenComplete((channel, error) -> {
+            if (error != null) {
+                LOG.error(
+                        "binding port {} for relayed requests failed; the router tries again",
+                        address.getPort(),
+                        error);
+                thread.scheduleAfter(BIND_RETRY_PAUSE, this::serveRelayedRequests);
+            }
+        });
     }
 
     /**
@@ -193,6 +210,7 @@
         private DataCentre home = new DataCentre("unknown");
         private double cores = 1;
         private RegionMap regions = RegionMap.EMPTY;
+        private int relayPort = FleetRouter.NO_RELAY;
 
         private Builder(
                 LoopResources loops, ControlSource source, ConfigurationDecoder decoder, RequestDialect dialect) {
@@ -214,6 +232,12 @@
             return this;
         }
 
+        /** Sets the port on which the router accepts requests that other routers relay; by default it accepts none. */
+        public Builder relayPort(int port) {
+            this.relayPort = port;
+            return this;
+        }
+
         /** Sets the data centre of the router. */
         public Builder home(DataCentre dataCentre) {
             this.home = dataCentre;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutingMessageMapper.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutingMessageMapper.java
@@ -26,7 +26,7 @@
     /** Returns the message entry of a router. */
     static RoutingMessage.RouterEntry toEntry(FleetRouter router) {
         return new RoutingMessage.RouterEntry(
-                router.id(), router.located() ? router.dataCentre().name() : "", router.cores());
+                router.id(), router.located() ? router.dataCentre().name() : "", router.cores(), router.relayPort());
     }
 
     /** Returns the message entries of routers. */
@@ -40,7 +40,8 @@
                 .findFirst()
                 .map(address -> entry.dataCentre().isBlank()
                         ? FleetRouter.unlocated(address)
-                        : new FleetRouter(address, new DataCentre(entry.dataCentre()), entry.cores()));
+                        : new FleetRouter(
+                                address, new DataCentre(entry.dataCentre()), entry.cores(), entry.relayPort()));
     }
 
     /** Returns the routers of message entries. Malformed entries are logged and left out. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/dialect/RequestDialect.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/dialect/RequestDialect.java
@@ -28,6 +28,14 @@
      */
     void encode(HttpHeaders headers, ForwardingHeaders forwarding);
 
+    /**
+     * Removes the key of the caller, which is not handed on to other routers.
+     *
+     * @param headers a copy of the caller's headers; modified by this method
+     * @since 0.9.0
+     */
+    void removeKey(HttpHeaders headers);
+
     /**
      * Decodes the head of an endpoint's response.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/fleet/FleetRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/fleet/FleetRouter.java
@@ -10,9 +10,13 @@
  * @param address the address at which the router accepts connections from peers
  * @param dataCentre the data centre of the router; {@link #UNLOCATED} if only the address is known
  * @param cores the CPU capacity that the router may use, in cores
+ * @param relayPort the port at which the router accepts requests that other routers relay; {@link #NO_RELAY} if none
  * @since 0.3.0
  */
-public record FleetRouter(Address address, DataCentre dataCentre, double cores) {
+public record FleetRouter(Address address, DataCentre dataCentre, double cores, int relayPort) {
+    /** The value of {@link #relayPort} of a router that accepts no relayed requests, or of which that is not known. */
+    public static final int NO_RELAY = 0;
+
     /** Placeholder for a data centre that is not known yet. */
     public static final DataCentre UNLOCATED = new DataCentre("unlocated");
 
@@ -20,6 +24,21 @@
     public static final Comparator<FleetRouter> LARGEST_FIRST =
             Comparator.comparingDouble(FleetRouter::cores).reversed().thenComparing(FleetRouter::id);
 
+    /** Creates a router of which it is not known whether it accepts relayed requests. */
+    public FleetRouter(Address address, DataCentre dataCentre, double cores) {
+        this(address, dataCentre, cores, NO_RELAY);
+    }
+
+    /** Tells whether the router accepts requests that other routers relay. */
+    public boolean relays() {
+        return relayPort != NO_RELAY;
+    }
+
+    /** Returns this router with the relay port of an earlier entry, if its own is not known. */
+    public FleetRouter withRelayPortOf(FleetRouter earlier) {
+        return relays() ? this : new FleetRouter(address, dataCentre, cores, earlier.relayPort);
+    }
+
     /**
      * Returns a router of which only the address is known.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealthTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealthTracker.java
@@ -85,6 +85,49 @@
         return tooFew(healthy, reachable) ? reachable : healthy;
     }
 
+    /**
+     * Tells whether this router has no path to any of the endpoints: connections to at least one fail, and none of the
+     * others is known to be reached.
+     *
+     * @param endpoints the endpoints
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.9.0
+     */
+    public boolean noneReached(List<ServiceEndpoint> endpoints, long nowMillis) {
+        if (endpoints.isEmpty() || allHealthy(nowMillis)) {
+            return false;
+        }
+        return reachedCount(endpoints, nowMillis) == 0
+                && endpoints.stream()
+                        .anyMatch(endpoint -> of(endpoint.id(), nowMillis).down());
+    }
+
+    /**
+     * Tells whether this router reaches no endpoint at all, so that the cause is probably its own links. Endpoints that it
+     * has not tried then count as not reached.
+     */
+    private boolean isolated() {
+        return byEndpoint.values().stream()
+                .noneMatch(health -> !health.down() && health.link().state() == LinkState.REACHED);
+    }
+
+    /**
+     * Returns the number of endpoints that this router reaches for all it knows.
+     *
+     * @param endpoints the endpoints
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.9.0
+     */
+    public int reachedCount(List<ServiceEndpoint> endpoints, long nowMillis) {
+        int reached = 0;
+        for (ServiceEndpoint endpoint : endpoints) {
+            EndpointHealth health = of(endpoint.id(), nowMillis);
+            boolean up = !health.down() && !health.possiblyUnreachable();
+            reached += up && (health.link().state() == LinkState.REACHED || !isolated()) ? 1 : 0;
+        }
+        return reached;
+    }
+
     /**
      * Tells whether so many endpoints of a service are down or failing that the cause is probably this router or a
      * general overload. Trying a request elsewhere early is then pointless.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/load/WorkReportExchange.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.radishpass.peer.message.WorkScope;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.reachability.RouterPartition;
 import org.radishpass.routing.report.FleetObservations;
 
@@ -31,6 +32,14 @@
             FleetObservations observations,
             List<RouterPartition> partitions);
 
+    /**
+     * Replaces the known routers. Called whenever they change.
+     *
+     * @param known all other routers
+     * @param unsuspected those that are not suspected to be down
+     */
+    void routersChanged(List<FleetRouter> known, List<FleetRouter> unsuspected);
+
     /**
      * Passes a report for other routers to a consumer if this router's own work has changed since the last call, or if
      * the group has other members and what peers reported has changed.
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
@@ -0,0 +1,112 @@
+package org.radishpass.routing.relay;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The headers that routers add to relayed requests and to the responses to them. Text that may contain any characters is
+ * percent-encoded.
+ */
+final class RelayHeaders {
+    /** Marks a response that the relaying router itself gives, in place of a response of an endpoint. */
+    static final String REFUSAL = "Radishpass-Relay-Refusal";
+
+    private static final String PREFIX = "Radishpass-Relay-";
+    private static final String SENDER = PREFIX + "Sender";
+    private static final String CONFIGURATION = PREFIX + "Configuration";
+    private static final String WORKSPACE = PREFIX + "Workspace";
+    private static final String REMAINING = PREFIX + "Remaining-Ms";
+    private static final String ATTEMPTS = PREFIX + "Attempts";
+    private static final String RESUME_AFTER = PREFIX + "Resume-After";
+    private static final String BODY_BYTES = PREFIX + "Body-Bytes";
+    private static final String BODY_DECLARED = PREFIX + "Body-Declared";
+
+    private RelayHeaders() {
+        // static methods only
+    }
+
+    /**
+     * Tells whether a value of {@link #REFUSAL} says that the request was rejected before it was read, and not refused by
+     * the router that received it.
+     */
+    static boolean isRejection(String refusal) {
+        return Arrays.stream(RelayGate.Rejection.values())
+                .anyMatch(reason -> reason.name().equals(refusal));
+    }
+
+    /** Removes all headers of this class, such as those that a caller has sent. */
+    static void strip(HttpHeaders headers) {
+        headers.names().stream()
+                .filter(name -> name.regionMatches(true, 0, PREFIX, 0, PREFIX.length()))
+                .toList()
+                .forEach(headers::remove);
+    }
+
+    /** Replaces the headers of this class by those of the given terms. */
+    static void encode(RelayTerms terms, HttpHeaders headers) {
+        strip(headers);
+        headers.set(SENDER, terms.senderId());
+        headers.set(CONFIGURATION, Long.toString(terms.configurationVersion()));
+        headers.set(REMAINING, Long.toString(terms.remainingMillis()));
+        headers.set(ATTEMPTS, Integer.toString(terms.attempts()));
+        headers.set(BODY_BYTES, Long.toString(terms.bodyBytes()));
+        headers.set(BODY_DECLARED, Boolean.toString(terms.bodyDeclared()));
+        terms.workspace().ifPresent(name -> headers.set(WORKSPACE, encodeText(name)));
+        String resumeAfter = terms.resumeAfter();
+        if (resumeAfter != null) {
+            headers.set(RESUME_AFTER, encodeText(resumeAfter));
+        }
+    }
+
+    /**
+     * Decodes the terms of a relayed request.
+     *
+     * @throws MalformedRelayException if a header is missing or cannot be read
+     */
+    static RelayTerms decode(HttpHeaders headers) throws MalformedRelayException {
+        String sender = headers.get(SENDER, "");
+        if (sender.isBlank()) {
+            throw new MalformedRelayException("the header " + SENDER + " is missing");
+        }
+        return RelayTerms.builder(sender)
+                .configurationVersion(number(headers, CONFIGURATION, Long.MIN_VALUE, Long.MAX_VALUE))
+                .workspace(text(headers, WORKSPACE))
+                .remainingMillis(number(headers, REMAINING, 1, Integer.MAX_VALUE))
+                .attempts((int) number(headers, ATTEMPTS, 1, Integer.MAX_VALUE))
+                .resumeAfter(text(headers, RESUME_AFTER))
+                .body(
+                        number(headers, BODY_BYTES, 0, Integer.MAX_VALUE),
+                        Boolean.parseBoolean(headers.get(BODY_DECLARED)))
+                .build();
+    }
+
+    private static long number(HttpHeaders headers, String name, long min, long max) throws MalformedRelayException {
+        String value = headers.get(name, "");
+        try {
+            long number = Long.parseLong(value);
+            if (number >= min && number <= max) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            throw new MalformedRelayException("the header " + name + " is not a number: " + e.getMessage());
+        }
+        throw new MalformedRelayException("the header " + name + " is out of range");
+    }
+
+    private static @Nullable String text(HttpHeaders headers, String name) throws MalformedRelayException {
+        String value = headers.get(name);
+        try {
+            return value == null ? null : URLDecoder.decode(value, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw new MalformedRelayException("the header " + name + " is not encoded: " + e.getMessage());
+        }
+    }
+
+    private static String encodeText(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
@@ -17,6 +17,7 @@
     private final ExchangeRecord record;
     private final SendHistory history;
     private final CapacityGuard capacityGuard;
+    private final RelayPlanner relayPlanner;
 
     /**
      * Creates the planner of one request.
@@ -24,12 +25,14 @@
      * @param context the shared state of the traffic event loop
      * @param record the log record of the request
      * @param history the previous sends of the request
+     * @param relayPlanner decides whether the request is relayed
      */
-    AttemptPlanner(TrafficContext context, ExchangeRecord record, SendHistory history) {
+    AttemptPlanner(TrafficContext context, ExchangeRecord record, SendHistory history, RelayPlanner relayPlanner) {
         this.context = context;
         this.record = record;
         this.history = history;
         this.capacityGuard = new CapacityGuard(context, record, history);
+        this.relayPlanner = relayPlanner;
     }
 
     /**
@@ -45,16 +48,21 @@
         if (!quarantineGuard.admitted()) {
             return QUARANTINED;
         }
+        Optional<NextStep> withoutPath = relayPlanner.withoutPath(terms);
+        if (withoutPath.isPresent()) {
+            return withoutPath.get();
+        }
         Optional<PlacementChoice> choice = context.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
         if (choice.isEmpty() || backoffWait.overtakes(choice.get())) {
-            return withoutEndpoint(backoffWait, responseStarted);
+            NextStep step = withoutEndpoint(backoffWait, responseStarted);
+            return relayPlanner.insteadOf(step, terms);
         }
         String lackOfCapacity = capacityGuard.refusal(terms, choice.get());
         if (lackOfCapacity == null) {
             return new NextStep.Send(choice.get());
         }
         record.chosen(choice.get(), context.view(), context.nowMillis());
-        return lacksCapacity(terms, lackOfCapacity);
+        return relayPlanner.insteadOf(lacksCapacity(terms, lackOfCapacity), terms);
     }
 
     private NextStep withoutEndpoint(BackoffWait backoffWait, boolean responseStarted) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -22,7 +22,7 @@
  * <p>A request is at one endpoint at a time. A {@link Verdict} records whether the request may have run. A
  * refusal that promises that the request was not run is sent only while the verdict is {@link Verdict#NOT_RUN}.
  */
-final class Exchange implements Attempt.Owner, BackoffWait.Owner {
+final class Exchange implements Attempt.Owner, BackoffWait.Owner, RelayedExchange.Owner {
     /**
      * The fraction of the latency target, as a divisor, that a request spends waiting for a connection. The rest is left
      * to another endpoint and to the response.
@@ -40,6 +40,7 @@
     private final SendHistory history = new SendHistory();
     private final ExchangeRefusal refusal;
     private final AttemptPlanner planner;
+    private final RelayedExchange relayed;
     private QuarantineGuard quarantineGuard;
     private RequestTerms terms = RequestTerms.UNKNOWN;
     private @Nullable ResponseRelay relay;
@@ -56,7 +57,9 @@
         this.body = prepared.body();
         this.record = prepared.record();
         this.refusal = new ExchangeRefusal(context, caller, record, history, this::end);
-        this.planner = new AttemptPlanner(context, record, history);
+        RelayPlanner relayPlanner = new RelayPlanner(context, prepared.relayed());
+        this.planner = new AttemptPlanner(context, record, history, relayPlanner);
+        this.relayed = new RelayedExchange(context, caller, record, history, relayPlanner, this);
         this.quarantineGuard = new QuarantineGuard(context, RequestFingerprint.UNKNOWN, terms.service());
         context.exchanges().add(this);
     }
@@ -104,6 +107,8 @@
     private void perform(NextStep step) {
         if (step instanceof NextStep.Send send) {
             startAttempt(send.choice());
+        } else if (step instanceof NextStep.Relay relayStep) {
+            relayed.start(relayStep.router(), request, body, relay());
         } else if (step instanceof NextStep.GiveUp end) {
             giveUp(end.code(), end.detail());
         } else if (!backoffWait().enqueue()) {
@@ -201,6 +206,7 @@
         if (attempt != null) {
             attempt.autoRead(writable);
         }
+        relayed.autoRead(writable);
     }
 
     /** Tells whether a response from the endpoint is awaited. */
@@ -243,6 +249,7 @@
     }
 
     private void stopAttempt() {
+        relayed.stop();
         Attempt current = attempt;
         attempt = null;
         if (current != null) {
@@ -251,6 +258,31 @@
         }
     }
 
+    @Override
+    public void continueAfterRelay() {
+        placeAndAttempt();
+    }
+
+    @Override
+    public void retryAfterRelay(String cause) {
+        retryOrGiveUp(cause);
+    }
+
+    @Override
+    public void relayedResponseComplete() {
+        completeResponse();
+    }
+
+    @Override
+    public void giveUpAfterRelay() {
+        giveUp(RefusalCode.ENDPOINT_FAILED, "the router to which the request was relayed did not answer it");
+    }
+
+    @Override
+    public void endAfterRelay() {
+        end();
+    }
+
     private void end() {
         ended = true;
         deadlineTimer.cancel(false);
@@ -396,6 +428,10 @@
             quarantineGuard.responseCompleted();
             context.shareGuard().completed(terms);
         }
+        completeResponse();
+    }
+
+    private void completeResponse() {
         if (relay().complete()) {
             end();
         } else {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -20,7 +20,7 @@
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final long receivedAtMillis;
-    private final List<AttemptRecord> attempts = new ArrayList<>(1);
+    private final List<RecordedAttempt> attempts = new ArrayList<>(1);
     private String requestId = "";
     private RequestFingerprint fingerprint = RequestFingerprint.UNKNOWN;
     private long configurationVersion;
@@ -32,6 +32,7 @@
     private long responseAfterMillis = -1;
     private String outcome = "";
     private boolean returned;
+    private String relayedFor = "";
 
     ExchangeRecord(long receivedAtMillis) {
         this.receivedAtMillis = receivedAtMillis;
@@ -86,7 +87,7 @@
         return responseAfterMillis;
     }
 
-    List<AttemptRecord> attempts() {
+    List<RecordedAttempt> attempts() {
         return attempts;
     }
 
@@ -100,6 +101,16 @@
         this.returned = callerReturned;
     }
 
+    /** Returns the router that relayed the request to this one; empty if there is none. */
+    String relayedFor() {
+        return relayedFor;
+    }
+
+    /** Records the router that relayed the request to this one. */
+    void relayedFor(String routerId) {
+        this.relayedFor = routerId;
+    }
+
     /** Records the request id and the configuration in force. */
     void requestIdentified(String id, long version, long inForceSinceMillis) {
         this.requestId = id;
@@ -138,6 +149,11 @@
         attempts.add(new AttemptRecord(choice, view.origin(), receivedAtMillis, nowMillis));
     }
 
+    /** Records the choice of a router to which the request is relayed. */
+    void relayedTo(String routerId, long nowMillis) {
+        attempts.add(new RelayRecord(routerId, nowMillis - receivedAtMillis));
+    }
+
     /**
      * Records that the request was sent.
      *
@@ -152,12 +168,23 @@
     /** Records the head of a response to the current attempt. */
     void headReceived(long nowMillis, ResponseHead head) {
         lastAttempt().headAfterMillis = nowMillis - receivedAtMillis;
-        lastAttempt().head = head;
+        if (lastAttempt() instanceof AttemptRecord attempt) {
+            attempt.head = head;
+        }
         if (responseAfterMillis < 0 && head.status() < FIRST_ERROR_STATUS) {
             responseAfterMillis = lastAttempt().headAfterMillis;
         }
     }
 
+    /** Records the head of a response through another router. */
+    void relayedHeadReceived(long nowMillis, int headStatus) {
+        lastAttempt().headAfterMillis = nowMillis - receivedAtMillis;
+        lastAttempt().stated = " status " + headStatus;
+        if (responseAfterMillis < 0 && headStatus < FIRST_ERROR_STATUS) {
+            responseAfterMillis = lastAttempt().headAfterMillis;
+        }
+    }
+
     /** Records how the current attempt ended. */
     void attemptEnded(String reason) {
         if (!attempts.isEmpty()) {
@@ -172,25 +199,56 @@
         this.outcome = newOutcome;
     }
 
-    private AttemptRecord lastAttempt() {
+    private RecordedAttempt lastAttempt() {
         return attempts.get(attempts.size() - 1);
     }
 
+    /**
+     * One attempt to have the request run. Times are in milliseconds after the request was received; -1 for an event that
+     * did not happen.
+     */
+    abstract static class RecordedAttempt {
+        long sentAfterMillis = -1;
+        long headAfterMillis = -1;
+        String stated = "";
+
+        @Nullable
+        String end;
+
+        /** Returns the end of the description: how the attempt ended, if not with a response. */
+        String describeEnd() {
+            return end == null ? "" : ": " + end;
+        }
+    }
+
+    /** An attempt through another router. */
+    static final class RelayRecord extends RecordedAttempt {
+        private final String routerId;
+        private final long chosenAfterMillis;
+
+        private RelayRecord(String routerId, long chosenAfterMillis) {
+            this.routerId = routerId;
+            this.chosenAfterMillis = chosenAfterMillis;
+        }
+
+        @Override
+        public String toString() {
+            return "router/" + routerId + " relayed chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head "
+                    + headAfterMillis + stated + describeEnd();
+        }
+    }
+
     /**
      * The choice of an endpoint and the attempt at this endpoint. Times are in milliseconds after the request was
      * received; -1 for an event that did not happen.
      */
-    static final class AttemptRecord {
+    static final class AttemptRecord extends RecordedAttempt {
         private final PlacementChoice choice;
         private final long chosenAtMillis;
         private final long chosenAfterMillis;
         private final DirectoryOrigin origin;
         private final long directoryAgeMillis;
-        private long sentAfterMillis = -1;
-        private long headAfterMillis = -1;
-        private String stated = "";
         private @Nullable ResponseHead head;
-        private @Nullable String end;
 
         private AttemptRecord(PlacementChoice choice, DirectoryOrigin origin, long receivedAtMillis, long nowMillis) {
             this.choice = choice;
@@ -209,7 +267,7 @@
                     + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis + stated
                     + describeEstimate(choice.estimate())
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
-                    + (head == null ? "" : describeResponse(head)) + (end == null ? "" : ": " + end);
+                    + (head == null ? "" : describeResponse(head)) + describeEnd();
         }
 
         private String describeEstimate(PlacementEstimate estimate) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/NextStep.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/NextStep.java
@@ -1,6 +1,7 @@
 package org.radishpass.routing.traffic;
 
 import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.placement.PlacementChoice;
 
 /** What is done next with a request that is at no endpoint. */
@@ -12,6 +13,13 @@
      */
     record Send(PlacementChoice choice) implements NextStep {}
 
+    /**
+     * The request is relayed to another router.
+     *
+     * @param router the router
+     */
+    record Relay(FleetRouter router) implements NextStep {}
+
     /** The request waits for the end of a backoff, or is refused if that would take too long. */
     record AwaitBackoff() implements NextStep {}
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
@@ -13,6 +13,7 @@
 import org.radishpass.routing.config.Workspace;
 import org.radishpass.routing.health.ResponseTimes;
 import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.relay.RelayedRequest;
 
 /** A completely received request, which is resolved once for each configuration that it meets. */
 final class PreparedRequest {
@@ -35,6 +36,11 @@
         return assembly.request();
     }
 
+    /** Tells whether another router has relayed the request to this one. */
+    boolean relayed() {
+        return request() instanceof RelayedRequest;
+    }
+
     /** Returns the body, which the recipient must release. */
     ByteBuf body() {
         return assembly.body();
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayAttempt.java
@@ -0,0 +1,161 @@
+package org.radishpass.routing.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.relay.RelayCall;
+import org.radishpass.routing.relay.RelayListener;
+import org.radishpass.routing.relay.RelayTerms;
+
+/**
+ * One attempt to have a request run through another router. The other router decides about endpoints; this one relays the
+ * response. The owner decides whether the request is tried again. No call follows after the owner was notified of the end.
+ */
+final class RelayAttempt implements RelayListener {
+    /** Time that is kept back from the deadline, in milliseconds, so that the other router is the one to end the request. */
+    private static final long RETURN_MILLIS = 10;
+
+    private final TrafficContext context;
+    private final Owner owner;
+    private final CallerConnection caller;
+    private final ResponseRelay relay;
+    private final ExchangeRecord record;
+    private final FleetRouter router;
+    private @Nullable RelayCall call;
+    private int status;
+
+    RelayAttempt(
+            TrafficContext context,
+            Owner owner,
+            CallerConnection caller,
+            ResponseRelay relay,
+            ExchangeRecord record,
+            FleetRouter router) {
+        this.context = context;
+        this.owner = owner;
+        this.caller = caller;
+        this.relay = relay;
+        this.record = record;
+        this.router = router;
+    }
+
+    /**
+     * Sends the request to the other router.
+     *
+     * @param received the head as received from the caller
+     * @param body the body, which is not consumed
+     * @param attemptsUsed the number of endpoints that may have run the request
+     */
+    void start(HttpRequest received, ByteBuf body, int attemptsUsed) {
+        record.relayedTo(router.id(), context.nowMillis());
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri());
+        head.headers().set(received.headers());
+        HopByHop.strip(head.headers());
+        context.dialect().removeKey(head.headers());
+        call = context.relay().client().send(router, terms(received, body, attemptsUsed), head, body, this);
+    }
+
+    private RelayTerms terms(HttpRequest received, ByteBuf body, int attemptsUsed) {
+        RequestTerms terms = record.terms();
+        return RelayTerms.builder(context.relay().routerId())
+                .configurationVersion(record.configurationVersion())
+                .workspace(terms.workspace().map(Workspace::name).orElse(null))
+                .remainingMillis(Math.max(1, terms.remainingMillis(context.nowMillis()) - RETURN_MILLIS))
+                .attempts(Math.max(1, terms.maxAttempts() - attemptsUsed))
+                .resumeAfter(relay.lastEventId().orElse(null))
+                .body(
+                        body.readableBytes(),
+                        HttpUtil.isContentLengthSet(received) || HttpUtil.isTransferEncodingChunked(received))
+                .build();
+    }
+
+    /** Enables or disables reading of the response. */
+    void autoRead(boolean enabled) {
+        if (call != null) {
+            call.autoRead(enabled);
+        }
+    }
+
+    /** Ends the attempt, upon which the other router stops working on the request. */
+    void stop() {
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    @Override
+    public void sending() {
+        record.sent(context.nowMillis(), "");
+        owner.relaySending();
+    }
+
+    @Override
+    public void notRead(String cause) {
+        context.relay().peers().leaveOut(router.id(), context.nowMillis());
+        record.attemptEnded(cause);
+        owner.relayNotRead();
+    }
+
+    @Override
+    public void refused(HttpResponse response, ByteBuf body) {
+        record.relayedHeadReceived(context.nowMillis(), response.status().code());
+        record.attemptEnded("refused by the router");
+        owner.relayRefused(router, response, body);
+    }
+
+    @Override
+    public void head(HttpResponse response) {
+        status = response.status().code();
+        context.relay().peers().answered(router.id());
+        record.relayedHeadReceived(context.nowMillis(), status);
+        relay.relayHead(response);
+    }
+
+    @Override
+    public void content(ByteBuf part) {
+        relay.relayContent(part);
+        if (!caller.writable()) {
+            autoRead(false);
+        }
+    }
+
+    @Override
+    public void readComplete() {
+        relay.flush();
+    }
+
+    @Override
+    public void completed() {
+        owner.relayCompleted(status);
+    }
+
+    @Override
+    public void failed(String cause) {
+        context.relay().peers().leaveOut(router.id(), context.nowMillis());
+        owner.relayFailed(cause);
+    }
+
+    /** Decides what becomes of the request when the attempt ends. */
+    interface Owner {
+        /** Called before the end of the request is sent. From here on the request may run. */
+        void relaySending();
+
+        /** Called when the other router has certainly not read the request. */
+        void relayNotRead();
+
+        /** Called when the other router has refused or ended the request. The owner must release the body. */
+        void relayRefused(FleetRouter router, HttpResponse response, ByteBuf body);
+
+        /** Called when the response is complete. */
+        void relayCompleted(int status);
+
+        /** Called when the connection to the other router was lost after the request had been sent. */
+        void relayFailed(String cause);
+    }
+}
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
@@ -0,0 +1,109 @@
+package org.radishpass.routing.traffic;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.radishpass.core.outcome.RefusalCode;
+import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.health.LinkEvidence;
+import org.radishpass.routing.health.LinkState;
+import org.radishpass.routing.relay.RelayPeers;
+
+/** Decides whether one request is relayed to another router, and to which. */
+final class RelayPlanner {
+    /** The maximum number of routers to which a request is relayed, one after the other. */
+    private static final int MAX_ROUTERS = 3;
+
+    /** The fraction of the endpoints of a service, as a divisor, below which a router does not send to those it reaches. */
+    private static final int FEW_REACHED_DIVISOR = 2;
+
+    private static final NextStep NO_PATH = new NextStep.GiveUp(
+            RefusalCode.NO_ENDPOINT, "this router reaches no endpoint of the service, and knows no router that does");
+
+    private final TrafficContext context;
+    private final boolean relayed;
+    private final Set<String> triedRouters = new HashSet<>();
+
+    /**
+     * Creates the planner of one request.
+     *
+     * @param context the shared state of the traffic event loop
+     * @param relayed whether another router has relayed the request to this one, so that it must not be relayed again
+     */
+    RelayPlanner(TrafficContext context, boolean relayed) {
+        this.context = context;
+        this.relayed = relayed;
+    }
+
+    /**
+     * Returns the step for a request whose service this router does not reach, or of which it reaches so few endpoints that
+     * its load would exceed theirs; empty if an endpoint can be tried.
+     *
+     * @param terms the terms of the request
+     */
+    Optional<NextStep> withoutPath(RequestTerms terms) {
+        long nowMillis = context.nowMillis();
+        if (context.health().allHealthy(nowMillis)) {
+            return Optional.empty();
+        }
+        List<ServiceEndpoint> eligible = context.filter().eligible(terms);
+        if (context.health().noneReached(eligible, nowMillis)) {
+            return relay(terms).or(() -> unreachable(eligible, nowMillis) ? Optional.of(NO_PATH) : Optional.empty());
+        }
+        boolean few = context.health().reachedCount(eligible, nowMillis) * FEW_REACHED_DIVISOR < eligible.size();
+        return few && reachedByOthers(eligible, nowMillis) ? relay(terms) : Optional.empty();
+    }
+
+    /**
+     * Returns a relay instead of the refusal of a request, if other routers reach endpoints of the service that this one
+     * does not reach.
+     *
+     * @param step the step without a relay
+     * @param terms the terms of the request
+     */
+    NextStep insteadOf(NextStep step, RequestTerms terms) {
+        long nowMillis = context.nowMillis();
+        if (!(step instanceof NextStep.GiveUp) || context.health().allHealthy(nowMillis)) {
+            return step;
+        }
+        return reachedByOthers(context.filter().eligible(terms), nowMillis)
+                ? relay(terms).orElse(step)
+                : step;
+    }
+
+    /** Tells whether the request can be relayed to a router to which it was not relayed before. */
+    boolean canRelayAgain(RequestTerms terms) {
+        return triedRouters.size() < MAX_ROUTERS
+                && context.relay().peers().available(terms.service(), triedRouters, context.nowMillis());
+    }
+
+    private Optional<NextStep> relay(RequestTerms terms) {
+        if (relayed || triedRouters.size() >= MAX_ROUTERS) {
+            return Optional.empty();
+        }
+        RelayPeers peers = context.relay().peers();
+        Optional<FleetRouter> router = peers.choose(terms.service(), triedRouters, context.nowMillis());
+        router.ifPresent(chosen -> triedRouters.add(chosen.id()));
+        return router.map(NextStep.Relay::new);
+    }
+
+    /**
+     * Tells whether connection attempts are pointless. An attempt that is refused costs nothing, so endpoints that refuse
+     * connections are tried although they are down, but not for another router, which has others to ask.
+     */
+    private boolean unreachable(List<ServiceEndpoint> eligible, long nowMillis) {
+        return eligible.stream()
+                .map(endpoint -> context.health().of(endpoint.id(), nowMillis).link())
+                .allMatch(link ->
+                        link.evidence() == LinkEvidence.NO_ANSWER || (relayed && link.state() == LinkState.UNREACHED));
+    }
+
+    private boolean reachedByOthers(List<ServiceEndpoint> eligible, long nowMillis) {
+        return eligible.stream()
+                .anyMatch(endpoint ->
+                        context.health().of(endpoint.id(), nowMillis).down()
+                                && context.inFlight().peersAt(endpoint.id()) > 0);
+    }
+}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -107,7 +107,8 @@
                 kv("target", record.terms().route().targetLatencyMillis()),
                 kv("began", record.responseAfterMillis()),
                 kv("millis", nowMillis - record.receivedAtMillis()),
-                kv("returned", record.returned()));
+                kv("returned", record.returned()),
+                kv("relayedFor", record.relayedFor()));
     }
 
     /** Logs that a request is not admitted, and that the router refuses requests if it did not do so before. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestResolver.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.RefusalCode;
 import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.routing.config.Route;
@@ -10,6 +11,8 @@
 import org.radishpass.routing.dialect.MalformedHeadException;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.RequestHead;
+import org.radishpass.routing.relay.RelayTerms;
+import org.radishpass.routing.relay.RelayedRequest;
 
 /** Determines the route, the workspace and the service of a request. */
 final class RequestResolver {
@@ -33,6 +36,16 @@
             return new Resolution.Refused(
                     RefusalCode.NOT_READY, "no configuration or endpoint list is known yet", RetryDelay.NOT_READY);
         }
+        RelayTerms relayed = request instanceof RelayedRequest relayedRequest ? relayedRequest.terms() : null;
+        if (relayed != null) {
+            record.relayedFor(relayed.senderId());
+            if (configuration.get().version() < relayed.configurationVersion()) {
+                return new Resolution.Refused(
+                        RefusalCode.NOT_READY,
+                        "the configuration of this router is older than that of the relaying router",
+                        RetryDelay.NOT_READY);
+            }
+        }
         RequestHead head;
         try {
             head = dialect.decode(request);
@@ -40,7 +53,7 @@
             return refused(RefusalCode.BAD_REQUEST, String.valueOf(e.getMessage()));
         }
         record.requestIdentified(head.id(), configuration.get().version(), view.inForceSinceMillis());
-        Resolution resolution = resolve(head, configuration.get(), record.receivedAtMillis());
+        Resolution resolution = resolve(head, relayed, configuration.get(), record.receivedAtMillis());
         boolean denied = resolution instanceof Resolution.Refused;
         return denied && nowMillis < view.newerConfigurationExpectedUntilMillis()
                 ? configurationOutdated()
@@ -57,12 +70,15 @@
                 RefusalCode.NOT_READY, "a newer configuration is on its way", RetryDelay.NOT_READY);
     }
 
-    private static Resolution resolve(RequestHead head, RoutingConfiguration configuration, long receivedAtMillis) {
+    private static Resolution resolve(
+            RequestHead head, @Nullable RelayTerms relayed, RoutingConfiguration configuration, long receivedAtMillis) {
         Optional<Route> route = configuration.route(head.host(), head.path());
         if (route.isEmpty()) {
             return refused(RefusalCode.NOT_FOUND, "no route matches the host and path");
         }
-        Optional<Workspace> workspace = head.key().flatMap(configuration::workspace);
+        Optional<Workspace> workspace = relayed == null
+                ? head.key().flatMap(configuration::workspace)
+                : relayed.workspace().flatMap(configuration::workspaceNamed);
         boolean keyRequired = configuration.keysRequired() && !route.get().anonymous();
         if (workspace.isEmpty() && keyRequired) {
             return refused(RefusalCode.UNAUTHORIZED, "the key is missing or unknown");
@@ -70,7 +86,8 @@
         String service = service(head, route.get());
         RequestTerms terms = RequestTerms.of(
                 head, route.get(), workspace, configuration.service(service), service, receivedAtMillis);
-        return new Resolution.Resolved(terms, head.timeoutMillis());
+        return new Resolution.Resolved(
+                relayed == null ? terms : terms.within(relayed, receivedAtMillis), head.timeoutMillis());
     }
 
     /** Selects the service of a traffic split by the request id, so that every router selects the same service. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestTerms.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestTerms.java
@@ -18,6 +18,7 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.QueueLimit;
 import org.radishpass.routing.placement.PlacementChoice;
+import org.radishpass.routing.relay.RelayTerms;
 
 /**
  * The terms on which a request is served, fixed when the request starts.
@@ -31,6 +32,7 @@
  * @param promptDescription the properties of the prompt, or null
  * @param callerLastEventId the event after which the caller wants the stream to be resumed, or null
  * @param deadlineMillis when the response must be complete, on the monotonic clock in milliseconds
+ * @param attemptsLeft the number of endpoints that may still run the request, if another router has relayed it
  */
 record RequestTerms(
         String requestId,
@@ -41,10 +43,20 @@
         @Nullable ServiceSpec serviceSpec,
         @Nullable PromptDescription promptDescription,
         @Nullable String callerLastEventId,
-        long deadlineMillis) {
+        long deadlineMillis,
+        int attemptsLeft) {
     /** The terms of a request that has not been resolved. */
     static final RequestTerms UNKNOWN = new RequestTerms(
-            "", "", Route.builder("").split(TrafficSplit.all("")).build(), null, "", null, null, null, Long.MAX_VALUE);
+            "",
+            "",
+            Route.builder("").split(TrafficSplit.all("")).build(),
+            null,
+            "",
+            null,
+            null,
+            null,
+            Long.MAX_VALUE,
+            Integer.MAX_VALUE);
 
     /** The least urgent priority. */
     private static final int LEAST_URGENT = 9;
@@ -67,7 +79,29 @@
                 spec.orElse(null),
                 head.promptDescription(),
                 head.lastEventId(),
-                receivedAtMillis + timeoutMillis);
+                receivedAtMillis + timeoutMillis,
+                Integer.MAX_VALUE);
+    }
+
+    /**
+     * Returns these terms within those that another router has handed on.
+     *
+     * @param relayed the terms of the relaying router
+     * @param receivedAtMillis when the request was received, on the monotonic clock in milliseconds
+     */
+    RequestTerms within(RelayTerms relayed, long receivedAtMillis) {
+        String resumeAfter = relayed.resumeAfter();
+        return new RequestTerms(
+                requestId,
+                host,
+                route,
+                workspaceSpec,
+                service,
+                serviceSpec,
+                promptDescription,
+                resumeAfter == null ? callerLastEventId : resumeAfter,
+                Math.min(deadlineMillis, receivedAtMillis + relayed.remainingMillis()),
+                relayed.attempts());
     }
 
     RequestKind kind() {
@@ -75,7 +109,7 @@
     }
 
     int maxAttempts() {
-        return Math.max(1, route.maxAttempts());
+        return Math.max(1, Math.min(route.maxAttempts(), attemptsLeft));
     }
 
     Optional<PromptDescription> prompt() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -18,6 +18,7 @@
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.reachability.ReachabilityMonitor;
+import org.radishpass.routing.relay.Relay;
 import org.radishpass.routing.report.FleetObservationTracker;
 import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.report.ObservationSource;
@@ -61,6 +62,7 @@
     private final Quarantine quarantine;
     private final FleetObservationTracker observations;
     private final ReachabilityMonitor reachability;
+    private final Relay relay;
     private final ShareGuard shareGuard;
     private final ResponseTimes responseTimes = new ResponseTimes();
     private final UsualTimeouts usualTimeouts = new UsualTimeouts();
@@ -85,7 +87,9 @@
             EndpointHealthTracker health,
             SharedRetryBudget retryBudget,
             RequestLog requestLog,
-            EndpointListener listener) {
+            EndpointListener listener,
+            ReachabilityMonitor reachability,
+            Relay relay) {
         this.loop = loop;
         this.clock = clock;
         this.views = views;
@@ -98,7 +102,8 @@
                 ObservationSource.combined(List.of(chooser.performance(), this::ownObservations)));
         chooser.performance().fleetLoads(observations::loads);
         this.shareGuard = new ShareGuard(this);
-        this.reachability = new ReachabilityMonitor(health, () -> view().directory(), clock::millis);
+        this.reachability = reachability;
+        this.relay = relay;
         this.inFlight = inFlight;
         this.health = health;
         this.retryBudget = retryBudget;
@@ -247,6 +252,11 @@
         return reachability;
     }
 
+    /** Returns what relays requests between this router and others. */
+    Relay relay() {
+        return relay;
+    }
+
     SharedRetryBudget retryBudget() {
         return retryBudget;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +23,7 @@
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fairness.ServiceShares;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.health.EndpointHealthTracker;
 import org.radishpass.routing.load.ColdStartAllowance;
 import org.radishpass.routing.load.InFlightTracker;
@@ -34,6 +36,9 @@
 import org.radishpass.routing.quarantine.SuspectExchange;
 import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
+import org.radishpass.routing.reachability.ReachabilityMonitor;
+import org.radishpass.routing.relay.Relay;
+import org.radishpass.routing.relay.RelayServer;
 import org.radishpass.routing.report.FleetObservationTracker;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
@@ -66,6 +71,7 @@
     private final EndpointConnections connections;
     private final TrafficContext context;
     private final WorkReports workReports;
+    private final RelayServer relayServer;
     private final List<Channel> listening = new ArrayList<>();
 
     /**
@@ -95,6 +101,9 @@
         RequestLog log = new RequestLog(metrics);
         this.signals = new EndpointSignals(clock, () -> views.get().directory(), log, listener, metrics);
         this.connections = new EndpointConnections(loop, dialect, health, signals, clock, views, metrics);
+        ReachabilityMonitor reachability =
+                new ReachabilityMonitor(health, () -> views.get().directory(), clock::millis);
+        Relay relay = new Relay(loop, home, reachability.peers(), metrics);
         this.context = new TrafficContext(
                 loop,
                 clock,
@@ -107,7 +116,11 @@
                 health,
                 retryBudget,
                 log,
-                listener);
+                listener,
+                reachability,
+                relay);
+        this.relayServer = relay.server(
+                () -> new CallerConnection(context), () -> views.get().limits().maxHeaderBytes());
         this.workReports = new WorkReports(context);
         Gauge.builder("radishpass.requests.active", context.exchanges(), java.util.Set::size)
                 .description("requests in progress")
@@ -118,7 +131,7 @@
                 .register(metrics);
         AdmissionMetrics.register(context.arrivalQueue(), clock, metrics);
         context.shareGuard().registerMetrics(metrics);
-        context.reachability().registerMetrics(metrics);
+        reachability.registerMetrics(metrics);
         Gauge.builder("radishpass.requests.quarantined", context.quarantine(), Quarantine::causeCount)
                 .description("different requests that are refused because endpoints end when they run them")
                 .register(metrics);
@@ -184,6 +197,27 @@
         return serving;
     }
 
+    /**
+     * Sets the name and the host under which other routers know this one. Before that, no requests are relayed to them.
+     *
+     * @param self this router
+     * @since 0.9.0
+     */
+    public void identify(FleetRouter self) {
+        loop.execute(() -> context.relay().identify(self.id(), self.address().host()));
+    }
+
+    /**
+     * Starts to serve the requests that other routers relay to this one.
+     *
+     * @param address the address for other routers
+     * @return the listening channel, once it is bound
+     * @since 0.9.0
+     */
+    public CompletableFuture<Channel> serveRelayed(InetSocketAddress address) {
+        return relayServer.bind(address);
+    }
+
     /**
      * Sets the allowance for retries, which all routers share.
      *
@@ -318,6 +352,7 @@
             context.markStopped();
             context.heldArrivals().releaseAll();
             context.arrivalQueue().resolveAll();
+            relayServer.close();
             for (Channel channel : listening) {
                 var unused = channel.close();
             }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/WorkReports.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/WorkReports.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.radishpass.peer.message.WorkScope;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.WorkReport;
 import org.radishpass.routing.load.WorkReportExchange;
@@ -42,6 +43,11 @@
         });
     }
 
+    @Override
+    public void routersChanged(List<FleetRouter> known, List<FleetRouter> unsuspected) {
+        context.loop().execute(() -> context.relay().peers().update(known, unsuspected));
+    }
+
     @Override
     public void workReport(List<String> members, boolean always, Consumer<WorkReport> consumer) {
         context.loop().execute(() -> {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -321,6 +321,11 @@
             inFlight.recordPeerReport(peerId, scope, work, fleet.scheduler().millis());
         }
 
+        @Override
+        public void routersChanged(List<FleetRouter> known, List<FleetRouter> unsuspected) {
+            // no requests are relayed
+        }
+
         @Override
         public void workReport(List<String> members, boolean always, Consumer<WorkReport> taker) {
             boolean ownChanged = !inFlight.takeChanges().isEmpty();
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -65,6 +65,11 @@
         forwarding.lastEventId().ifPresent(id -> headers.set(AFTER, id));
     }
 
+    @Override
+    public void removeKey(HttpHeaders headers) {
+        headers.remove(HttpHeaderNames.AUTHORIZATION);
+    }
+
     @Override
     public ResponseHead decodeResponse(HttpResponse response) {
         String backoff = response.headers().get(BACKOFF);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
+import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.config.CallerLimits;
 import org.radishpass.routing.config.ColdStart;
@@ -23,6 +24,7 @@
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.EndpointEligibility;
 import org.radishpass.routing.fleet.FleetMembers;
+import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.traffic.CallerSocket;
@@ -186,6 +188,29 @@
         return blockage;
     }
 
+    /**
+     * Starts to accept relayed requests, and returns this router as its peers know it.
+     *
+     * @param number a number that differs from those of other routers
+     */
+    public FleetRouter serveRelayed(int number) throws Exception {
+        Channel relaying = server.serveRelayed(new InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 0))
+                .get(20, TimeUnit.SECONDS);
+        return router(number, ((InetSocketAddress) relaying.localAddress()).getPort());
+    }
+
+    /** Returns a router that accepts relayed requests at the given port of the loopback interface. */
+    public static FleetRouter router(int number, int relayPort) {
+        return new FleetRouter(new Address("127.0.0.1", number), new DataCentre("here"), 1, relayPort);
+    }
+
+    /** Makes other routers known, under which this one has the given number. */
+    public TrafficFixture peers(int ownNumber, FleetRouter... routers) {
+        server.identify(router(ownNumber, FleetRouter.NO_RELAY));
+        server.workReports().routersChanged(List.of(routers), List.of(routers));
+        return this;
+    }
+
     /** Returns the traffic server. */
     public TrafficServer server() {
         return server;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/PlacementFixture.java
@@ -24,6 +24,8 @@
 import org.radishpass.routing.health.EndpointHealthTracker;
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.placement.EndpointChooser;
+import org.radishpass.routing.reachability.ReachabilityMonitor;
+import org.radishpass.routing.relay.Relay;
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.radishpass.routing.testing.PlainDialect;
@@ -47,6 +49,7 @@
         PlainDialect dialect = new PlainDialect();
         EndpointSignals signals =
                 new EndpointSignals(clock, () -> view.directory(), log, EndpointListener.NONE, metrics);
+        ReachabilityMonitor reachability = new ReachabilityMonitor(health, () -> view.directory(), clock::millis);
         this.context = new TrafficContext(
                 loop,
                 clock,
@@ -59,7 +62,9 @@
                 health,
                 new SharedRetryBudget(RetryAllowance.DEFAULT, nowMillis),
                 log,
-                EndpointListener.NONE);
+                EndpointListener.NONE,
+                reachability,
+                new Relay(loop, new DataCentre("here"), reachability.peers(), metrics));
     }
 
     static ServiceEndpoint endpoint(int number) {
