Report no endpoint as failing that this router does not reach

Cause: errors that a lost link causes count as errors of the endpoint, and are reported to all routers for a second each time. Change: an endpoint that is not reached is not failing according to this router; errors from before a lost connection are discarded when it is back. Conclusion: a router's own links are no evidence about the endpoints' health.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealth.java
@@ -87,6 +87,9 @@
 
     /** Records that a connection to the endpoint was established. */
     public void connected(long nowMillis) {
+        if (down) {
+            forgetErrors();
+        }
         down = false;
         possiblyUnreachable = false;
         probeInProgress = false;
@@ -95,6 +98,13 @@
         link.observe(LinkEvidence.CONNECTED, nowMillis);
     }
 
+    /** Discards the errors before a connection failed: the lost link, or an exited process, may have caused them. */
+    private void forgetErrors() {
+        errorRate = 0;
+        consecutiveSlowResponses = 0;
+        failingLocallyUntilMillis = Long.MIN_VALUE;
+    }
+
     /**
      * Records that a connection to the endpoint failed, or that the endpoint was silent for so long that it counts as
      * unreachable.
@@ -180,7 +190,7 @@
      */
     public boolean failed(long nowMillis) {
         errorRate += NEWEST_OUTCOME_WEIGHT * (1 - errorRate);
-        if (errorRate < EJECTION_ERROR_RATE || failingLocally(nowMillis)) {
+        if (errorRate < EJECTION_ERROR_RATE || ejected(nowMillis)) {
             return false;
         }
         failingLocallyUntilMillis = nowMillis + EJECTION_MILLIS;
@@ -202,7 +212,7 @@
      */
     public boolean respondedSlowly(long nowMillis) {
         consecutiveSlowResponses++;
-        if (consecutiveSlowResponses < EJECTION_SLOW_RESPONSES || failingLocally(nowMillis)) {
+        if (consecutiveSlowResponses < EJECTION_SLOW_RESPONSES || ejected(nowMillis)) {
             return false;
         }
         failingLocallyUntilMillis = nowMillis + EJECTION_MILLIS;
@@ -227,9 +237,13 @@
 
     /**
      * Tells whether the endpoint is failing according to the errors and slow responses that this router itself has
-     * seen.
+     * seen. Errors of an endpoint that this router does not reach say nothing about the endpoint.
      */
     public boolean failingLocally(long nowMillis) {
+        return !down && !possiblyUnreachable && ejected(nowMillis);
+    }
+
+    private boolean ejected(long nowMillis) {
         return nowMillis < failingLocallyUntilMillis;
     }
 
