A refused connection proves an exit only if nothing contradicts it

Cause: a refused connection after broken responses counts as the end of the process. A link that is cut by resets and refusals looks the same. A contradicted exit is logged and counted apart. Conclusion: lost links of one router no longer quarantine requests. A partial cut beside idle peers is still taken for an exit.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -54,6 +54,10 @@
             "endpoint-ended",
             "an endpoint's answers broke off and it refuses connections: its process has ended; `atWork` names the requests"),
     /** See {@link #meaning}. */
+    EXIT_CONTRADICTED(
+            "endpoint-exit-contradicted",
+            "an endpoint looks as if its process had ended, but other routers reach it or this router reaches none; it counts as running"),
+    /** See {@link #meaning}. */
     ENDPOINT_LEAVING(
             "endpoint-leaving",
             "an endpoint is draining, as an answer stated; `source` is this router or who reported it"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealthTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/health/EndpointHealthTracker.java
@@ -111,6 +111,18 @@
                 .noneMatch(health -> !health.down() && health.link().state() == LinkState.REACHED);
     }
 
+    /**
+     * Tells whether this router has lost the links to all endpoints: connections to several fail, and none is reached.
+     *
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.9.0
+     */
+    public boolean isolated(long nowMillis) {
+        return !allHealthy(nowMillis)
+                && isolated()
+                && byEndpoint.values().stream().filter(EndpointHealth::down).count() > 1;
+    }
+
     /**
      * Returns the number of endpoints that this router reaches for all it knows.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
@@ -55,6 +55,11 @@
         refusals.keySet().retainAll(ids);
     }
 
+    /** Tells whether any other router is known. */
+    public boolean anyKnown() {
+        return !knownHosts.isEmpty();
+    }
+
     /** Tells whether a router with the given host is known. */
     boolean knownHost(String host) {
         return knownHosts.contains(host);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -15,6 +15,7 @@
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.reachability.ExitCorroboration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,6 +56,7 @@
     private final MeterRegistry metrics;
     private final Counter suppressed;
     private final Counter exits;
+    private final Counter contradictedExits;
     private final Map<String, Timer> timers = new HashMap<>();
     private long currentSecond = Long.MIN_VALUE;
     private int linesInSecond;
@@ -69,6 +71,20 @@
         this.exits = Counter.builder("radishpass.endpoint.ends")
                 .description("endpoints whose process ended with requests of this router at work")
                 .register(metrics);
+        this.contradictedExits = Counter.builder("radishpass.endpoint.ends.contradicted")
+                .description("endpoints that refused connections to this router and most likely run on")
+                .register(metrics);
+    }
+
+    /** Logs that an endpoint which refuses connections to this router counts as running. */
+    void exitContradicted(ServiceEndpoint endpoint, ExitCorroboration.Contradiction contradiction) {
+        contradictedExits.increment();
+        LOG.info(
+                "endpoint {} at {} refused a connection after responses had failed, but {}; its process counts as running",
+                endpoint.id(),
+                endpoint.address(),
+                contradiction.text(),
+                LogEvent.EXIT_CONTRADICTED.field());
     }
 
     /** Logs the end of a request and records its duration. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -17,6 +17,7 @@
 import org.radishpass.routing.placement.EndpointChooser;
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.reachability.ExitCorroboration;
 import org.radishpass.routing.reachability.ReachabilityMonitor;
 import org.radishpass.routing.relay.Relay;
 import org.radishpass.routing.report.FleetObservationTracker;
@@ -58,7 +59,8 @@
     private final RequestPlacer placer = new RequestPlacer(this);
     private final ColdEndpointGuard coldGuard = new ColdEndpointGuard(this);
     private final EndpointProber prober = new EndpointProber(this);
-    private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::endpointExited);
+    private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::exitDetected);
+    private final ExitCorroboration exitCorroboration;
     private final Quarantine quarantine;
     private final FleetObservationTracker observations;
     private final ReachabilityMonitor reachability;
@@ -103,6 +105,7 @@
         chooser.performance().fleetLoads(observations::loads);
         this.shareGuard = new ShareGuard(this);
         this.reachability = reachability;
+        this.exitCorroboration = new ExitCorroboration(health, inFlight, clock::millis);
         this.relay = relay;
         this.inFlight = inFlight;
         this.health = health;
@@ -220,6 +223,28 @@
         return quarantine;
     }
 
+    /**
+     * Handles what looks like the exit of an endpoint. If there are other routers, waits for what they report, since a lost
+     * link of this router looks the same.
+     */
+    private void exitDetected(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
+        if (!relay.peers().anyKnown()) {
+            endpointExited(endpoint, inFlightRequests);
+            return;
+        }
+        var unused = loop.schedule(
+                () -> {
+                    ExitCorroboration.Contradiction contradiction = exitCorroboration.contradiction(endpoint);
+                    if (contradiction == ExitCorroboration.Contradiction.NONE) {
+                        endpointExited(endpoint, inFlightRequests);
+                    } else {
+                        requestLog.exitContradicted(endpoint, contradiction);
+                    }
+                },
+                ExitCorroboration.DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Handles the exit of an endpoint. The exit of an endpoint that had announced that it is leaving is regular, and
      * does not make the requests in flight there suspicious.
