--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/MalformedRelayException.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/MalformedRelayException.java
@@ -11,4 +11,8 @@
     MalformedRelayException(String message) {
         super(message);
     }
+
+    MalformedRelayException(String message, Throwable cause) {
+        super(message, cause);
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
@@ -92,7 +92,7 @@
                 return number;
             }
         } catch (NumberFormatException e) {
-            throw new MalformedRelayException("the header " + name + " is not a number: " + e.getMessage());
+            throw new MalformedRelayException("the header " + name + " is not a number", e);
         }
         throw new MalformedRelayException("the header " + name + " is out of range");
     }
@@ -102,7 +102,7 @@
         try {
             return value == null ? null : URLDecoder.decode(value, StandardCharsets.UTF_8);
         } catch (IllegalArgumentException e) {
-            throw new MalformedRelayException("the header " + name + " is not encoded: " + e.getMessage());
+            throw new MalformedRelayException("the header " + name + " is not encoded", e);
         }
     }
 
