Count the demand of a relayed request once

Cause: a relayed request counted as demand at both routers, and as a request in the retry budget of both, so that the fleet's demand and allowance were too high while routers relayed. Change: demand counts at the router that sends to an endpoint, the retry budget at the one that took the request from its caller. The control thread compares the known routers without building lists when nothing has changed. Conclusion: shares and budgets see each request once.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerTable.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,8 +26,7 @@
 
     private final FleetRouter self;
     private final Map<String, Peer> peers = new LinkedHashMap<>();
-    private List<FleetRouter> reportedKnown = List.of();
-    private List<FleetRouter> reportedUnsuspected = List.of();
+    private final List<ReportedPeer> reported = new ArrayList<>();
 
     PeerTable(FleetRouter self) {
         this.self = self;
@@ -107,16 +107,31 @@
 
     /** Reports the peers to a consumer if they, or which of them are suspected, have changed since the last call. */
     void reportChange(BiConsumer<List<FleetRouter>, List<FleetRouter>> consumer) {
-        List<FleetRouter> known = peers.values().stream().map(Peer::router).toList();
-        List<FleetRouter> unsuspected = peers.values().stream()
-                .filter(peer -> !peer.suspected())
-                .map(Peer::router)
-                .toList();
-        if (!known.equals(reportedKnown) || !unsuspected.equals(reportedUnsuspected)) {
-            reportedKnown = known;
-            reportedUnsuspected = unsuspected;
-            consumer.accept(known, unsuspected);
+        if (!changedSinceReport()) {
+            return;
         }
+        reported.clear();
+        peers.values().forEach(peer -> reported.add(new ReportedPeer(peer.router(), peer.suspected())));
+        consumer.accept(
+                reported.stream().map(ReportedPeer::router).toList(),
+                reported.stream()
+                        .filter(peer -> !peer.suspected())
+                        .map(ReportedPeer::router)
+                        .toList());
+    }
+
+    private boolean changedSinceReport() {
+        if (reported.size() != peers.size()) {
+            return true;
+        }
+        Iterator<ReportedPeer> before = reported.iterator();
+        for (Peer peer : peers.values()) {
+            ReportedPeer earlier = before.next();
+            if (earlier.suspected() != peer.suspected() || !earlier.router().equals(peer.router())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns this router and all peers that are not suspected, including those known only from other routers. */
@@ -130,4 +145,7 @@
         }
         return unsuspected;
     }
+
+    /** A peer as it was last reported. */
+    private record ReportedPeer(FleetRouter router, boolean suspected) {}
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
@@ -65,6 +65,11 @@
         return relayPlanner.insteadOf(lacksCapacity(terms, lackOfCapacity), terms);
     }
 
+    /** Tells whether the request is to be relayed before it is sent to any endpoint. */
+    boolean relaysFirst(RequestTerms terms) {
+        return relayPlanner.lacksPath(terms) && relayPlanner.canRelay(terms);
+    }
+
     private NextStep withoutEndpoint(BackoffWait backoffWait, boolean responseStarted) {
         if (capacityGuard.lacksConnections()) {
             return NO_CONNECTION;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -83,11 +83,15 @@
             return;
         }
         quarantineGuard = new QuarantineGuard(context, record.fingerprint(), terms.service());
-        context.retryBudget().requested(terms.service(), context.nowMillis());
+        if (!prepared.relayed()) {
+            context.retryBudget().requested(terms.service(), context.nowMillis());
+        }
         long remainingMillis = terms.remainingMillis(context.nowMillis());
         deadlineTimer =
                 context.loop().schedule(this::deadlineExpired, Math.max(0, remainingMillis), TimeUnit.MILLISECONDS);
-        context.shareGuard().arrived(terms);
+        if (!planner.relaysFirst(terms)) {
+            context.shareGuard().arrived(terms); // otherwise it counts at the router that sends it to an endpoint
+        }
         placeAndAttempt();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
@@ -9,7 +9,6 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.LinkEvidence;
 import org.radishpass.routing.health.LinkState;
-import org.radishpass.routing.relay.RelayPeers;
 
 /** Decides whether one request is relayed to another router, and to which. */
 final class RelayPlanner {
@@ -44,16 +43,24 @@
      * @param terms the terms of the request
      */
     Optional<NextStep> withoutPath(RequestTerms terms) {
+        if (!lacksPath(terms)) {
+            return Optional.empty();
+        }
+        return relay(terms).or(() -> unreachable(terms) ? Optional.of(NO_PATH) : Optional.empty());
+    }
+
+    /** Tells whether this router reaches none, or too few, of the endpoints to which the request may be sent. */
+    boolean lacksPath(RequestTerms terms) {
         long nowMillis = context.nowMillis();
         if (context.health().allHealthy(nowMillis)) {
-            return Optional.empty();
+            return false;
         }
         List<ServiceEndpoint> eligible = context.filter().eligible(terms);
         if (context.health().noneReached(eligible, nowMillis)) {
-            return relay(terms).or(() -> unreachable(eligible, nowMillis) ? Optional.of(NO_PATH) : Optional.empty());
+            return true;
         }
         boolean few = context.health().reachedCount(eligible, nowMillis) * FEW_REACHED_DIVISOR < eligible.size();
-        return few && reachedByOthers(eligible, nowMillis) ? relay(terms) : Optional.empty();
+        return few && reachedByOthers(eligible, nowMillis);
     }
 
     /**
@@ -74,17 +81,18 @@
     }
 
     /** Tells whether the request can be relayed to a router to which it was not relayed before. */
-    boolean canRelayAgain(RequestTerms terms) {
-        return triedRouters.size() < MAX_ROUTERS
+    boolean canRelay(RequestTerms terms) {
+        return !relayed
+                && triedRouters.size() < MAX_ROUTERS
                 && context.relay().peers().available(terms.service(), triedRouters, context.nowMillis());
     }
 
     private Optional<NextStep> relay(RequestTerms terms) {
-        if (relayed || triedRouters.size() >= MAX_ROUTERS) {
+        if (!canRelay(terms)) {
             return Optional.empty();
         }
-        RelayPeers peers = context.relay().peers();
-        Optional<FleetRouter> router = peers.choose(terms.service(), triedRouters, context.nowMillis());
+        Optional<FleetRouter> router =
+                context.relay().peers().choose(terms.service(), triedRouters, context.nowMillis());
         router.ifPresent(chosen -> triedRouters.add(chosen.id()));
         return router.map(NextStep.Relay::new);
     }
@@ -93,8 +101,9 @@
      * Tells whether connection attempts are pointless. An attempt that is refused costs nothing, so endpoints that refuse
      * connections are tried although they are down, but not for another router, which has others to ask.
      */
-    private boolean unreachable(List<ServiceEndpoint> eligible, long nowMillis) {
-        return eligible.stream()
+    private boolean unreachable(RequestTerms terms) {
+        long nowMillis = context.nowMillis();
+        return context.filter().eligible(terms).stream()
                 .map(endpoint -> context.health().of(endpoint.id(), nowMillis).link())
                 .allMatch(link ->
                         link.evidence() == LinkEvidence.NO_ANSWER || (relayed && link.state() == LinkState.UNREACHED));
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayedExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayedExchange.java
@@ -97,7 +97,7 @@
                 history.lastSendNotRun();
             }
             context.relay().peers().refused(router.id(), context.nowMillis());
-            if (planner.canRelayAgain(record.terms())) {
+            if (planner.canRelay(record.terms())) {
                 body.release();
                 owner.continueAfterRelay();
                 return;
