Corroborate the exit of an endpoint at once where this router's links work

Change: on an assumed exit the router connects to another endpoint. If that succeeds and no peer has requests in flight at the first one, the exit counts at once; only otherwise the peers' next reports are awaited. ADR 21 lists the evidence and what corroborates it.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointProber.java
@@ -1,9 +1,12 @@
 package org.radishpass.routing.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealth;
@@ -99,6 +102,46 @@
         connect(endpoint, context.health().of(endpoint.id(), context.nowMillis()));
     }
 
+    /**
+     * Opens a connection to another endpoint, if possible the one that was active last, which shows whether the links of this
+     * router work.
+     *
+     * @param except an endpoint that is not tried
+     * @param result receives whether a connection was established; false if all endpoints are down
+     */
+    void checkOwnLinks(ServiceEndpoint except, Consumer<Boolean> result) {
+        long nowMillis = context.nowMillis();
+        Optional<ServiceEndpoint> lastActive = context.view().directory().all().stream()
+                .filter(endpoint -> !endpoint.id().equals(except.id()))
+                .filter(endpoint ->
+                        !context.health().of(endpoint.id(), nowMillis).down())
+                .max(Comparator.comparingLong(endpoint ->
+                        context.health().of(endpoint.id(), nowMillis).bytesReceivedAtMillis()));
+        if (lastActive.isEmpty()) {
+            result.accept(false);
+            return;
+        }
+        context.connections().pool(lastActive.get()).probe(new ConnectionCallback() {
+            @Override
+            public void connected(EndpointConnection connection) {
+                context.health().of(lastActive.get().id(), context.nowMillis()).connected(context.nowMillis());
+                connection.release();
+                result.accept(true);
+            }
+
+            @Override
+            public void shareUsedUp() {
+                result.accept(true); // the endpoint has reset the connection, so it is reached
+            }
+
+            @Override
+            public void connectFailed(ConnectFailure failure) {
+                EndpointProber.this.connectFailed(lastActive.get(), failure);
+                result.accept(false);
+            }
+        });
+    }
+
     /**
      * Records that no connection to an endpoint could be established.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -224,25 +224,33 @@
     }
 
     /**
-     * Handles what looks like the exit of an endpoint. If there are other routers, waits for what they report, since a lost
-     * link of this router looks the same.
+     * Handles what looks like the exit of an endpoint. If there are other routers, it counts at once only if this router's
+     * links work and no other has requests in flight there; otherwise their next reports are awaited.
      */
     private void exitDetected(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
         if (!relay.peers().anyKnown()) {
             endpointExited(endpoint, inFlightRequests);
             return;
         }
-        var unused = loop.schedule(
-                () -> {
-                    ExitCorroboration.Contradiction contradiction = exitCorroboration.contradiction(endpoint);
-                    if (contradiction == ExitCorroboration.Contradiction.NONE) {
-                        endpointExited(endpoint, inFlightRequests);
-                    } else {
-                        requestLog.exitContradicted(endpoint, contradiction);
-                    }
-                },
-                ExitCorroboration.DELAY_MILLIS,
-                TimeUnit.MILLISECONDS);
+        prober.checkOwnLinks(endpoint, linksWork -> {
+            if (linksWork && exitCorroboration.contradiction(endpoint) == ExitCorroboration.Contradiction.NONE) {
+                endpointExited(endpoint, inFlightRequests);
+                return;
+            }
+            var unused = loop.schedule(
+                    () -> decideExit(endpoint, inFlightRequests),
+                    ExitCorroboration.DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void decideExit(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
+        ExitCorroboration.Contradiction contradiction = exitCorroboration.contradiction(endpoint);
+        if (contradiction == ExitCorroboration.Contradiction.NONE) {
+            endpointExited(endpoint, inFlightRequests);
+        } else {
+            requestLog.exitContradicted(endpoint, contradiction);
+        }
     }
 
     /**
