--- a/radishpass-routing/src/main/java/org/radishpass/routing/reachability/PartitionTable.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/reachability/PartitionTable.java
@@ -19,8 +19,11 @@
      */
     static final long VALID_MILLIS = 2_500;
 
-    /** The maximum number of entries in a report: about 3 KB. Routers that are left out refuse relayed requests. */
-    static final int MAX_REPORTED = 64;
+    /**
+     * The maximum number of entries in a report: about 15 KB. It exceeds the number of routers of the largest fleet, of which
+     * all but one may be partitioned.
+     */
+    static final int MAX_REPORTED = 512;
 
     private final Map<String, RouterPartition> byRouter = new HashMap<>();
     private final Map<String, Long> endedAtMillisByRouter = new HashMap<>();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
@@ -33,7 +33,14 @@
     private List<FleetRouter> live = List.of();
     private Set<String> knownHosts = Set.of();
 
-    RelayPeers(DataCentre home, PartitionTable partitions, RandomGenerator random) {
+    /**
+     * Creates an empty set of routers.
+     *
+     * @param home the data centre of this router
+     * @param partitions the services that other routers do not reach
+     * @param random chooses among routers that are alike
+     */
+    public RelayPeers(DataCentre home, PartitionTable partitions, RandomGenerator random) {
         this.home = home;
         this.partitions = partitions;
         this.random = random;
@@ -121,12 +128,12 @@
     }
 
     /** Records that a request is being relayed to a router. */
-    void started(String routerId) {
+    public void started(String routerId) {
         relayedTo.merge(routerId, 1, Integer::sum);
     }
 
     /** Records that a relayed request has ended. */
-    void ended(String routerId) {
+    public void ended(String routerId) {
         relayedTo.computeIfPresent(routerId, (id, count) -> count == 1 ? null : count - 1);
     }
 
