Tests of relayed requests fail on each of four mutants

Cause: two mutants survived: a request sent again after it may have run, since no other router was known at that time, and a second hop, since none had a path. Change: the tests make the next router known before the first one fails, and give the second hop a router that could serve.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/relay/RelayedRequestTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/relay/RelayedRequestTest.java
@@ -100,17 +100,25 @@
         }
     }
 
-    /** Guards against requests that are relayed in circles or wait although no router has a path. */
+    /** Guards against requests that take a second hop, or wait although no router that may be asked has a path. */
     @Test
     void aRequestIsNotRelayedASecondTime() throws Exception {
         FakeEndpoint other = new FakeEndpoint("b", (request, out) -> request.reset());
         other.close();
-        FleetRouter cutRouter = cut.serveRelayed(1);
-        whole.configure(TIMEOUT_MILLIS, other).peers(2, cutRouter);
-        try (TestCaller caller = cut.caller()) {
+        TrafficFixture third = new TrafficFixture();
+        try (FakeEndpoint endpoint = new FakeEndpoint("a", (request, out) -> write(out, whole(request, 200, "ok")));
+                TestCaller caller = cut.caller()) {
+            third.configure(TIMEOUT_MILLIS, endpoint).peers(3, TrafficFixture.router(2, FleetRouter.NO_RELAY));
+            whole.configure(TIMEOUT_MILLIS, other).peers(2, third.serveRelayed(3));
+            try (TestCaller own = whole.caller()) {
+                own.request("GET", "/again/", "own", "").readUntil("ok");
+            }
             String response = caller.request("POST", "/once/", "7", "x").readUntil("\r\n\r\n");
             assertThat(response).startsWith("HTTP/1.1 503");
             assertThat(response.toLowerCase(java.util.Locale.ROOT)).contains("retry-after");
+            assertThat(endpoint.pendingRequests()).isEqualTo(1);
+        } finally {
+            third.close();
         }
     }
 
@@ -152,8 +160,10 @@
                 TestCaller caller = cut.caller()) {
             whole.configure(TIMEOUT_MILLIS, endpoint);
             cut.peers(1, routerOf(router, 3));
-            assertThat(caller.request("POST", "/once/", "7", "x").readUntil("\r\n\r\n"))
-                    .startsWith("HTTP/1.1 502");
+            caller.request("POST", "/once/", "7", "x");
+            router.nextRequest();
+            cut.peers(1, routerOf(router, 3), wholeRouter);
+            assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 502");
             assertThat(endpoint.pendingRequests()).isEqualTo(0);
         }
     }
