PeerDisconnectTest takes no port twice

Its log has 'binding the peer address 127.0.77.2:43707 failed' for 20 s: a port that the test had been offered, and released, was in use when its router bound it. Change: the test never uses a port that it was offered before. What it checks stays the same. Conclusion: the likely cause, one port for both routers, cannot recur. Another process that takes the port in between still can.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/PeerDisconnectTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/PeerDisconnectTest.java
@@ -9,7 +9,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.radishpass.core.fleet.Address;
@@ -49,6 +51,7 @@
     private final LoopResources loops = LoopResources.create("test", 2, 2, true, false);
     private final FakeStore store = new FakeStore();
     private final List<RoutedRouter> routers = new ArrayList<>();
+    private final Set<Integer> usedPorts = new HashSet<>();
 
     @AfterEach
     void close() {
@@ -140,10 +143,15 @@
         return counter == null ? 0 : counter.count();
     }
 
-    private static Address freeAddress() throws IOException {
+    /** Returns an address that was not returned before. The kernel may offer a port again once its socket is closed. */
+    private Address freeAddress() throws IOException {
         InetAddress host = InetAddress.getByName("127.0.77.2");
-        try (ServerSocket socket = new ServerSocket(0, 1, host)) {
-            return new Address(host.getHostAddress(), socket.getLocalPort());
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, host)) {
+                if (usedPorts.add(socket.getLocalPort())) {
+                    return new Address(host.getHostAddress(), socket.getLocalPort());
+                }
+            }
         }
     }
 }
