Tell the parts of prompts at the exit of an endpoint, and whether it had begun to answer

The record of the incident could not tell a prompt part that several requests share from requests that are bad one by one: no line had the parts of a prompt, and the head of a response does not show that an endpoint has begun to answer.

endpoint-ended lists in atWork the parts of each prompt that the endpoint had not begun to answer; the line of a request that was not answered has its parts; radishpass_endpoint_ends_unanswered_total counts exits with such requests. Parts are known whether or not a route places requests by prompt. No decision changes.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -52,7 +52,8 @@
     /** See {@link #meaning}. */
     ENDPOINT_ENDED(
             "endpoint-ended",
-            "an endpoint's answers broke off and it refuses connections: its process has ended; `atWork` names the requests"),
+            "an endpoint's answers broke off and it refuses connections: its process has ended; `atWork` names the requests, "
+                    + "and the parts of those prompts that it had not begun to answer"),
     /** See {@link #meaning}. */
     STREAM_ORIGIN_UNKNOWN(
             "stream-origin-unknown",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFingerprint.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFingerprint.java
@@ -78,7 +78,7 @@
     }
 
     /** Returns eight hexadecimal digits. A format string takes much longer in a process that has just started. */
-    private static String loggedBits(long part) {
+    static String loggedBits(long part) {
         return HexFormat.of().toHexDigits((int) (part >>> LOGGED_BITS));
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -35,6 +35,7 @@
     private @Nullable EndpointConnection connection;
     private boolean notRun;
     private boolean firstEventReceived;
+    private boolean responseBegan;
     private int status;
     private long sentAtMillis;
     private boolean testsBackoffEnd;
@@ -76,6 +77,11 @@
         return endpoint;
     }
 
+    /** Tells whether a first part of the response has been relayed to the caller; the head alone does not count. */
+    boolean responseBegan() {
+        return responseBegan;
+    }
+
     /** Returns another endpoint that probably has more of the prompt in its cache, or null. */
     @Nullable
     ServiceEndpoint cacheHolder() {
@@ -206,6 +212,7 @@
         recordFirstEvent();
         relay.relayContent(part);
         if (relay.started()) {
+            responseBegan = true;
             owner.responseStarted(this);
         }
         if (connection != null && !caller.writable()) {
@@ -252,7 +259,8 @@
             }
             health().disconnected(nowMillis);
         }
-        context.exitDetector().responseFailed(endpoint, record.fingerprint(), nowMillis - sentAtMillis, nowMillis);
+        context.exitDetector()
+                .responseFailed(endpoint, record.inProgress(nowMillis - sentAtMillis, responseBegan), nowMillis);
         context.prober().probe(endpoint);
         owner.responseFailed(this, end.cause());
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointExitDetector.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointExitDetector.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.quarantine.InProgressRequest;
-import org.radishpass.routing.quarantine.RequestFingerprint;
 
 /**
  * Detects that the process of an endpoint has exited, and which requests were in flight there. A failed response alone
@@ -31,13 +30,12 @@
      * Records a response that failed before it was complete.
      *
      * @param endpoint the endpoint
-     * @param request the fingerprint of the request
-     * @param inFlightMillis the milliseconds since the request was sent
+     * @param request the request
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    void responseFailed(ServiceEndpoint endpoint, RequestFingerprint request, long inFlightMillis, long nowMillis) {
+    void responseFailed(ServiceEndpoint endpoint, InProgressRequest request, long nowMillis) {
         RecentFailures failures = failuresOf(endpoint, nowMillis);
-        failures.requests.add(new InProgressRequest(request, inFlightMillis));
+        failures.requests.add(request);
         if (failures.refused) {
             notifyListener(endpoint, failures);
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -81,12 +81,12 @@
     private void start(RequestTerms resolved) {
         terms = resolved;
         relay = new ResponseRelay(caller, terms.kind());
-        record.terms(terms, prepared.fingerprint(terms));
+        record.terms(terms, prepared.features(terms));
         if (context.stopped() || (context.refusingNew() && terms.kind().streams())) {
             refusal.refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.OTHER_ROUTER.header());
             return;
         }
-        quarantineGuard = new QuarantineGuard(context, record.fingerprint(), terms.service());
+        quarantineGuard = new QuarantineGuard(context, record.features().request(), terms.service());
         if (!prepared.relayed()) {
             context.retryBudget().requested(terms.service(), context.nowMillis());
         }
@@ -234,8 +234,7 @@
         context.exitDetector()
                 .responseFailed(
                         endpoint,
-                        record.fingerprint(),
-                        history.millisSinceLastSend(context.nowMillis()),
+                        record.inProgress(history.millisSinceLastSend(context.nowMillis()), attempt.responseBegan()),
                         context.nowMillis());
         stopAttempt();
         quarantineGuard.responseFailed(endpoint);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -10,7 +10,8 @@
 import org.radishpass.routing.framing.BodyFraming;
 import org.radishpass.routing.framing.ResponseEnd;
 import org.radishpass.routing.placement.PlacementChoice;
-import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.InProgressRequest;
+import org.radishpass.routing.quarantine.RequestFeatures;
 import org.radishpass.routing.stream.OriginSource;
 import org.radishpass.routing.stream.StreamOrigin;
 
@@ -20,10 +21,13 @@
 final class ExchangeRecord {
     private static final int FIRST_ERROR_STATUS = 400;
 
+    /** The maximum number of parts of a prompt in one line of the log. */
+    private static final int MAX_LOGGED_PARTS = 32;
+
     private final long receivedAtMillis;
     private final List<RecordedAttempt> attempts = new ArrayList<>(1);
     private String requestId = "";
-    private RequestFingerprint fingerprint = RequestFingerprint.UNKNOWN;
+    private RequestFeatures features = RequestFeatures.UNKNOWN;
     private long configurationVersion;
     private long configurationAgeMillis;
     private RequestTerms terms = RequestTerms.UNKNOWN;
@@ -121,14 +125,34 @@
         this.configurationAgeMillis = receivedAtMillis - inForceSinceMillis;
     }
 
-    /** Records the terms and the fingerprint of the request. */
-    void terms(RequestTerms newTerms, RequestFingerprint newFingerprint) {
+    /** Records the terms of the request and the features that may crash endpoints. */
+    void terms(RequestTerms newTerms, RequestFeatures newFeatures) {
         this.terms = newTerms;
-        this.fingerprint = newFingerprint;
+        this.features = newFeatures;
+    }
+
+    RequestFeatures features() {
+        return features;
     }
 
-    RequestFingerprint fingerprint() {
-        return fingerprint;
+    /**
+     * Returns this request as one that is in progress at an endpoint.
+     *
+     * @param millis the time since the request was sent there, in milliseconds
+     * @param responseBegan whether the endpoint has begun to answer
+     */
+    InProgressRequest inProgress(long millis, boolean responseBegan) {
+        return new InProgressRequest(features.request(), millis, responseBegan ? List.of() : features.parts());
+    }
+
+    /** Returns the parts of the prompt as written to the log: only if the request was not answered. */
+    List<String> loggedParts() {
+        return answered()
+                ? List.of()
+                : features.parts().stream()
+                        .limit(MAX_LOGGED_PARTS)
+                        .map(Object::toString)
+                        .toList();
     }
 
     /** Returns the decision by the share of the request, or null before it was taken. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/PreparedRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
@@ -11,7 +12,10 @@
 import org.radishpass.routing.admission.AdmissionRequest;
 import org.radishpass.routing.config.Route;
 import org.radishpass.routing.config.Workspace;
+import org.radishpass.routing.dialect.PromptDescription;
 import org.radishpass.routing.health.ResponseTimes;
+import org.radishpass.routing.quarantine.PromptPartFingerprint;
+import org.radishpass.routing.quarantine.RequestFeatures;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.relay.RelayedRequest;
 
@@ -41,14 +45,19 @@
         return request() instanceof RelayedRequest;
     }
 
-    /** Returns the fingerprint of the request, given its terms. */
-    RequestFingerprint fingerprint(RequestTerms terms) {
-        return RequestFingerprint.of(
+    /** Returns the features of the request that may crash endpoints, given its terms. */
+    RequestFeatures features(RequestTerms terms) {
+        RequestFingerprint fingerprint = RequestFingerprint.of(
                 terms.workspace().map(Workspace::name).orElse(""),
                 request().method().name(),
                 terms.host(),
                 request().uri(),
                 body());
+        PromptDescription prompt = terms.promptDescription();
+        List<PromptPartFingerprint> parts = prompt == null
+                ? List.of()
+                : PromptPartFingerprint.sharedParts(fingerprint.workspace(), terms.service(), prompt);
+        return new RequestFeatures(fingerprint, parts);
     }
 
     /** Returns the body, which the recipient must release. */
@@ -123,7 +132,7 @@
     /** Records that the request is not admitted, and releases it. */
     void refused(AdmissionRefusal refusal) {
         if (resolution instanceof Resolution.Resolved resolved) {
-            record.terms(resolved.terms(), RequestFingerprint.UNKNOWN);
+            record.terms(resolved.terms(), RequestFeatures.UNKNOWN);
         }
         record.finished(Verdict.NOT_RUN, RefusalCode.OVERLOADED.status(), "not admitted: " + refusal.inputs());
         context.requestLog().refused(record, refusal, context.nowMillis());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -58,6 +58,7 @@
     private final ContinuedStreams continuedStreams;
     private final LogLineLimit lines;
     private final Counter exits;
+    private final Counter unansweredExits;
     private final Counter contradictedExits;
     private final Map<String, Timer> timers = new HashMap<>();
     private long refusedAtMillis = -REFUSING_PAUSE_MILLIS;
@@ -70,6 +71,10 @@
         this.exits = Counter.builder("radishpass.endpoint.ends")
                 .description("endpoints whose process ended with requests of this router at work")
                 .register(metrics);
+        this.unansweredExits = Counter.builder("radishpass.endpoint.ends.unanswered")
+                .description(
+                        "endpoints whose process ended with requests of this router that they had not begun to answer")
+                .register(metrics);
         this.contradictedExits = Counter.builder("radishpass.endpoint.ends.contradicted")
                 .description("endpoints that refused connections to this router and most likely run on")
                 .register(metrics);
@@ -123,7 +128,8 @@
                                 .map(org.radishpass.routing.config.Workspace::name)
                                 .orElse("")),
                 kv("service", record.terms().service()),
-                kv("fingerprint", record.fingerprint().toString()),
+                kv("fingerprint", record.features().request().toString()),
+                kv("parts", record.loggedParts()),
                 kv("urgency", record.terms().urgency()),
                 kv("share", record.shareText()),
                 kv("resumes", Objects.requireNonNullElse(record.terms().resumedRequestId(), "")),
@@ -182,6 +188,10 @@
 
     void endpointExited(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
         exits.increment();
+        if (inFlightRequests.stream()
+                .anyMatch(request -> !request.unansweredParts().isEmpty())) {
+            unansweredExits.increment();
+        }
         LOG.info(
                 "the process of endpoint {} at {} has exited with {} requests of this router in flight",
                 endpoint.id(),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/StreamContinuation.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/StreamContinuation.java
@@ -80,7 +80,7 @@
     private RequestTerms bound(RequestTerms terms, StreamOrigin origin) {
         RequestTerms bound = terms.withRequiredOrigin(origin);
         record.origin(origin);
-        record.terms(bound, record.fingerprint());
+        record.terms(bound, record.features());
         return bound;
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -6,7 +6,11 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.routing.dialect.ForwardingHeaders;
+import org.radishpass.routing.dialect.PromptDescription;
+import org.radishpass.routing.dialect.PromptPart;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.RequestHead;
 import org.radishpass.routing.dialect.ResponseHead;
@@ -43,6 +47,9 @@
     /** Header with the name of the workspace. */
     public static final String WORKSPACE = "X-Workspace";
 
+    /** Header with the ids of the parts of the prompt, separated by commas. */
+    public static final String PROMPT = "X-Prompt";
+
     @Override
     public RequestHead decode(HttpRequest request) {
         HttpHeaders headers = request.headers();
@@ -54,11 +61,23 @@
                 request.uri(),
                 timeout == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(timeout)),
                 key,
-                null,
+                prompt(headers.get(PROMPT)),
                 headers.get(AFTER),
                 headers.get(RESUMES));
     }
 
+    private static @Nullable PromptDescription prompt(@Nullable String ids) {
+        return ids == null
+                ? null
+                : new PromptDescription(
+                        "model",
+                        0,
+                        0,
+                        Stream.of(ids.split(",", -1))
+                                .map(id -> new PromptPart(id, 100))
+                                .toList());
+    }
+
     @Override
     public void encode(HttpHeaders headers, ForwardingHeaders forwarding) {
         headers.remove(HttpHeaderNames.AUTHORIZATION);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointExitDetectorTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointExitDetectorTest.java
@@ -8,6 +8,7 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 
 /**
@@ -26,22 +27,22 @@
 
     @Test
     void failedResponsesAndARefusedConnectionAreAnExit() {
-        detector.responseFailed(ONE, FIRST, 100, 5_000);
-        detector.responseFailed(ONE, SECOND, 2_000, 5_003);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_000);
+        detector.responseFailed(ONE, new InProgressRequest(SECOND, 2_000), 5_003);
         detector.connectionRefused(ONE, 5_005);
         assertThat(reported).containsExactly("one 1 100", "one 2 2000");
     }
 
     @Test
     void aFailedResponseAloneIsNoExit() {
-        detector.responseFailed(ONE, FIRST, 100, 5_000);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_000);
         assertThat(reported).isEmpty();
     }
 
     @Test
     void aRefusedConnectionWithoutARecentFailedResponseReportsNoRequest() {
         detector.connectionRefused(ONE, 3_999);
-        detector.responseFailed(ONE, FIRST, 100, 5_000);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_000);
         detector.connectionRefused(ONE, 6_001);
         detector.connectionRefused(endpoint("two"), 5_001);
         assertThat(reported).isEmpty();
@@ -49,9 +50,9 @@
 
     @Test
     void aResponseThatFailsAfterTheRefusedConnectionBelongsToTheSameExit() {
-        detector.responseFailed(ONE, FIRST, 100, 5_000);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_000);
         detector.connectionRefused(ONE, 5_002);
-        detector.responseFailed(ONE, SECOND, 300, 5_010);
+        detector.responseFailed(ONE, new InProgressRequest(SECOND, 300), 5_010);
         assertThat(reported).containsExactly("one 1 100", "one 2 300").inOrder();
     }
 
@@ -59,13 +60,13 @@
     void theFirstResponseMayFailAfterTheRefusedConnection() {
         detector.connectionRefused(ONE, 5_000);
         assertThat(detector.hasExited("one")).isTrue();
-        detector.responseFailed(ONE, FIRST, 100, 5_004);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_004);
         assertThat(reported).containsExactly("one 1 100");
     }
 
     @Test
     void reportsEachRequestOnce() {
-        detector.responseFailed(ONE, FIRST, 100, 5_000);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_000);
         detector.connectionRefused(ONE, 5_002);
         detector.connectionRefused(ONE, 5_300);
         assertThat(reported).hasSize(1);
@@ -73,10 +74,10 @@
 
     @Test
     void removesExpiredFailures() {
-        detector.responseFailed(ONE, FIRST, 100, 5_000);
+        detector.responseFailed(ONE, new InProgressRequest(FIRST, 100), 5_000);
         detector.connectionRefused(ONE, 5_002);
         detector.removeExpired(6_100);
-        detector.responseFailed(ONE, SECOND, 100, 6_200);
+        detector.responseFailed(ONE, new InProgressRequest(SECOND, 100), 6_200);
         assertThat(reported).hasSize(1);
     }
 
