Divide the quarantine, and let it keep features of requests instead of requests

The histories with their eviction are in SuspectRegistry and what counts as a cause is in CauseJudge. What is suspected is a CrashCause, a sealed type of a request or a part of a prompt; nothing suspects parts yet. No decision changes; the tests of the quarantine are as they were but for names.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -19,7 +19,7 @@
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.RegionMap;
 import org.radishpass.routing.load.WorkReportExchange;
-import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.quarantine.SuspectExchange;
 import org.radishpass.routing.quarantine.SuspectListener;
@@ -303,8 +303,8 @@
         }
 
         @Override
-        public void released(RequestFingerprint request) {
-            thread.run(() -> quarantine.remove(request));
+        public void released(CrashCause cause) {
+            thread.run(() -> quarantine.remove(cause));
         }
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -5,7 +5,7 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.StorePosition;
-import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -77,28 +77,28 @@
     Mono<Boolean> deregister(Address self, StorePosition registeredAt);
 
     /**
-     * Reads the quarantined requests, which are not sent to endpoints because they crash them.
+     * Reads the quarantined features of requests; requests that have one are not sent to endpoints because they crash them.
      *
      * @since 0.5.0
      */
     Mono<QuarantineReadResult> quarantined();
 
     /**
-     * Writes a quarantined request, or updates what is known of it.
+     * Writes a quarantined feature of requests, or updates what is known of it.
      *
-     * @param suspect the request, with the endpoint crashes attributed to it
+     * @param suspect the feature, with the endpoint crashes attributed to it
      * @param storeMillis the current time on the store's clock, in milliseconds; {@link #TIME_UNKNOWN} if unknown
-     * @return whether the request was written
+     * @return whether the feature was written
      * @since 0.5.0
      */
     Mono<Boolean> quarantine(Suspect suspect, long storeMillis);
 
     /**
-     * Removes a request from quarantine, because it has proved harmless or is no longer tracked.
+     * Removes a feature of requests from quarantine, because it has proved harmless or is no longer tracked.
      *
-     * @param request the request
-     * @return whether the request was removed
+     * @param cause the feature
+     * @return whether the feature was removed
      * @since 0.5.0
      */
-    Mono<Boolean> release(RequestFingerprint request);
+    Mono<Boolean> release(CrashCause cause);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/QuarantinePersistence.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/QuarantinePersistence.java
@@ -8,8 +8,8 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.EndpointCrash;
-import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.quarantine.SuspectExchange;
 import org.radishpass.routing.quarantine.SuspectReport;
@@ -20,8 +20,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Saves quarantined requests in the store, so that they stay quarantined when all routers restart at once, as after a
- * loss of power. Otherwise each request would end two more endpoints before it is detected again. The router that sees
+ * Saves quarantined features of requests in the store, so that they stay quarantined when all routers restart at once, as after a
+ * loss of power. Otherwise each would crash more endpoints before it is detected again. The router that sees
  * the end of an endpoint that decides on the quarantine writes one row. Each router reads the rows once, when it
  * starts. State is confined to the control thread.
  */
@@ -55,7 +55,7 @@
     private final StoreClock storeClock;
     private final SuspectExchange suspects;
     private final RetryBackoff readBackoff = new RetryBackoff();
-    private final Map<RequestFingerprint, Boolean> savedByRequest = new LinkedHashMap<>();
+    private final Map<CrashCause, Boolean> savedByCause = new LinkedHashMap<>();
 
     QuarantinePersistence(
             ControlThread thread,
@@ -80,7 +80,7 @@
             suspects.mergeStoredSuspects(listed.suspects());
             listed.suspects().stream()
                     .filter(QuarantinePersistence::expired)
-                    .forEach(suspect -> remove(suspect.request()));
+                    .forEach(suspect -> remove(suspect.cause()));
         } else if (result instanceof QuarantineReadResult.Unavailable unavailable) {
             LOG.info(
                     "quarantined requests could not be read from the store; the router tries again: {}",
@@ -96,7 +96,7 @@
      * @param delay how long this router waits before it writes
      */
     void storeRestored(Duration delay) {
-        if (!savedByRequest.isEmpty()) {
+        if (!savedByCause.isEmpty()) {
             thread.scheduleAfter(delay, () -> suspects.suspects(report -> thread.run(() -> rewrite(report))));
         }
     }
@@ -106,10 +106,10 @@
      * that router writes the row.
      */
     private void rewrite(SuspectReport report) {
-        Map<RequestFingerprint, Suspect> suspected = report.suspects().stream()
-                .collect(Collectors.toMap(Suspect::request, Function.identity(), (first, second) -> first));
+        Map<CrashCause, Suspect> suspected = report.suspects().stream()
+                .collect(Collectors.toMap(Suspect::cause, Function.identity(), (first, second) -> first));
         long delayMillis = 0;
-        for (Map.Entry<RequestFingerprint, Boolean> row : List.copyOf(savedByRequest.entrySet())) {
+        for (Map.Entry<CrashCause, Boolean> row : List.copyOf(savedByCause.entrySet())) {
             Suspect suspect = suspected.get(row.getKey());
             if (row.getValue() && suspect != null) {
                 thread.scheduleAfter(Duration.ofMillis(delayMillis), () -> save(suspect));
@@ -120,41 +120,42 @@
         }
     }
 
-    private void recordWrite(RequestFingerprint request, boolean saved) {
-        savedByRequest.remove(request);
-        savedByRequest.put(request, saved);
-        if (savedByRequest.size() > MAX_REWRITTEN_ROWS) {
-            savedByRequest.remove(savedByRequest.keySet().iterator().next());
+    private void recordWrite(CrashCause cause, boolean saved) {
+        savedByCause.remove(cause);
+        savedByCause.put(cause, saved);
+        if (savedByCause.size() > MAX_REWRITTEN_ROWS) {
+            savedByCause.remove(savedByCause.keySet().iterator().next());
         }
     }
 
-    /** Saves a quarantined request. */
+    /** Saves a quarantined feature of requests. */
     void save(Suspect suspect) {
-        recordWrite(suspect.request(), true);
+        recordWrite(suspect.cause(), true);
         write(
                 () -> source.quarantine(suspect, storeClock.latestStoreMillis(clock.millis())),
-                suspect.request(),
+                suspect.cause(),
                 new RetryBackoff(),
                 1);
     }
 
-    /** Removes a request that is no longer quarantined. */
-    void remove(RequestFingerprint request) {
-        recordWrite(request, false);
-        write(() -> source.release(request), request, new RetryBackoff(), 1);
+    /** Removes a feature that is no longer quarantined. */
+    void remove(CrashCause cause) {
+        recordWrite(cause, false);
+        write(() -> source.release(cause), cause, new RetryBackoff(), 1);
     }
 
-    private void write(Supplier<Mono<Boolean>> call, RequestFingerprint request, RetryBackoff backoff, int attempt) {
+    private void write(Supplier<Mono<Boolean>> call, CrashCause cause, RetryBackoff backoff, int attempt) {
         call.get().publishOn(thread.scheduler()).subscribe(done -> {
             if (done) {
                 return;
             }
             if (attempt < MAX_ATTEMPTS) {
-                thread.scheduleAfter(backoff.next(), () -> write(call, request, backoff, attempt + 1));
+                thread.scheduleAfter(backoff.next(), () -> write(call, cause, backoff, attempt + 1));
             } else {
                 LOG.warn(
-                        "the quarantine of request {} could not be updated in the store; the routers still know of it",
-                        request);
+                        "the quarantine of {} {} could not be updated in the store; the routers still know of it",
+                        cause.kind().text(),
+                        cause);
             }
         });
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The crashes of endpoints at which one request was in progress, and what follows from them. Only consecutive crashes
+ * The crashes of endpoints at which requests with one feature were in progress, and what follows from them. Only consecutive crashes
  * count: the request was sent to the next endpoint after the previous one had crashed. When a rack fails, many
  * endpoints crash at once while running equal requests, such as those of polling callers; together this counts as one
  * crash. Times are on the monotonic clock in milliseconds. Confined to the traffic thread.
@@ -52,6 +52,7 @@
     /** The maximum difference between reported times of the same trial: its age grows a little in transit. */
     private static final long SAME_TRIAL_TOLERANCE_MILLIS = 5_000;
 
+    private final CrashCause cause;
     private final Map<Long, Crash> crashes = new LinkedHashMap<>();
     private int consecutiveCrashes;
     private boolean allSoonAfterSending;
@@ -63,6 +64,15 @@
     private String service = "";
     private String origin = "";
 
+    CrashHistory(CrashCause cause) {
+        this.cause = cause;
+    }
+
+    /** Returns the feature whose history this is. */
+    CrashCause cause() {
+        return cause;
+    }
+
     /** Adds crashes; returns whether at least one of them was not known. */
     boolean addAll(List<EndpointCrash> reported, String reporter, long nowMillis) {
         boolean anyNew = false;
@@ -194,11 +204,11 @@
     }
 
     /** Returns the suspect to report to other routers or to write to the store. */
-    Suspect toSuspect(RequestFingerprint request, long nowMillis) {
+    Suspect toSuspect(long nowMillis) {
         List<EndpointCrash> reported = new ArrayList<>(crashes.size());
         crashes.forEach((hash, crash) ->
                 reported.add(new EndpointCrash(hash, nowMillis - crash.atMillis, crash.inProgressMillis)));
-        return new Suspect(request, reported, triedAtMillis == NEVER ? Suspect.NEVER_TRIED : nowMillis - triedAtMillis);
+        return new Suspect(cause, reported, triedAtMillis == NEVER ? Suspect.NEVER_TRIED : nowMillis - triedAtMillis);
     }
 
     /** A crash of an endpoint, and the time from sending the request to the crash. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/PromptPartFingerprint.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/PromptPartFingerprint.java
@@ -17,7 +17,7 @@
  * @param part the hash of the service and of the part's id
  * @since 0.11.0
  */
-public record PromptPartFingerprint(long workspace, long part) {
+public record PromptPartFingerprint(long workspace, long part) implements CrashCause {
     /**
      * The maximum number of parts of one prompt that are considered: the last ones, because the first ones are shared by
      * the most requests and are soon known to be harmless.
@@ -43,6 +43,16 @@
         return fingerprints;
     }
 
+    @Override
+    public CauseKind kind() {
+        return CauseKind.PROMPT_PART;
+    }
+
+    @Override
+    public CauseDigests digests() {
+        return new CauseDigests(workspace, CauseDigests.PROMPT_PART_TARGET, part);
+    }
+
     /** Returns a shortened form for logs. */
     @Override
     public String toString() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
@@ -1,12 +1,8 @@
 package org.radishpass.routing.quarantine;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Identifies requests that crash the endpoints that run them, and keeps these requests from further endpoints. Combines
@@ -22,34 +18,18 @@
  * @since 0.5.0
  */
 public final class Quarantine {
-    /**
-     * The maximum number of suspects: 0.9 KB each with six crashes, 1.8 MB in all. Creating many takes many crashes.
-     */
-    static final int MAX_SUSPECTS = 2_048;
-
-    /**
-     * The maximum number of suspects of one workspace. Above it, its suspects evict each other and no other
-     * workspace's.
-     */
-    static final int MAX_SUSPECTS_OF_WORKSPACE = 256;
-
     /**
      * The maximum number of suspects of one crash: the requests sent last, since the cause is among them. Few enough
      * for a message of 1.4 KB.
      */
     static final int MAX_SUSPECTS_OF_CRASH = 32;
 
-    /**
-     * The minimum of consecutive crashes if one did not come soon after sending, or if another suspect shares them all.
-     */
-    private static final int MIN_CRASHES_WITHOUT_PATTERN = 3;
-
     private static final String THIS_ROUTER = "this router";
     private static final String STORE = "the store";
 
-    private final Map<RequestFingerprint, CrashHistory> histories = new LinkedHashMap<>();
+    private final SuspectRegistry suspects = new SuspectRegistry();
+    private final CauseJudge judge = new CauseJudge(suspects);
     private final Listener listener;
-    private final CrashRate crashRate = new CrashRate();
     private SuspectListener suspectListener = SuspectListener.NONE;
     private volatile int causeCount;
 
@@ -81,14 +61,14 @@
      */
     public void endpointCrashed(
             String service, long endpointHash, Collection<InProgressRequest> inProgress, long nowMillis) {
-        crashRate.crashed(service, inProgress.size(), nowMillis);
+        judge.crashRate().crashed(service, inProgress.size(), nowMillis);
         List<Suspect> newSuspects = inProgress.stream()
                 .sorted(Comparator.comparingLong(InProgressRequest::millis))
                 .limit(MAX_SUSPECTS_OF_CRASH)
                 .map(request -> suspect(request, endpointHash))
                 .filter(suspect -> addLocalCrash(suspect, service, nowMillis))
                 .toList();
-        newSuspects.forEach(suspect -> storeIfCause(suspect.request(), nowMillis));
+        newSuspects.forEach(suspect -> storeIfCause(suspect.cause(), nowMillis));
         publish(new SuspectReport(newSuspects, List.of()));
     }
 
@@ -100,32 +80,32 @@
     }
 
     private boolean addLocalCrash(Suspect suspect, String service, long nowMillis) {
-        CrashHistory history = historyOf(suspect.request());
+        CrashHistory history = suspects.findOrCreate(suspect.cause());
         history.service(service);
         history.seenLocally();
         return history.addAll(suspect.crashes(), THIS_ROUTER, nowMillis);
     }
 
     /** Has the request written to the store if it counts as the cause and this router itself saw one of its crashes. */
-    private void storeIfCause(RequestFingerprint request, long nowMillis) {
-        CrashHistory history = histories.get(request);
-        if (history != null && history.wasSeenLocally() && countsAsCause(history, nowMillis)) {
+    private void storeIfCause(CrashCause cause, long nowMillis) {
+        CrashHistory history = suspects.find(cause);
+        if (history != null && history.wasSeenLocally() && judge.countsAsCause(history, nowMillis)) {
             history.stored();
-            suspectListener.quarantined(history.toSuspect(request, nowMillis));
+            suspectListener.quarantined(history.toSuspect(nowMillis));
         }
     }
 
     /**
      * Records that a request was answered, which proves that the request is harmless.
      *
-     * @param request the request
+     * @param cause the feature
      * @param service the service that answered the request
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void answered(RequestFingerprint request, String service, long nowMillis) {
-        crashRate.answered(service, nowMillis);
-        if (clear(request)) {
-            publish(new SuspectReport(List.of(), List.of(request)));
+    public void answered(CrashCause cause, String service, long nowMillis) {
+        judge.crashRate().answered(service, nowMillis);
+        if (clear(cause)) {
+            publish(new SuspectReport(List.of(), List.of(cause)));
         }
     }
 
@@ -133,15 +113,15 @@
      * Records that a request is being sent. If this is the trial of a quarantined request, other routers are told, so
      * that they wait for the outcome.
      *
-     * @param request the request
+     * @param cause the feature
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void sent(RequestFingerprint request, long nowMillis) {
-        CrashHistory history = histories.get(request);
+    public void sent(CrashCause cause, long nowMillis) {
+        CrashHistory history = suspects.find(cause);
         if (history != null && status(history, nowMillis) == QuarantineStatus.ON_TRIAL) {
             history.tried(nowMillis);
-            listener.tried(request, history.consecutiveCrashes());
-            publish(new SuspectReport(List.of(history.toSuspect(request, nowMillis)), List.of()));
+            listener.tried(cause, history.consecutiveCrashes());
+            publish(new SuspectReport(List.of(history.toSuspect(nowMillis)), List.of()));
         }
     }
 
@@ -162,10 +142,10 @@
     }
 
     private boolean merge(Suspect suspect, String origin, long nowMillis) {
-        CrashHistory history = historyOf(suspect.request());
+        CrashHistory history = suspects.findOrCreate(suspect.cause());
         boolean changed = history.addAll(suspect.crashes(), origin, nowMillis);
         if (changed) {
-            storeIfCause(suspect.request(), nowMillis);
+            storeIfCause(suspect.cause(), nowMillis);
         }
         if (suspect.tried()) {
             changed |= history.tried(nowMillis - suspect.triedMillisAgo());
@@ -177,32 +157,33 @@
      * Merges the suspects read from the store. This router removes a suspect from the store if its request turns out to
      * be harmless.
      *
-     * @param suspects the suspects in the store
+     * @param stored the suspects in the store
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void mergeStored(Collection<Suspect> suspects, long nowMillis) {
-        for (Suspect suspect : suspects) {
+    public void mergeStored(Collection<Suspect> stored, long nowMillis) {
+        for (Suspect suspect : stored) {
             merge(suspect, STORE, nowMillis);
-            historyOf(suspect.request()).stored();
+            suspects.findOrCreate(suspect.cause()).stored();
         }
     }
 
     /** Returns a report of all suspects. */
     public SuspectReport all(long nowMillis) {
-        List<Suspect> suspects = new ArrayList<>(histories.size());
-        histories.forEach((request, history) -> suspects.add(history.toSuspect(request, nowMillis)));
-        return new SuspectReport(suspects, List.of());
+        List<Suspect> all = suspects.all().stream()
+                .map(history -> history.toSuspect(nowMillis))
+                .toList();
+        return new SuspectReport(all, List.of());
     }
 
     /**
      * Returns the status of a request, which decides whether and how the request may be sent now.
      *
-     * @param request the request
+     * @param cause the feature
      * @param service the service to which the request is to be sent
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public QuarantineStatus status(RequestFingerprint request, String service, long nowMillis) {
-        CrashHistory history = histories.get(request);
+    public QuarantineStatus status(CrashCause cause, String service, long nowMillis) {
+        CrashHistory history = suspects.find(cause);
         if (history == null || history.expired(nowMillis)) {
             return QuarantineStatus.CLEAR;
         }
@@ -210,13 +191,13 @@
         QuarantineStatus status = status(history, nowMillis);
         if (status == QuarantineStatus.QUARANTINED && !history.refused()) {
             history.markRefused();
-            listener.quarantined(request, history.consecutiveCrashes(), history.origin());
+            listener.quarantined(cause, history.consecutiveCrashes(), history.origin());
         }
         return status;
     }
 
     private QuarantineStatus status(CrashHistory history, long nowMillis) {
-        return countsAsCause(history, nowMillis) ? history.status(nowMillis) : QuarantineStatus.SUSPECTED;
+        return judge.countsAsCause(history, nowMillis) ? history.status(nowMillis) : QuarantineStatus.SUSPECTED;
     }
 
     /**
@@ -229,92 +210,27 @@
 
     /** Removes expired suspects and counts the requests that are quarantined or awaiting a trial. */
     public void tidy(long nowMillis) {
-        histories.values().removeIf(history -> history.expired(nowMillis));
-        crashRate.tidy(nowMillis);
-        causeCount = (int) histories.values().stream()
-                .filter(history -> countsAsCause(history, nowMillis))
+        suspects.removeIf(history -> history.expired(nowMillis));
+        judge.crashRate().tidy(nowMillis);
+        causeCount = (int) suspects.all().stream()
+                .filter(history -> judge.countsAsCause(history, nowMillis))
                 .count();
     }
 
-    /**
-     * Tells whether a request counts as the cause of its crashes. Once refused, a request counts as the cause until it
-     * is answered or expires, even if a rising crash rate of the service now requires more crashes.
-     */
-    private boolean countsAsCause(CrashHistory history, long nowMillis) {
-        if (history.refused()) {
-            return true;
-        }
-        int needed = crashRate.crashesNeeded(history.service(), nowMillis);
-        boolean clearPattern = history.looksCaused() && hasDistinctCrashes(history);
-        return history.consecutiveCrashes() >= (clearPattern ? needed : Math.max(needed, MIN_CRASHES_WITHOUT_PATTERN));
-    }
-
-    /**
-     * Tells whether no other likely cause was in progress at all of the same crashes. Two such requests can be
-     * distinguished only by a third crash or by a response.
-     */
-    private boolean hasDistinctCrashes(CrashHistory history) {
-        return histories.values().stream()
-                .noneMatch(other -> other != history && other.looksCaused() && history.allCrashesSharedWith(other));
-    }
-
-    private CrashHistory historyOf(RequestFingerprint request) {
-        CrashHistory known = histories.get(request);
-        if (known == null) {
-            evictIfFull(request);
-            known = new CrashHistory();
-            histories.put(request, known);
-        }
-        return known;
-    }
-
-    private boolean clear(RequestFingerprint request) {
-        CrashHistory cleared = histories.remove(request);
+    private boolean clear(CrashCause cause) {
+        CrashHistory cleared = suspects.remove(cause);
         if (cleared == null) {
             return false;
         }
         if (cleared.refused()) {
-            listener.cleared(request, cleared.consecutiveCrashes());
+            listener.cleared(cause, cleared.consecutiveCrashes());
         }
         if (cleared.wasStored()) {
-            suspectListener.released(request);
+            suspectListener.released(cause);
         }
         return true;
     }
 
-    /**
-     * Evicts the suspect with the fewest and oldest crashes if a limit is reached: from the workspace of the new
-     * request if that workspace is at its limit, and otherwise from the workspace with the most suspects.
-     */
-    private void evictIfFull(RequestFingerprint request) {
-        Map<Long, Integer> counts = new HashMap<>();
-        histories.keySet().forEach(other -> counts.merge(other.workspace(), 1, Integer::sum));
-        if (counts.getOrDefault(request.workspace(), 0) >= MAX_SUSPECTS_OF_WORKSPACE) {
-            evictFrom(request.workspace());
-        } else if (histories.size() >= MAX_SUSPECTS) {
-            counts.entrySet().stream().max(Map.Entry.comparingByValue()).ifPresent(most -> evictFrom(most.getKey()));
-        }
-    }
-
-    private void evictFrom(long workspace) {
-        RequestFingerprint least = null;
-        CrashHistory leastHistory = null;
-        for (Map.Entry<RequestFingerprint, CrashHistory> entry : histories.entrySet()) {
-            if (entry.getKey().workspace() == workspace
-                    && (leastHistory == null || evictedBefore(entry.getValue(), leastHistory))) {
-                least = entry.getKey();
-                leastHistory = entry.getValue();
-            }
-        }
-        histories.remove(least);
-    }
-
-    private static boolean evictedBefore(CrashHistory one, CrashHistory other) {
-        return one.consecutiveCrashes() == other.consecutiveCrashes()
-                ? one.lastCrashMillis() < other.lastCrashMillis()
-                : one.consecutiveCrashes() < other.consecutiveCrashes();
-    }
-
     private void publish(SuspectReport report) {
         if (!report.isEmpty()) {
             suspectListener.found(report);
@@ -324,12 +240,12 @@
     /** Receives changes in the status of requests. */
     public interface Listener {
         /** Called when this router refuses a request for the first time because the request crashes its endpoints. */
-        void quarantined(RequestFingerprint request, int crashes, String origin);
+        void quarantined(CrashCause cause, int crashes, String origin);
 
         /** Called when a quarantined request is let through once as a trial. */
-        void tried(RequestFingerprint request, int crashes);
+        void tried(CrashCause cause, int crashes);
 
         /** Called when a request that this router had quarantined was answered, at this router or another. */
-        void cleared(RequestFingerprint request, int crashes);
+        void cleared(CrashCause cause, int crashes);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFingerprint.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFingerprint.java
@@ -20,7 +20,7 @@
  * @param body the digest of the body
  * @since 0.5.0
  */
-public record RequestFingerprint(long workspace, long target, long body) {
+public record RequestFingerprint(long workspace, long target, long body) implements CrashCause {
     /** The fingerprint of a request whose fingerprint has not been computed yet. */
     public static final RequestFingerprint UNKNOWN = new RequestFingerprint(0, 0, 0);
 
@@ -71,6 +71,16 @@
         }
     }
 
+    @Override
+    public CauseKind kind() {
+        return CauseKind.REQUEST;
+    }
+
+    @Override
+    public CauseDigests digests() {
+        return new CauseDigests(workspace, target, body);
+    }
+
     /** Returns a shortened form for logs. */
     @Override
     public String toString() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Suspect.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Suspect.java
@@ -3,15 +3,16 @@
 import java.util.List;
 
 /**
- * A request that was in progress at endpoints when they crashed, as routers report it to each other and store it.
+ * A feature of requests that were in progress at endpoints when they crashed, as routers report it to each other and store
+ * it.
  *
- * @param request the request
+ * @param cause the feature, which may be the cause of the crashes
  * @param crashes the crashes
- * @param triedMillisAgo the time since the last trial, which shows whether the request still crashes its endpoint, in
+ * @param triedMillisAgo the time since the last trial, which shows whether it still crashes an endpoint, in
  *     milliseconds; {@link #NEVER_TRIED} if there was no trial
  * @since 0.5.0
  */
-public record Suspect(RequestFingerprint request, List<EndpointCrash> crashes, long triedMillisAgo) {
+public record Suspect(CrashCause cause, List<EndpointCrash> crashes, long triedMillisAgo) {
     /** The value of {@link #triedMillisAgo} if there was no trial. */
     public static final long NEVER_TRIED = -1;
 
@@ -20,14 +21,14 @@
         crashes = List.copyOf(crashes);
     }
 
-    /** Tells whether the request has been let through as a trial. */
+    /** Tells whether a request with the feature has been let through as a trial. */
     public boolean tried() {
         return triedMillisAgo != NEVER_TRIED;
     }
 
     Suspect aged(long millis) {
         return new Suspect(
-                request,
+                cause,
                 crashes.stream().map(crash -> crash.aged(millis)).toList(),
                 tried() ? triedMillisAgo + millis : NEVER_TRIED);
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectListener.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectListener.java
@@ -1,7 +1,7 @@
 package org.radishpass.routing.quarantine;
 
 /**
- * Receives what this router itself finds out about requests that may crash their endpoints. Called on the traffic
+ * Receives what this router itself finds out about features of requests that may crash endpoints. Called on the traffic
  * thread.
  *
  * @since 0.5.0
@@ -20,7 +20,7 @@
         }
 
         @Override
-        public void released(RequestFingerprint request) {
+        public void released(CrashCause cause) {
             // ignored
         }
     };
@@ -33,17 +33,17 @@
     void found(SuspectReport news);
 
     /**
-     * Called when a request counts as the cause of crashes, and again after each further crash. This router has seen at
-     * least one of the crashes itself, and has to write the request to the store.
+     * Called when a feature counts as the cause of crashes, and again after each further crash. This router has seen at
+     * least one of the crashes itself, and has to write the feature to the store.
      *
-     * @param suspect the request with all its crashes
+     * @param suspect the feature with all its crashes
      */
     void quarantined(Suspect suspect);
 
     /**
-     * Called when a request that is in the store was answered, so that it has to be removed from the store.
+     * Called when a request with a feature that is in the store was answered, so that the feature has to be removed from the store.
      *
-     * @param request the request
+     * @param cause the feature
      */
-    void released(RequestFingerprint request);
+    void released(CrashCause cause);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -13,9 +13,9 @@
 import org.radishpass.routing.admission.AdmissionRefusal;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
-import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.reachability.ExitCorroboration;
 import org.radishpass.routing.stream.StreamOrigin;
 import org.slf4j.Logger;
@@ -207,36 +207,36 @@
     }
 
     @Override
-    public void quarantined(RequestFingerprint request, int count, String origin) {
+    public void quarantined(CrashCause cause, int count, String origin) {
         LOG.warn(
                 "request {} is quarantined and refused from now on: {} endpoints exited while executing it, the last reported by {}",
-                request,
+                cause,
                 count,
                 origin,
                 LogEvent.REQUEST_QUARANTINED.field(),
-                kv("fingerprint", request.toString()),
+                kv("fingerprint", cause.toString()),
                 kv("ends", count));
     }
 
     @Override
-    public void tried(RequestFingerprint request, int count) {
+    public void tried(CrashCause cause, int count) {
         LOG.warn(
                 "testing quarantined request {} at one endpoint; {} endpoints exited while executing it",
-                request,
+                cause,
                 count,
                 LogEvent.REQUEST_TRIED.field(),
-                kv("fingerprint", request.toString()),
+                kv("fingerprint", cause.toString()),
                 kv("ends", count));
     }
 
     @Override
-    public void cleared(RequestFingerprint request, int count) {
+    public void cleared(CrashCause cause, int count) {
         LOG.info(
                 "request {} was answered and is no longer suspected of crashing endpoints; {} endpoints exited while executing it",
-                request,
+                cause,
                 count,
                 LogEvent.REQUEST_CLEARED.field(),
-                kv("fingerprint", request.toString()),
+                kv("fingerprint", cause.toString()),
                 kv("ends", count));
     }
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -14,7 +14,7 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.StorePosition;
-import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
 import org.radishpass.runtime.thread.ControlThread;
@@ -365,7 +365,7 @@
         }
 
         @Override
-        public Mono<Boolean> release(RequestFingerprint request) {
+        public Mono<Boolean> release(CrashCause cause) {
             return Mono.never();
         }
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -19,7 +19,7 @@
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.fleet.StorePosition;
-import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.testing.VirtualScheduler;
 import reactor.core.publisher.Flux;
@@ -42,7 +42,7 @@
     private final VirtualNetwork network;
     private final List<Version> versions = new ArrayList<>();
     private final List<LongPoll> longPolls = new ArrayList<>();
-    private final Map<RequestFingerprint, Suspect> quarantined = new LinkedHashMap<>();
+    private final Map<CrashCause, Suspect> quarantined = new LinkedHashMap<>();
     private final Map<String, FleetRouter> routers = new LinkedHashMap<>();
     private final Map<DataCentre, DataCentreDrain> drains = new LinkedHashMap<>();
     private final Set<String> refused = new HashSet<>();
@@ -122,8 +122,8 @@
     }
 
     /** Tells whether a request is quarantined. */
-    boolean quarantines(RequestFingerprint request) {
-        return quarantined.containsKey(request);
+    boolean quarantines(CrashCause cause) {
+        return quarantined.containsKey(cause);
     }
 
     /** Publishes a configuration. */
@@ -176,7 +176,7 @@
     record Snapshot(
             long revision,
             List<Version> versions,
-            Map<RequestFingerprint, Suspect> quarantined,
+            Map<CrashCause, Suspect> quarantined,
             Map<String, FleetRouter> routers,
             Map<DataCentre, DataCentreDrain> drains,
             List<ServiceEndpoint> endpoints) {}
@@ -300,15 +300,15 @@
         @Override
         public Mono<Boolean> quarantine(Suspect suspect, long storeMillis) {
             return Mono.fromSupplier(() -> {
-                quarantined.put(suspect.request(), suspect);
+                quarantined.put(suspect.cause(), suspect);
                 return true;
             });
         }
 
         @Override
-        public Mono<Boolean> release(RequestFingerprint request) {
+        public Mono<Boolean> release(CrashCause cause) {
             return Mono.fromSupplier(() -> {
-                quarantined.remove(request);
+                quarantined.remove(cause);
                 return true;
             });
         }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
 import org.radishpass.routing.quarantine.QuarantineStatus;
@@ -65,17 +66,17 @@
     }
 
     @Override
-    public void quarantined(RequestFingerprint request, int crashes, String origin) {
+    public void quarantined(CrashCause cause, int crashes, String origin) {
         // nothing to do: tests query the status
     }
 
     @Override
-    public void tried(RequestFingerprint request, int crashes) {
+    public void tried(CrashCause cause, int crashes) {
         // nothing to do: tests query the status
     }
 
     @Override
-    public void cleared(RequestFingerprint request, int crashes) {
+    public void cleared(CrashCause cause, int crashes) {
         // nothing to do: tests query the status
     }
 }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/HarmlessRequestsTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/HarmlessRequestsTest.java
@@ -70,17 +70,17 @@
         private final List<Engine> engines = new ArrayList<>();
         private final Quarantine quarantine = new Quarantine(new Quarantine.Listener() {
             @Override
-            public void quarantined(RequestFingerprint request, int crashes, String origin) {
+            public void quarantined(CrashCause cause, int crashes, String origin) {
                 // refusals are counted in arrive()
             }
 
             @Override
-            public void tried(RequestFingerprint request, int crashes) {
+            public void tried(CrashCause cause, int crashes) {
                 // not checked by this test
             }
 
             @Override
-            public void cleared(RequestFingerprint request, int crashes) {
+            public void cleared(CrashCause cause, int crashes) {
                 // not checked by this test
             }
         });
--- a/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/QuarantineTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/QuarantineTest.java
@@ -202,18 +202,18 @@
     void manySuspectsOfOneWorkspaceDoNotEvictThoseOfAnother() {
         RequestFingerprint ofOtherWorkspace = request(2, 1);
         quarantine.endpointCrashed(SERVICE, 1, List.of(new InProgressRequest(ofOtherWorkspace, SOON)), NOW);
-        for (int body = 0; body < 10 * Quarantine.MAX_SUSPECTS; body++) {
+        for (int body = 0; body < 10 * SuspectRegistry.MAX_SUSPECTS; body++) {
             quarantine.endpointCrashed(
                     SERVICE, 100 + body, List.of(new InProgressRequest(request(1, 10 + body), SOON)), NOW + body);
         }
         assertThat(quarantine.status(ofOtherWorkspace, SERVICE, NOW)).isEqualTo(QuarantineStatus.SUSPECTED);
-        assertThat(quarantine.all(NOW).suspects()).hasSize(Quarantine.MAX_SUSPECTS_OF_WORKSPACE + 1);
+        assertThat(quarantine.all(NOW).suspects()).hasSize(SuspectRegistry.MAX_SUSPECTS_OF_WORKSPACE + 1);
     }
 
     @Test
     void suspectsWithFewerCrashesAreEvictedFirst() {
         crashTwice();
-        for (int body = 0; body < 2 * Quarantine.MAX_SUSPECTS_OF_WORKSPACE; body++) {
+        for (int body = 0; body < 2 * SuspectRegistry.MAX_SUSPECTS_OF_WORKSPACE; body++) {
             quarantine.endpointCrashed(
                     "other service",
                     100 + body,
@@ -225,11 +225,11 @@
 
     @Test
     void theSuspectsOfManyWorkspacesStayWithinTheLimit() {
-        for (int workspace = 0; workspace < 2 * Quarantine.MAX_SUSPECTS; workspace++) {
+        for (int workspace = 0; workspace < 2 * SuspectRegistry.MAX_SUSPECTS; workspace++) {
             quarantine.endpointCrashed(
                     SERVICE, workspace, List.of(new InProgressRequest(request(workspace, 1), SOON)), NOW);
         }
-        assertThat(quarantine.all(NOW).suspects()).hasSize(Quarantine.MAX_SUSPECTS);
+        assertThat(quarantine.all(NOW).suspects()).hasSize(SuspectRegistry.MAX_SUSPECTS);
     }
 
     @Test
@@ -262,18 +262,18 @@
     private static Quarantine quarantine(List<String> calls, List<SuspectReport> reports) {
         Quarantine created = new Quarantine(new Quarantine.Listener() {
             @Override
-            public void quarantined(RequestFingerprint request, int crashes, String origin) {
-                calls.add("quarantined " + request.body() + " after " + crashes + " by " + origin);
+            public void quarantined(CrashCause cause, int crashes, String origin) {
+                calls.add("quarantined " + cause.digests().content() + " after " + crashes + " by " + origin);
             }
 
             @Override
-            public void tried(RequestFingerprint request, int crashes) {
-                calls.add("tried " + request.body() + " after " + crashes);
+            public void tried(CrashCause cause, int crashes) {
+                calls.add("tried " + cause.digests().content() + " after " + crashes);
             }
 
             @Override
-            public void cleared(RequestFingerprint request, int crashes) {
-                calls.add("cleared " + request.body() + " after " + crashes);
+            public void cleared(CrashCause cause, int crashes) {
+                calls.add("cleared " + cause.digests().content() + " after " + crashes);
             }
         });
         created.setSuspectListener(new SuspectListener() {
@@ -284,13 +284,13 @@
 
             @Override
             public void quarantined(Suspect suspect) {
-                calls.add("kept " + suspect.request().body() + " with "
+                calls.add("kept " + suspect.cause().digests().content() + " with "
                         + suspect.crashes().size());
             }
 
             @Override
-            public void released(RequestFingerprint request) {
-                calls.add("released " + request.body());
+            public void released(CrashCause cause) {
+                calls.add("released " + cause.digests().content());
             }
         });
         return created;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -20,7 +20,7 @@
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.fleet.StorePosition;
-import org.radishpass.routing.quarantine.RequestFingerprint;
+import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
 import reactor.core.publisher.Mono;
 
@@ -31,7 +31,7 @@
     private final Set<FleetRouter> routers = ConcurrentHashMap.newKeySet();
     private volatile List<ServiceEndpoint> endpoints = List.of();
     private volatile String document = "";
-    private final Map<RequestFingerprint, Suspect> quarantined = new ConcurrentHashMap<>();
+    private final Map<CrashCause, Suspect> quarantined = new ConcurrentHashMap<>();
     private final AtomicLong revision = new AtomicLong(1);
 
     /** Publishes a configuration document and increments the revision. */
@@ -145,17 +145,17 @@
         public Mono<Boolean> quarantine(Suspect suspect, long storeMillis) {
             return Mono.fromSupplier(() -> {
                 if (!cut) {
-                    quarantined.put(suspect.request(), suspect);
+                    quarantined.put(suspect.cause(), suspect);
                 }
                 return !cut;
             });
         }
 
         @Override
-        public Mono<Boolean> release(RequestFingerprint request) {
+        public Mono<Boolean> release(CrashCause cause) {
             return Mono.fromSupplier(() -> {
                 if (!cut) {
-                    quarantined.remove(request);
+                    quarantined.remove(cause);
                 }
                 return !cut;
             });
