Quarantine a part of prompts that crashes endpoints, whatever else the requests hold

Callers saw engines exit one after the other, up to 25 in a series, with 2 to 14 other responses broken off each time.

Cause: what is learned from the exit of an endpoint was tied to the whole request, so that requests that share the cause and nothing else were new each time. The quarantine now suspects features of requests: the request, and each part of its prompt but the last.

Evidence for a part: an endpoint exited while a request with it was there that the endpoint had not begun to answer. Three consecutive exits quarantine it (up to five where prompts meet exits often; exits with a suspected part do not raise that number). Evidence against it: an endpoint of the same software version begins to answer a prompt with it, before or after, at any router. A part that has met the same exits as another is refused only together with it. Exits of another workspace support one of its own and replace none. After the pause one elected router makes a trial, two in all. Reports and rows of the store name parts in the form that they had for requests.

Also: exits are dated by the first failed response instead of by when they were confirmed 400 ms later, because exits that follow each other did not look consecutive; a history that is full drops exits that do not count instead of ignoring later ones.

CrashingPromptPartTest failed before: 30 of 40 endpoints ended at 30 requests that run once, all of them where requests may run again; now at most 8, and all sound requests are answered. Its sound requests had the target and body of the bad ones and were refused as equal requests; they have targets of their own now, and the corrected test fails on the code before with the same counts.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -122,6 +122,15 @@
     /** See {@link #meaning}. */
     REQUEST_CLEARED("request-cleared", "a request with which several endpoints had ended was answered: it is harmless"),
     /** See {@link #meaning}. */
+    PART_QUARANTINED(
+            "part-quarantined",
+            "a part of prompts is held to end the endpoints that answer it, and requests with it are refused from now on;"
+                    + " `fingerprint` names it"),
+    /** See {@link #meaning}. */
+    PART_TRIED("part-tried", "one request with such a part is let through, to find out whether that is still so"),
+    /** See {@link #meaning}. */
+    PART_CLEARED("part-cleared", "an endpoint has begun to answer a prompt with such a part: it is harmless"),
+    /** See {@link #meaning}. */
     REFUSING(
             "refusing",
             "requests are refused that cannot be served in time, the first for 10 s; with the inputs of the decision"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashCause.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashCause.java
@@ -14,4 +14,12 @@
 
     /** Returns the numbers by which routers and the store name the feature. */
     CauseDigests digests();
+
+    /** Tells whether this and another feature are the same part of a prompt, in different workspaces. */
+    default boolean samePartInOtherWorkspace(CrashCause other) {
+        return this instanceof PromptPartFingerprint one
+                && other instanceof PromptPartFingerprint two
+                && one.part() == two.part()
+                && one.workspace() != two.workspace();
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
@@ -2,10 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import java.util.stream.Collectors;
+import org.radishpass.routing.fleet.SoftwareVersion;
 
 /**
  * The crashes of endpoints at which requests with one feature were in progress, and what follows from them. Only consecutive crashes
@@ -16,28 +21,13 @@
 final class CrashHistory {
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    /** The minimum number of consecutive crashes for a quarantine. */
-    private static final int MIN_CRASHES = 2;
-
     /**
      * The maximum time from sending a request to a crash that it causes: such a request crashes the endpoint on start.
      */
     private static final long MAX_CAUSED_CRASH_DELAY_MILLIS = 1_000;
 
-    /** The maximum number of crashes stored; more make no difference. */
-    private static final int MAX_STORED_CRASHES = 8;
-
-    /**
-     * The length of the quarantine after the second, the third, the fourth and any later crash. A trial may cost an
-     * engine and the responses to its other requests; in the case for which this was built, these were 2 to 14
-     * requests. A request that has crashed three endpoints almost certainly crashes the fourth.
-     */
-    private static final long[] QUARANTINE_MILLIS = {
-        TimeUnit.MINUTES.toMillis(1),
-        TimeUnit.MINUTES.toMillis(10),
-        TimeUnit.HOURS.toMillis(2),
-        TimeUnit.HOURS.toMillis(24)
-    };
+    /** The maximum number of crashes stored. */
+    private static final int MAX_STORED_CRASHES = 16;
 
     /**
      * The time for which a request is kept after the last crash or after the end of its quarantine, in milliseconds.
@@ -54,7 +44,9 @@
 
     private final CrashCause cause;
     private final Map<Long, Crash> crashes = new LinkedHashMap<>();
+    private final Set<Long> counted = new HashSet<>();
     private int consecutiveCrashes;
+    private int failedTrials;
     private boolean allSoonAfterSending;
     private long lastCrashMillis = NEVER;
     private long triedAtMillis = NEVER;
@@ -73,41 +65,94 @@
         return cause;
     }
 
-    /** Adds crashes; returns whether at least one of them was not known. */
-    boolean addAll(List<EndpointCrash> reported, String reporter, long nowMillis) {
+    /**
+     * Adds crashes; returns whether anything of them was not known.
+     *
+     * @param reported the crashes
+     * @param reporter the router or store that reported them
+     * @param versions returns the software version of an endpoint by the hash of its id
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     */
+    boolean addAll(
+            List<EndpointCrash> reported, String reporter, LongFunction<SoftwareVersion> versions, long nowMillis) {
         boolean anyNew = false;
         for (EndpointCrash crash : reported) {
-            anyNew |= add(crash, reporter, nowMillis);
+            anyNew |= add(crash, reporter, versions, nowMillis);
         }
         return anyNew;
     }
 
-    private boolean add(EndpointCrash reported, String reporter, long nowMillis) {
-        if (crashes.size() >= MAX_STORED_CRASHES || crashes.containsKey(reported.endpointHash())) {
+    private boolean add(
+            EndpointCrash reported, String reporter, LongFunction<SoftwareVersion> versions, long nowMillis) {
+        Crash known = crashes.get(reported.endpointHash());
+        if (known != null && known.inProgressMillis <= reported.inProgressMillis()) {
             return false;
         }
-        long atMillis = nowMillis - reported.ageMillis();
-        crashes.put(reported.endpointHash(), new Crash(atMillis, reported.inProgressMillis()));
-        origin = reporter;
+        long atMillis = known == null ? nowMillis - reported.ageMillis() : known.atMillis;
+        SoftwareVersion version = known == null ? versions.apply(reported.endpointHash()) : known.version;
+        crashes.put(reported.endpointHash(), new Crash(atMillis, reported.inProgressMillis(), version));
         countConsecutive();
+        if (crashes.size() > MAX_STORED_CRASHES && dropOldest() == reported.endpointHash()) {
+            return false;
+        }
+        origin = reporter;
         return true;
     }
 
+    /**
+     * Drops the oldest crash that does not count because it is not consecutive, or the oldest one if all count. Returns
+     * the hash of its endpoint.
+     */
+    private long dropOldest() {
+        long dropped = crashes.entrySet().stream()
+                .min(Comparator.comparing((Map.Entry<Long, Crash> crash) -> counted.contains(crash.getKey()))
+                        .thenComparingLong(crash -> crash.getValue().atMillis))
+                .orElseThrow()
+                .getKey();
+        crashes.remove(dropped);
+        countConsecutive();
+        return dropped;
+    }
+
+    /**
+     * Removes the crashes of endpoints of a software version, because one of these began to answer a request with the
+     * feature. Returns whether this refutes all crashes; then they are kept for the log.
+     */
+    boolean refute(SoftwareVersion version) {
+        if (crashes.values().stream().allMatch(crash -> crash.refutedBy(version))) {
+            return true;
+        }
+        crashes.values().removeIf(crash -> crash.refutedBy(version));
+        countConsecutive();
+        return false;
+    }
+
     private void countConsecutive() {
+        counted.clear();
         consecutiveCrashes = 0;
+        failedTrials = 0;
         allSoonAfterSending = true;
         lastCrashMillis = NEVER;
-        List<Crash> inOrder = new ArrayList<>(crashes.values());
-        inOrder.sort(Comparator.comparingLong(Crash::atMillis));
-        for (Crash crash : inOrder) {
+        List<Map.Entry<Long, Crash>> inOrder = new ArrayList<>(crashes.entrySet());
+        inOrder.sort(Comparator.comparingLong(entry -> entry.getValue().atMillis));
+        for (Map.Entry<Long, Crash> entry : inOrder) {
+            Crash crash = entry.getValue();
             if (crash.sentAtMillis() >= lastCrashMillis) {
+                boolean afterQuarantine = crash.atMillis - lastCrashMillis >= CauseKind.minTrialIntervalMillis();
+                failedTrials += consecutiveCrashes > 0 && afterQuarantine ? 1 : 0;
                 consecutiveCrashes++;
+                counted.add(entry.getKey());
                 allSoonAfterSending &= crash.inProgressMillis <= MAX_CAUSED_CRASH_DELAY_MILLIS;
                 lastCrashMillis = crash.atMillis;
             }
         }
     }
 
+    /** Returns the software versions of the endpoints that crashed. */
+    Set<SoftwareVersion> versions() {
+        return crashes.values().stream().map(Crash::version).collect(Collectors.toSet());
+    }
+
     /** Records the time of a trial; returns whether the trial was not known. */
     boolean tried(long atMillis) {
         boolean isNew = atMillis - triedAtMillis > SAME_TRIAL_TOLERANCE_MILLIS;
@@ -148,7 +193,7 @@
      * Tells whether the crashes look as if the request caused them: at least two, each soon after the request was sent.
      */
     boolean looksCaused() {
-        return consecutiveCrashes >= MIN_CRASHES && allSoonAfterSending;
+        return consecutiveCrashes >= CauseKind.MIN_CRASHES_OF_REQUEST && allSoonAfterSending;
     }
 
     /** Tells whether the request has been refused because it counts as the cause of its crashes. */
@@ -180,10 +225,10 @@
         return other.crashes.keySet().containsAll(crashes.keySet());
     }
 
-    /** Returns the status of the request, given that it counts as the cause of its crashes. */
+    /** Returns the status of requests with the feature, given that it counts as the cause of its crashes. */
     QuarantineStatus status(long nowMillis) {
         long endMillis = quarantinedUntilMillis();
-        if (nowMillis < endMillis) {
+        if (nowMillis < endMillis || !cause.kind().mayBeTried(failedTrials)) {
             return QuarantineStatus.QUARANTINED;
         }
         boolean trialInProgress = triedAtMillis >= endMillis && nowMillis - triedAtMillis < TRIAL_TIMEOUT_MILLIS;
@@ -195,12 +240,9 @@
         return nowMillis > quarantinedUntilMillis() + RETENTION_MILLIS;
     }
 
-    private long quarantinedUntilMillis() {
-        if (consecutiveCrashes < MIN_CRASHES) {
-            return lastCrashMillis;
-        }
-        return lastCrashMillis
-                + QUARANTINE_MILLIS[Math.min(consecutiveCrashes - MIN_CRASHES, QUARANTINE_MILLIS.length - 1)];
+    /** Returns when the quarantine ends, on the monotonic clock in milliseconds. */
+    long quarantinedUntilMillis() {
+        return lastCrashMillis + cause.kind().quarantineMillis(consecutiveCrashes, failedTrials);
     }
 
     /** Returns the suspect to report to other routers or to write to the store. */
@@ -211,8 +253,12 @@
         return new Suspect(cause, reported, triedAtMillis == NEVER ? Suspect.NEVER_TRIED : nowMillis - triedAtMillis);
     }
 
-    /** A crash of an endpoint, and the time from sending the request to the crash. */
-    private record Crash(long atMillis, long inProgressMillis) {
+    /** A crash of an endpoint of a software version, and the time from sending the request to the crash. */
+    private record Crash(long atMillis, long inProgressMillis, SoftwareVersion version) {
+        private boolean refutedBy(SoftwareVersion answering) {
+            return !version.known() || version.sameAs(answering);
+        }
+
         private long sentAtMillis() {
             return atMillis - inProgressMillis;
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
@@ -1,92 +1,107 @@
 package org.radishpass.routing.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.function.LongFunction;
+import java.util.function.LongPredicate;
+import java.util.stream.Collectors;
+import org.radishpass.routing.fleet.SoftwareVersion;
 
 /**
- * Identifies requests that crash the endpoints that run them, and keeps these requests from further endpoints. Combines
- * the crashes that this router has seen with those that other routers report. Confined to the traffic thread.
+ * Identifies features of requests that crash the endpoints that run them, and keeps requests with such a feature from
+ * further endpoints. Combines the crashes that this router has seen with those that other routers report. Confined to
+ * the traffic thread.
  *
- * <p>When an endpoint crashes, every request in progress there is a suspect. A suspect that is sent again counts as the
- * cause after a second crash if both crashes came soon after the request was sent and if no other such suspect shares
- * them, and otherwise after a third crash. If the endpoints of the service crash often, more crashes are required. A
- * request that is answered is cleared at once at all routers, because a request that crashes its endpoints is never
- * answered. A quarantine is limited: after a time that grows with the number of crashes, the request is let through
- * once as a trial.
+ * <p>When an endpoint crashes, every request in progress there is a suspect, and so is every part of a prompt that the
+ * endpoint had not begun to answer. A request that is sent again counts as the cause after a second crash if both crashes
+ * came soon after the request was sent and if no other such suspect shares them, and otherwise after a third crash. A part
+ * of a prompt counts as the cause after a third crash. If the endpoints of the service crash often, more crashes are
+ * required. A request that is answered, and each part of a prompt that an endpoint begins to answer, is cleared at once
+ * at all routers. A quarantine is limited: after a time that grows, one request is let through as a trial.
  *
  * @since 0.5.0
  */
 public final class Quarantine {
-    /**
-     * The maximum number of suspects of one crash: the requests sent last, since the cause is among them. Few enough
-     * for a message of 1.4 KB.
-     */
-    static final int MAX_SUSPECTS_OF_CRASH = 32;
-
     private static final String THIS_ROUTER = "this router";
     private static final String STORE = "the store";
 
     private final SuspectRegistry suspects = new SuspectRegistry();
     private final CauseJudge judge = new CauseJudge(suspects);
-    private final Listener listener;
+    private final SuspectCollector collector = new SuspectCollector();
+    private final QuarantineListener listener;
     private SuspectListener suspectListener = SuspectListener.NONE;
-    private volatile int causeCount;
+    private volatile Map<CauseKind, Long> causeCounts = Map.of();
 
     /**
      * Creates a quarantine without suspects.
      *
      * @param listener receives changes in the status of requests
      */
-    public Quarantine(Listener listener) {
+    public Quarantine(QuarantineListener listener) {
         this.listener = listener;
     }
 
     /**
      * Sets the listener that receives what this router finds out itself, for other routers and for the store.
-     *
-     * @param newListener the listener
      */
     public void setSuspectListener(SuspectListener newListener) {
         suspectListener = newListener;
     }
 
+    /**
+     * Sets where the software versions of endpoints are known. What an endpoint answers proves nothing about the software
+     * of another version.
+     *
+     * @param versions returns the version of an endpoint by the hash of its id, or {@link SoftwareVersion#UNKNOWN}
+     * @since 0.11.0
+     */
+    public void endpointVersions(LongFunction<SoftwareVersion> versions) {
+        collector.endpointVersions(versions);
+    }
+
+    /**
+     * Sets how one of all routers is elected for a trial. Without it, this router makes all trials.
+     *
+     * @param elected tells for the hash of a trial whether this router is elected
+     * @since 0.11.0
+     */
+    public void trialElection(LongPredicate elected) {
+        judge.trialElection().elected(elected);
+    }
+
     /**
      * Records that an endpoint has crashed.
      *
      * @param service the service of the endpoint
      * @param endpointHash the hash of the endpoint's id
      * @param inProgress the requests that were in progress at the endpoint
+     * @param crashedAtMillis when the endpoint crashed, on the monotonic clock in milliseconds
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
     public void endpointCrashed(
-            String service, long endpointHash, Collection<InProgressRequest> inProgress, long nowMillis) {
-        judge.crashRate().crashed(service, inProgress.size(), nowMillis);
-        List<Suspect> newSuspects = inProgress.stream()
-                .sorted(Comparator.comparingLong(InProgressRequest::millis))
-                .limit(MAX_SUSPECTS_OF_CRASH)
-                .map(request -> suspect(request, endpointHash))
+            String service,
+            long endpointHash,
+            Collection<InProgressRequest> inProgress,
+            long crashedAtMillis,
+            long nowMillis) {
+        judge.countCrash(service, inProgress, nowMillis);
+        List<Suspect> newSuspects = collector.collect(inProgress, endpointHash, nowMillis - crashedAtMillis).stream()
                 .filter(suspect -> addLocalCrash(suspect, service, nowMillis))
                 .toList();
         newSuspects.forEach(suspect -> storeIfCause(suspect.cause(), nowMillis));
         publish(new SuspectReport(newSuspects, List.of()));
     }
 
-    private static Suspect suspect(InProgressRequest inProgress, long endpointHash) {
-        return new Suspect(
-                inProgress.request(),
-                List.of(new EndpointCrash(endpointHash, 0, inProgress.millis())),
-                Suspect.NEVER_TRIED);
-    }
-
     private boolean addLocalCrash(Suspect suspect, String service, long nowMillis) {
         CrashHistory history = suspects.findOrCreate(suspect.cause());
         history.service(service);
         history.seenLocally();
-        return history.addAll(suspect.crashes(), THIS_ROUTER, nowMillis);
+        return history.addAll(suspect.crashes(), THIS_ROUTER, collector::softwareVersion, nowMillis);
     }
 
-    /** Has the request written to the store if it counts as the cause and this router itself saw one of its crashes. */
+    /** Has a feature written to the store if it counts as a cause and this router itself saw one of its crashes. */
     private void storeIfCause(CrashCause cause, long nowMillis) {
         CrashHistory history = suspects.find(cause);
         if (history != null && history.wasSeenLocally() && judge.countsAsCause(history, nowMillis)) {
@@ -96,37 +111,71 @@
     }
 
     /**
-     * Records that a request was answered, which proves that the request is harmless.
+     * Records that a request was answered, which proves that the request as a whole is harmless.
      *
-     * @param cause the feature
+     * @param request the request
      * @param service the service that answered the request
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void answered(CrashCause cause, String service, long nowMillis) {
+    public void answered(RequestFingerprint request, String service, long nowMillis) {
         judge.crashRate().answered(service, nowMillis);
-        if (clear(cause)) {
-            publish(new SuspectReport(List.of(), List.of(cause)));
+        if (clear(request)) {
+            publish(new SuspectReport(List.of(), List.of(request)));
         }
     }
 
     /**
-     * Records that a request is being sent. If this is the trial of a quarantined request, other routers are told, so
+     * Records that an endpoint has begun to answer a prompt, which proves that the parts of the prompt are harmless for
+     * software of its version.
+     *
+     * @param parts the parts of the prompt
+     * @param service the service of the endpoint
+     * @param version the software version of the endpoint
+     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.11.0
+     */
+    public void responseBegan(
+            List<PromptPartFingerprint> parts, String service, SoftwareVersion version, long nowMillis) {
+        if (parts.isEmpty()) {
+            return;
+        }
+        judge.unansweredCrashRate().answered(service, nowMillis);
+        List<CrashCause> cleared = new ArrayList<>(0);
+        for (PromptPartFingerprint part : parts) {
+            collector.answered(part, version);
+            CrashHistory history = suspects.find(part);
+            if (history != null && history.refute(version)) {
+                clear(part);
+                cleared.add(part);
+            }
+        }
+        publish(new SuspectReport(List.of(), cleared));
+    }
+
+    /**
+     * Records that a request is being sent. If this is the trial of a quarantined feature, other routers are told, so
      * that they wait for the outcome.
      *
-     * @param cause the feature
+     * @param features the features of the request
      * @param nowMillis the time on the monotonic clock, in milliseconds
      */
-    public void sent(CrashCause cause, long nowMillis) {
-        CrashHistory history = suspects.find(cause);
-        if (history != null && status(history, nowMillis) == QuarantineStatus.ON_TRIAL) {
-            history.tried(nowMillis);
-            listener.tried(cause, history.consecutiveCrashes());
-            publish(new SuspectReport(List.of(history.toSuspect(nowMillis)), List.of()));
+    public void sent(RequestFeatures features, long nowMillis) {
+        if (suspects.size() == 0) {
+            return;
+        }
+        for (CrashCause cause : features.all()) {
+            CrashHistory history = suspects.find(cause);
+            if (history != null && judge.status(history, features, nowMillis) == QuarantineStatus.ON_TRIAL) {
+                history.tried(nowMillis);
+                listener.tried(cause, history.consecutiveCrashes());
+                publish(new SuspectReport(List.of(history.toSuspect(nowMillis)), List.of()));
+            }
         }
     }
 
     /**
-     * Merges the report of another router.
+     * Merges the report of another router. A part of a prompt that this router knows to be harmless is not suspected, and
+     * the other routers are told so.
      *
      * @param report the report
      * @param origin the name of the other router, for the log
@@ -134,16 +183,24 @@
      * @return the part of the report that was not known
      */
     public SuspectReport merge(SuspectReport report, String origin, long nowMillis) {
-        List<Suspect> newSuspects = report.suspects().stream()
-                .filter(suspect -> merge(suspect, origin, nowMillis))
-                .toList();
+        List<CrashCause> refuted = new ArrayList<>(0);
+        List<Suspect> newSuspects = new ArrayList<>(report.suspects().size());
+        for (Suspect suspect : report.suspects()) {
+            Suspect credible = collector.withoutRefutedCrashes(suspect);
+            if (credible.crashes().isEmpty()) {
+                refuted.add(suspect.cause());
+            } else if (merge(credible, origin, nowMillis)) {
+                newSuspects.add(credible);
+            }
+        }
+        publish(new SuspectReport(List.of(), refuted));
         return new SuspectReport(
                 newSuspects, report.cleared().stream().filter(this::clear).toList());
     }
 
     private boolean merge(Suspect suspect, String origin, long nowMillis) {
         CrashHistory history = suspects.findOrCreate(suspect.cause());
-        boolean changed = history.addAll(suspect.crashes(), origin, nowMillis);
+        boolean changed = history.addAll(suspect.crashes(), origin, collector::softwareVersion, nowMillis);
         if (changed) {
             storeIfCause(suspect.cause(), nowMillis);
         }
@@ -154,8 +211,8 @@
     }
 
     /**
-     * Merges the suspects read from the store. This router removes a suspect from the store if its request turns out to
-     * be harmless.
+     * Merges the suspects read from the store. This router removes a suspect from the store if it turns out to be
+     * harmless.
      *
      * @param stored the suspects in the store
      * @param nowMillis the time on the monotonic clock, in milliseconds
@@ -176,45 +233,53 @@
     }
 
     /**
-     * Returns the status of a request, which decides whether and how the request may be sent now.
+     * Decides whether and how a request may be sent now. The feature with the most restrictive status decides.
      *
-     * @param cause the feature
+     * @param features the features of the request
      * @param service the service to which the request is to be sent
      * @param nowMillis the time on the monotonic clock, in milliseconds
+     * @since 0.11.0
      */
-    public QuarantineStatus status(CrashCause cause, String service, long nowMillis) {
-        CrashHistory history = suspects.find(cause);
-        if (history == null || history.expired(nowMillis)) {
-            return QuarantineStatus.CLEAR;
+    public QuarantineDecision decide(RequestFeatures features, String service, long nowMillis) {
+        QuarantineDecision decision = QuarantineDecision.CLEAR;
+        if (suspects.size() == 0) {
+            return decision;
         }
-        history.service(service);
-        QuarantineStatus status = status(history, nowMillis);
-        if (status == QuarantineStatus.QUARANTINED && !history.refused()) {
-            history.markRefused();
-            listener.quarantined(cause, history.consecutiveCrashes(), history.origin());
+        for (CrashCause cause : features.all()) {
+            CrashHistory history = suspects.find(cause);
+            if (history == null || history.expired(nowMillis)) {
+                continue;
+            }
+            history.service(service);
+            QuarantineStatus status = judge.status(history, features, nowMillis);
+            if (status.compareTo(decision.status()) > 0) {
+                decision = new QuarantineDecision(status, cause, history.quarantinedUntilMillis());
+            }
+            if (status == QuarantineStatus.QUARANTINED && !history.refused()) {
+                history.markRefused();
+                listener.quarantined(cause, history.consecutiveCrashes(), history.origin());
+            }
         }
-        return status;
-    }
-
-    private QuarantineStatus status(CrashHistory history, long nowMillis) {
-        return judge.countsAsCause(history, nowMillis) ? history.status(nowMillis) : QuarantineStatus.SUSPECTED;
+        return decision;
     }
 
     /**
-     * Returns the number of requests that counted as a cause of crashes at the last {@link #tidy}; callable from any
+     * Returns the number of features that counted as a cause of crashes at the last {@link #tidy}; callable from any
      * thread.
+     *
+     * @param kind the kind of features
      */
-    public int causeCount() {
-        return causeCount;
+    public int causeCount(CauseKind kind) {
+        return causeCounts.getOrDefault(kind, 0L).intValue();
     }
 
-    /** Removes expired suspects and counts the requests that are quarantined or awaiting a trial. */
+    /** Removes expired suspects and counts the features that are quarantined or awaiting a trial. */
     public void tidy(long nowMillis) {
         suspects.removeIf(history -> history.expired(nowMillis));
-        judge.crashRate().tidy(nowMillis);
-        causeCount = (int) suspects.all().stream()
+        judge.tidy(nowMillis);
+        causeCounts = suspects.all().stream()
                 .filter(history -> judge.countsAsCause(history, nowMillis))
-                .count();
+                .collect(Collectors.groupingBy(history -> history.cause().kind(), Collectors.counting()));
     }
 
     private boolean clear(CrashCause cause) {
@@ -222,6 +287,9 @@
         if (cleared == null) {
             return false;
         }
+        if (cause instanceof PromptPartFingerprint part) {
+            cleared.versions().forEach(version -> collector.answered(part, version));
+        }
         if (cleared.refused()) {
             listener.cleared(cause, cleared.consecutiveCrashes());
         }
@@ -236,16 +304,4 @@
             suspectListener.found(report);
         }
     }
-
-    /** Receives changes in the status of requests. */
-    public interface Listener {
-        /** Called when this router refuses a request for the first time because the request crashes its endpoints. */
-        void quarantined(CrashCause cause, int crashes, String origin);
-
-        /** Called when a quarantined request is let through once as a trial. */
-        void tried(CrashCause cause, int crashes);
-
-        /** Called when a request that this router had quarantined was answered, at this router or another. */
-        void cleared(CrashCause cause, int crashes);
-    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFeatures.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/RequestFeatures.java
@@ -1,5 +1,6 @@
 package org.radishpass.routing.quarantine;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -17,4 +18,17 @@
     public RequestFeatures {
         parts = List.copyOf(parts);
     }
+
+    /** Returns all features. */
+    Iterable<CrashCause> all() {
+        List<CrashCause> all = new ArrayList<>(1 + parts.size());
+        all.add(request);
+        all.addAll(parts);
+        return all;
+    }
+
+    /** Tells whether a request with these features has another feature. */
+    boolean include(CrashCause cause) {
+        return request.equals(cause) || parts.contains(cause);
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.reachability.PartitionTable;
 
@@ -67,6 +68,19 @@
         return !knownHosts.isEmpty();
     }
 
+    /**
+     * Tells whether a router ranks first for a key, by rendezvous hashing over itself and the others that are not suspected to
+     * be down.
+     *
+     * @param key the hash of the key
+     * @param id the id of the router
+     * @since 0.11.0
+     */
+    public boolean ranksFirst(long key, String id) {
+        long rank = Rendezvous.mix(key, Rendezvous.hash(id));
+        return live.stream().noneMatch(router -> Rendezvous.mix(key, Rendezvous.hash(router.id())) > rank);
+    }
+
     /** Tells whether a router with the given host is known. */
     boolean knownHost(String host) {
         return knownHosts.contains(host);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -212,7 +212,7 @@
         recordFirstEvent();
         relay.relayContent(part);
         if (relay.started()) {
-            responseBegan = true;
+            recordResponseBegan();
             owner.responseStarted(this);
         }
         if (connection != null && !caller.writable()) {
@@ -241,6 +241,7 @@
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
             health().succeeded();
         }
+        recordResponseBegan();
         owner.responseCompleted(this, status);
     }
 
@@ -298,6 +299,19 @@
         firstEventReceived = true;
     }
 
+    /** Records that the endpoint runs the prompt, of which an error is no proof. */
+    private void recordResponseBegan() {
+        if (!responseBegan && status < HttpResponseStatus.BAD_REQUEST.code()) {
+            responseBegan = true;
+            context.quarantine()
+                    .responseBegan(
+                            record.features().parts(),
+                            endpoint.service(),
+                            endpoint.softwareVersion(),
+                            context.nowMillis());
+        }
+    }
+
     private void recordFailure() {
         if (health().failed(context.nowMillis())) {
             context.requestLog().endpointFailing(endpoint);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
@@ -6,8 +6,6 @@
 
 /** Decides what is done next with one request that is at no endpoint: at its start, and after each failed attempt. */
 final class AttemptPlanner {
-    private static final NextStep QUARANTINED =
-            new NextStep.GiveUp(RefusalCode.QUARANTINED, "endpoints end when they run this request");
     private static final NextStep NO_ENDPOINT =
             new NextStep.GiveUp(RefusalCode.NO_ENDPOINT, "no endpoint of the service is left to try");
     private static final NextStep ORIGIN_GONE = new NextStep.GiveUp(
@@ -48,7 +46,7 @@
     NextStep next(
             RequestTerms terms, QuarantineGuard quarantineGuard, BackoffWait backoffWait, boolean responseStarted) {
         if (!quarantineGuard.admitted()) {
-            return QUARANTINED;
+            return quarantineGuard.refusal();
         }
         if (!context.filter().originServes(terms)) {
             return ORIGIN_GONE;
@@ -93,9 +91,4 @@
         capacityGuard.refused(terms);
         return new NextStep.GiveUp(RefusalCode.OVERLOADED, detail);
     }
-
-    /** Returns the step for a request that is quarantined. */
-    NextStep quarantined() {
-        return QUARANTINED;
-    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointExitDetector.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointExitDetector.java
@@ -83,7 +83,7 @@
         List<InProgressRequest> unreported = List.copyOf(failures.requests);
         failures.requests.clear();
         if (!unreported.isEmpty()) {
-            listener.endpointExited(endpoint, unreported);
+            listener.endpointExited(endpoint, unreported, failures.firstAtMillis);
         }
     }
 
@@ -93,8 +93,12 @@
         /**
          * Called when an endpoint has exited with these requests in flight. Called again for requests whose responses
          * fail after the first call.
+         *
+         * @param endpoint the endpoint
+         * @param inFlightRequests the requests
+         * @param exitedAtMillis when the exit was first noticed, on the monotonic clock in milliseconds
          */
-        void endpointExited(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests);
+        void endpointExited(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis);
     }
 
     /** The failures at one endpoint within the correlation period. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -13,7 +13,6 @@
 import org.radishpass.routing.dialect.ForwardingHeaders;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.placement.PlacementChoice;
-import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.stream.StreamOrigin;
 
 /**
@@ -64,7 +63,7 @@
         RelayPlanner relayPlanner = new RelayPlanner(context, prepared.relayed());
         this.planner = new AttemptPlanner(context, record, history, relayPlanner);
         this.relayed = new RelayedExchange(context, caller, record, history, relayPlanner, this);
-        this.quarantineGuard = new QuarantineGuard(context, RequestFingerprint.UNKNOWN, terms.service());
+        this.quarantineGuard = new QuarantineGuard(context, record);
         context.exchanges().add(this);
     }
 
@@ -86,7 +85,7 @@
             refusal.refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.OTHER_ROUTER.header());
             return;
         }
-        quarantineGuard = new QuarantineGuard(context, record.features().request(), terms.service());
+        quarantineGuard = new QuarantineGuard(context, record);
         if (!prepared.relayed()) {
             context.retryBudget().requested(terms.service(), context.nowMillis());
         }
@@ -321,7 +320,7 @@
             deadlineExpired();
         } else if (!quarantineGuard.admitted()) {
             withdrawAttempt();
-            perform(planner.quarantined());
+            perform(quarantineGuard.refusal());
         } else if (!context.placer().stillEligible(terms, endpoint)) {
             withdrawAttempt();
             record.attemptEnded("the endpoint accepts no new requests");
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -11,6 +11,7 @@
 import org.radishpass.routing.framing.ResponseEnd;
 import org.radishpass.routing.placement.PlacementChoice;
 import org.radishpass.routing.quarantine.InProgressRequest;
+import org.radishpass.routing.quarantine.QuarantineDecision;
 import org.radishpass.routing.quarantine.RequestFeatures;
 import org.radishpass.routing.stream.OriginSource;
 import org.radishpass.routing.stream.StreamOrigin;
@@ -28,6 +29,7 @@
     private final List<RecordedAttempt> attempts = new ArrayList<>(1);
     private String requestId = "";
     private RequestFeatures features = RequestFeatures.UNKNOWN;
+    private QuarantineDecision quarantine = QuarantineDecision.CLEAR;
     private long configurationVersion;
     private long configurationAgeMillis;
     private RequestTerms terms = RequestTerms.UNKNOWN;
@@ -131,6 +133,21 @@
         this.features = newFeatures;
     }
 
+    /** Records why the request is quarantined. */
+    void quarantined(QuarantineDecision decision) {
+        quarantine = decision;
+    }
+
+    /** Returns the feature for which the request was refused as written to the log; empty if it was not. */
+    String causeText() {
+        return quarantine.cause().map(Object::toString).orElse("");
+    }
+
+    /** Returns when the quarantine ends for which the request was refused, on the monotonic clock in milliseconds. */
+    long quarantinedUntilMillis() {
+        return quarantine.untilMillis();
+    }
+
     RequestFeatures features() {
         return features;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
@@ -68,6 +68,9 @@
                 return RetryDelay.header(untilMillis.getAsLong(), terms.remainingMillis(context.nowMillis()));
             }
         }
+        if (code == RefusalCode.QUARANTINED) {
+            return RetryDelay.quarantineHeader(record.quarantinedUntilMillis() - context.nowMillis());
+        }
         return RetryDelay.of(code).header();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -10,12 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import net.logstash.logback.argument.StructuredArgument;
 import org.radishpass.routing.admission.AdmissionRefusal;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.InProgressRequest;
-import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.quarantine.QuarantineListener;
 import org.radishpass.routing.reachability.ExitCorroboration;
 import org.radishpass.routing.stream.StreamOrigin;
 import org.slf4j.Logger;
@@ -26,7 +27,7 @@
  * second is limited; beyond the first limit only unsuccessful requests are logged. The number of suppressed lines is
  * logged as well. Confined to the traffic event loop.
  */
-final class RequestLog implements Quarantine.Listener {
+final class RequestLog implements QuarantineListener {
     private static final Logger LOG = LoggerFactory.getLogger("org.radishpass.routing.requests");
 
     /**
@@ -130,6 +131,7 @@
                 kv("service", record.terms().service()),
                 kv("fingerprint", record.features().request().toString()),
                 kv("parts", record.loggedParts()),
+                kv("cause", record.causeText()),
                 kv("urgency", record.terms().urgency()),
                 kv("share", record.shareText()),
                 kv("resumes", Objects.requireNonNullElse(record.terms().resumedRequestId(), "")),
@@ -209,11 +211,13 @@
     @Override
     public void quarantined(CrashCause cause, int count, String origin) {
         LOG.warn(
-                "request {} is quarantined and refused from now on: {} endpoints exited while executing it, the last reported by {}",
+                "{} {} is quarantined; requests with it are refused from now on: {} endpoints exited one after the other while"
+                        + " executing them, the last reported by {}",
+                cause.kind().text(),
                 cause,
                 count,
                 origin,
-                LogEvent.REQUEST_QUARANTINED.field(),
+                event(cause, LogEvent.REQUEST_QUARANTINED, LogEvent.PART_QUARANTINED),
                 kv("fingerprint", cause.toString()),
                 kv("ends", count));
     }
@@ -221,10 +225,11 @@
     @Override
     public void tried(CrashCause cause, int count) {
         LOG.warn(
-                "testing quarantined request {} at one endpoint; {} endpoints exited while executing it",
+                "testing quarantined {} {} with one request at one endpoint; {} endpoints exited while executing such requests",
+                cause.kind().text(),
                 cause,
                 count,
-                LogEvent.REQUEST_TRIED.field(),
+                event(cause, LogEvent.REQUEST_TRIED, LogEvent.PART_TRIED),
                 kv("fingerprint", cause.toString()),
                 kv("ends", count));
     }
@@ -232,14 +237,22 @@
     @Override
     public void cleared(CrashCause cause, int count) {
         LOG.info(
-                "request {} was answered and is no longer suspected of crashing endpoints; {} endpoints exited while executing it",
+                "{} {} was answered and is no longer suspected of crashing endpoints; {} endpoints exited while executing it",
+                cause.kind().text(),
                 cause,
                 count,
-                LogEvent.REQUEST_CLEARED.field(),
+                event(cause, LogEvent.REQUEST_CLEARED, LogEvent.PART_CLEARED),
                 kv("fingerprint", cause.toString()),
                 kv("ends", count));
     }
 
+    private static StructuredArgument event(CrashCause cause, LogEvent ofRequest, LogEvent ofPart) {
+        return switch (cause.kind()) {
+            case REQUEST -> ofRequest.field();
+            case PROMPT_PART -> ofPart.field();
+        };
+    }
+
     void endpointLeaving(ServiceEndpoint endpoint) {
         LOG.info(
                 "endpoint {} at {} is draining, as its response states; it receives no new requests",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryDelay.java
@@ -59,6 +59,15 @@
         return withJitter(Math.max(untilMillis, OVERLOADED.millis));
     }
 
+    /**
+     * Returns the value of the Retry-After header for a request that is quarantined.
+     *
+     * @param untilMillis the milliseconds until the end of the quarantine; after it, one other request is tried first
+     */
+    static String quarantineHeader(long untilMillis) {
+        return withJitter(Math.max(untilMillis, QUARANTINED.millis));
+    }
+
     /**
      * Returns the value of the Retry-After header if the time is known at which a service that is full accepts requests
      * again.
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -11,6 +11,7 @@
 import org.radishpass.routing.admission.UsualTimeouts;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
+import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.health.EndpointHealthTracker;
 import org.radishpass.routing.health.ResponseTimes;
 import org.radishpass.routing.load.InFlightTracker;
@@ -117,6 +118,8 @@
         this.retryBudget = retryBudget;
         this.requestLog = requestLog;
         this.quarantine = new Quarantine(requestLog);
+        this.quarantine.endpointVersions(this::softwareVersion);
+        this.quarantine.trialElection(trial -> relay.peers().ranksFirst(trial, relay.routerId()));
         this.listener = listener;
         this.arrivalQueue = new ArrivalQueue(
                 iteration -> {
@@ -237,27 +240,27 @@
      * Handles what looks like the exit of an endpoint. If there are other routers, it counts at once only if this router's
      * links work and no other has requests in flight there; otherwise their next reports are awaited.
      */
-    private void exitDetected(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
+    private void exitDetected(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis) {
         if (!relay.peers().anyKnown()) {
-            endpointExited(endpoint, inFlightRequests);
+            endpointExited(endpoint, inFlightRequests, exitedAtMillis);
             return;
         }
         prober.checkOwnLinks(endpoint, linksWork -> {
             if (linksWork && exitCorroboration.contradiction(endpoint) == ExitCorroboration.Contradiction.NONE) {
-                endpointExited(endpoint, inFlightRequests);
+                endpointExited(endpoint, inFlightRequests, exitedAtMillis);
                 return;
             }
             var unused = loop.schedule(
-                    () -> decideExit(endpoint, inFlightRequests),
+                    () -> decideExit(endpoint, inFlightRequests, exitedAtMillis),
                     ExitCorroboration.DELAY_MILLIS,
                     TimeUnit.MILLISECONDS);
         });
     }
 
-    private void decideExit(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
+    private void decideExit(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis) {
         ExitCorroboration.Contradiction contradiction = exitCorroboration.contradiction(endpoint);
         if (contradiction == ExitCorroboration.Contradiction.NONE) {
-            endpointExited(endpoint, inFlightRequests);
+            endpointExited(endpoint, inFlightRequests, exitedAtMillis);
         } else {
             requestLog.exitContradicted(endpoint, contradiction);
         }
@@ -267,13 +270,24 @@
      * Handles the exit of an endpoint. The exit of an endpoint that had announced that it is leaving is regular, and
      * does not make the requests in flight there suspicious.
      */
-    private void endpointExited(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests) {
+    private void endpointExited(
+            ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis) {
         requestLog.endpointExited(endpoint, inFlightRequests);
         if (!filter().leaving(endpoint)) {
-            quarantine.endpointCrashed(endpoint.service(), endpoint.hash(), inFlightRequests, nowMillis());
+            quarantine.endpointCrashed(
+                    endpoint.service(), endpoint.hash(), inFlightRequests, exitedAtMillis, nowMillis());
         }
     }
 
+    /** Returns the software version of a listed endpoint by the hash of its id. */
+    private SoftwareVersion softwareVersion(long endpointHash) {
+        return view().directory().all().stream()
+                .filter(endpoint -> endpoint.hash() == endpointHash)
+                .findAny()
+                .map(ServiceEndpoint::softwareVersion)
+                .orElse(SoftwareVersion.UNKNOWN);
+    }
+
     /** Combines what the parts of this router observe; each part supplies one of the lists. */
     private FleetObservations ownObservations(long nowMillis) {
         List<ServiceDemand> demand = shareGuard.demand(nowMillis);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/CrashingPromptPartTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/CrashingPromptPartTest.java
@@ -61,10 +61,10 @@
         startFleet();
         for (int arrival = 0; arrival < ARRIVALS; arrival++) {
             String sharedParts = "a0,b" + arrival % 2;
-            send(arrival % ROUTERS, kind, arrival, sharedParts + ',' + CRASHING_PART + ",d" + arrival);
+            send(arrival % ROUTERS, kind, "crashing" + arrival, sharedParts + ',' + CRASHING_PART + ",d" + arrival);
             for (int router = 0; router < ROUTERS; router++) {
-                String response =
-                        send(router, RequestKind.IDEMPOTENT, arrival, sharedParts + ",e" + arrival + '-' + router);
+                String response = send(
+                        router, RequestKind.IDEMPOTENT, "sound" + arrival, sharedParts + ",e" + arrival + '-' + router);
                 assertThat(response).startsWith("HTTP/1.1 200");
             }
             Thread.sleep(ARRIVAL_INTERVAL_MILLIS);
@@ -73,10 +73,10 @@
     }
 
     /** Sends a request whose prompt has the given parts; returns the head of the response. */
-    private String send(int router, RequestKind kind, int number, String parts) throws IOException {
+    private String send(int router, RequestKind kind, String id, String parts) throws IOException {
         try (TestCaller caller = fleet.caller(router)) {
-            return caller.send("POST " + LoopbackFleet.path(kind) + number + " HTTP/1.1\r\nHost: api\r\n"
-                            + PlainDialect.ID + ": r" + number + "\r\n" + PlainDialect.PROMPT + ": " + parts
+            return caller.send("POST " + LoopbackFleet.path(kind) + id + " HTTP/1.1\r\nHost: api\r\n"
+                            + PlainDialect.ID + ": " + id + "\r\n" + PlainDialect.PROMPT + ": " + parts
                             + "\r\nContent-Length: 0\r\n\r\n")
                     .readUntil("\r\n\r\n");
         }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualSuspects.java
@@ -3,10 +3,14 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.InProgressRequest;
+import org.radishpass.routing.quarantine.PromptPartFingerprint;
 import org.radishpass.routing.quarantine.Quarantine;
+import org.radishpass.routing.quarantine.QuarantineListener;
 import org.radishpass.routing.quarantine.QuarantineStatus;
+import org.radishpass.routing.quarantine.RequestFeatures;
 import org.radishpass.routing.quarantine.RequestFingerprint;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.quarantine.SuspectExchange;
@@ -17,7 +21,7 @@
  * Simulates the part of a router's traffic side that deals with requests that are suspected of crashing their
  * endpoints.
  */
-final class VirtualSuspects implements SuspectExchange, Quarantine.Listener {
+final class VirtualSuspects implements SuspectExchange, QuarantineListener {
     private static final String SERVICE = "orders";
 
     private final LongSupplier clock;
@@ -30,7 +34,30 @@
     /** Simulates an endpoint that ends 100 ms after this router sent it a request. */
     void endedUnder(RequestFingerprint request, long endpointHash) {
         quarantine.endpointCrashed(
-                SERVICE, endpointHash, List.of(new InProgressRequest(request, 100)), clock.getAsLong());
+                SERVICE,
+                endpointHash,
+                List.of(new InProgressRequest(request, 100)),
+                clock.getAsLong(),
+                clock.getAsLong());
+    }
+
+    /** Simulates an endpoint that ends 100 ms after this router sent it a request with a part in its prompt. */
+    void endedUnder(PromptPartFingerprint part, RequestFingerprint request, long endpointHash) {
+        long nowMillis = clock.getAsLong();
+        InProgressRequest inProgress = new InProgressRequest(request, 100, List.of(part));
+        quarantine.endpointCrashed(SERVICE, endpointHash, List.of(inProgress), nowMillis, nowMillis);
+    }
+
+    /** Simulates the beginning of an answer to a prompt with a part. */
+    void answered(PromptPartFingerprint part) {
+        quarantine.responseBegan(List.of(part), SERVICE, SoftwareVersion.UNKNOWN, clock.getAsLong());
+    }
+
+    /** Returns the status of a request with a part in its prompt. */
+    QuarantineStatus status(PromptPartFingerprint part, RequestFingerprint request) {
+        return quarantine
+                .decide(new RequestFeatures(request, List.of(part)), SERVICE, clock.getAsLong())
+                .status();
     }
 
     /** Simulates an answer to a request at this router. */
@@ -39,7 +66,9 @@
     }
 
     QuarantineStatus status(RequestFingerprint request) {
-        return quarantine.status(request, SERVICE, clock.getAsLong());
+        return quarantine
+                .decide(new RequestFeatures(request, List.of()), SERVICE, clock.getAsLong())
+                .status();
     }
 
     @Override
--- a/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/HarmlessRequestsTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/HarmlessRequestsTest.java
@@ -68,7 +68,7 @@
         private final PriorityQueue<Step> steps =
                 new PriorityQueue<>(Comparator.comparingLong(Step::atMillis).thenComparingLong(Step::order));
         private final List<Engine> engines = new ArrayList<>();
-        private final Quarantine quarantine = new Quarantine(new Quarantine.Listener() {
+        private final Quarantine quarantine = new Quarantine(new QuarantineListener() {
             @Override
             public void quarantined(CrashCause cause, int crashes, String origin) {
                 // refusals are counted in arrive()
@@ -120,7 +120,8 @@
 
         private void arrive(Request request) {
             requests += request.poison ? 0 : 1;
-            if (!quarantine.status(request.fingerprint, SERVICE, nowMillis).admitted()) {
+            RequestFeatures features = new RequestFeatures(request.fingerprint, List.of());
+            if (!quarantine.decide(features, SERVICE, nowMillis).status().admitted()) {
                 refused += request.poison ? 0 : 1;
                 repeat(request);
                 return;
@@ -129,7 +130,7 @@
                 repeat(request);
                 return;
             }
-            quarantine.sent(request.fingerprint, nowMillis);
+            quarantine.sent(features, nowMillis);
             Engine engine = engines.get(random.nextInt(engines.size()));
             Run run = new Run(request, nowMillis);
             engine.runs.add(run);
@@ -169,6 +170,7 @@
                     broken.stream()
                             .map(run -> new InProgressRequest(run.request.fingerprint, nowMillis - run.sentAtMillis))
                             .toList(),
+                    nowMillis,
                     nowMillis);
             broken.forEach(run -> repeat(run.request));
             schedule(RESTART_MILLIS, () -> engines.add(new Engine(startedEngines++)));
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointExitDetectorTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/EndpointExitDetectorTest.java
@@ -22,7 +22,7 @@
 
     private final List<String> reported = new ArrayList<>();
     private final EndpointExitDetector detector =
-            new EndpointExitDetector((endpoint, inFlightRequests) -> inFlightRequests.forEach(request ->
+            new EndpointExitDetector((endpoint, inFlightRequests, exitedAtMillis) -> inFlightRequests.forEach(request ->
                     reported.add(endpoint.id() + " " + request.request().body() + " " + request.millis())));
 
     @Test
