RoutedRouterTest: the patience of a test does not depend on how fast requests are answered

The test sends up to 20,000 requests without a pause until the status is as expected; a warm router answers these in less time than it takes to read the store again while waiting for changes hangs. Each attempt is followed by a millisecond of pause now, so that the same number of attempts lasts 20 s at least. What is expected is unchanged.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/RoutedRouterTest.java
@@ -33,6 +33,7 @@
 final class RoutedRouterTest {
     private static final String SERVICE = "service";
     private static final int MAX_ATTEMPTS = 20_000;
+    private static final long ATTEMPT_INTERVAL_MILLIS = 1;
 
     private final FakeStore store = new FakeStore();
     private final LoopResources loops = LoopResources.create("test", 2, 2, true, false);
@@ -152,7 +153,7 @@
         }
     }
 
-    private static void awaitStatus(int port, String path, int status) throws IOException {
+    private static void awaitStatus(int port, String path, int status) throws Exception {
         String answer = "";
         try (TestCaller caller = new TestCaller(port)) {
             for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
@@ -161,6 +162,7 @@
                 if (answer.startsWith("HTTP/1.1 " + status)) {
                     return;
                 }
+                Thread.sleep(ATTEMPT_INTERVAL_MILLIS);
             }
         }
         assertThat(answer).startsWith("HTTP/1.1 " + status);
