--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CauseKind.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CauseKind.java
@@ -25,6 +25,11 @@
         boolean mayBeTried(int failedTrials) {
             return true;
         }
+
+        @Override
+        long toleranceMillis(long inProgressMillis) {
+            return 0;
+        }
     },
     /**
      * A part of a prompt, which different requests share. Many of them may be in progress before the part is quarantined,
@@ -40,6 +45,11 @@
         boolean mayBeTried(int failedTrials) {
             return failedTrials < MAX_FAILED_TRIALS;
         }
+
+        @Override
+        long toleranceMillis(long inProgressMillis) {
+            return Math.min(MAX_TOLERANCE_MILLIS, inProgressMillis / 2);
+        }
     };
 
     /** The minimum number of consecutive crashes for a quarantine of a request. */
@@ -48,6 +58,13 @@
     /** The maximum number of trials of a part that crash an endpoint. */
     private static final int MAX_FAILED_TRIALS = 2;
 
+    /**
+     * The maximum tolerance, in milliseconds: the difference between the times that messages take within a region.
+     * Crashes at the same moment, as of a rack, are not mistaken for consecutive ones as long as the tolerance is only a
+     * part of the time for which requests are in progress.
+     */
+    private static final long MAX_TOLERANCE_MILLIS = 100;
+
     /** The quarantine of a request after the second, the third, the fourth and any later crash. */
     private static final long[] REQUEST_PAUSES_MILLIS = {
         TimeUnit.MINUTES.toMillis(1),
@@ -80,6 +97,14 @@
     /** Tells whether a request may be sent as a trial after the quarantine. */
     abstract boolean mayBeTried(int failedTrials);
 
+    /**
+     * Returns by how much a request may seem to have been sent before the previous crash, in milliseconds, and still
+     * count as sent after it. Crashes that different routers report are known to within the time of a message.
+     *
+     * @param inProgressMillis the time from sending the request to its crash, in milliseconds
+     */
+    abstract long toleranceMillis(long inProgressMillis);
+
     /** Returns the shortest time between a crash and the crash of the trial that follows, in milliseconds. */
     static long minTrialIntervalMillis() {
         return PART_PAUSES_MILLIS[0];
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
@@ -137,7 +137,8 @@
         inOrder.sort(Comparator.comparingLong(entry -> entry.getValue().atMillis));
         for (Map.Entry<Long, Crash> entry : inOrder) {
             Crash crash = entry.getValue();
-            if (crash.sentAtMillis() >= lastCrashMillis) {
+            long toleranceMillis = cause.kind().toleranceMillis(crash.inProgressMillis);
+            if (crash.sentAtMillis() + toleranceMillis >= lastCrashMillis) {
                 boolean afterQuarantine = crash.atMillis - lastCrashMillis >= CauseKind.minTrialIntervalMillis();
                 failedTrials += consecutiveCrashes > 0 && afterQuarantine ? 1 : 0;
                 consecutiveCrashes++;
