A harmless request at the exits that a part causes is not refused for them

Callers that poll send equal requests; one of them may be in progress wherever a part crashes an endpoint. A request that lacks a suspected part with the same exits is not refused on their account, as with parts among each other; and a whole request explains the exits of a part only if the part is in its own prompt. PromptPartQuarantineTest.aHarmlessRequestInProgressAtCrashesOfAPartIsNotRefused failed before.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CauseJudge.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CauseJudge.java
@@ -83,17 +83,24 @@
     /**
      * Tells whether a feature that counts as a cause is to be blamed for a request that has it. Another suspect that
      * was in progress at all of its crashes may be the cause instead, so a request that lacks that other suspect is not
-     * affected. A whole request is such a suspect only if it counts as a cause itself.
+     * affected.
      */
     private boolean appliesTo(CrashHistory history, RequestFeatures features, long nowMillis) {
-        return history.cause().kind() == CauseKind.REQUEST
-                || suspects.all().stream()
-                        .filter(other ->
-                                other.cause().workspace() == history.cause().workspace())
-                        .filter(history::allCrashesSharedWith)
-                        .filter(other ->
-                                other.cause().kind() == CauseKind.PROMPT_PART || countsAsCause(other, nowMillis))
-                        .allMatch(other -> features.include(other.cause()));
+        return suspects.all().stream()
+                .filter(other -> other.cause().workspace() == history.cause().workspace())
+                .filter(history::allCrashesSharedWith)
+                .filter(other -> mayExplain(other, history, nowMillis))
+                .allMatch(other -> features.include(other.cause()));
+    }
+
+    /**
+     * Tells whether a suspect may be the cause of the crashes of another at which it was in progress. Two requests are
+     * told apart by {@link #hasDistinctCrashes}. A whole request explains the crashes of a part of its own prompt if it
+     * counts as a cause itself.
+     */
+    private boolean mayExplain(CrashHistory other, CrashHistory history, long nowMillis) {
+        return other.cause().kind() == CauseKind.PROMPT_PART
+                || (other.promptContains(history.cause()) && countsAsCause(other, nowMillis));
     }
 
     private boolean requestCountsAsCause(CrashHistory history, long nowMillis) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
@@ -53,6 +53,7 @@
     private boolean seenLocally;
     private boolean refused;
     private boolean stored;
+    private List<PromptPartFingerprint> promptParts = List.of();
     private String service = "";
     private String origin = "";
 
@@ -216,6 +217,16 @@
         service = name;
     }
 
+    /** Sets the parts of the prompt of the request whose history this is, as far as this router has received it. */
+    void promptParts(List<PromptPartFingerprint> parts) {
+        promptParts = parts;
+    }
+
+    /** Tells whether this is the history of a request whose prompt is known to contain a part. */
+    boolean promptContains(CrashCause part) {
+        return promptParts.contains(part);
+    }
+
     /** Returns the origin of the last crash added: this router, another router or the store. */
     String origin() {
         return origin;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
@@ -51,10 +51,9 @@
     }
 
     /**
-     * Sets where the software versions of endpoints are known. What an endpoint answers proves nothing about the software
-     * of another version.
+     * Sets what returns the software version of an endpoint by the hash of its id, or {@link SoftwareVersion#UNKNOWN}.
+     * What an endpoint answers proves nothing about the software of another version.
      *
-     * @param versions returns the version of an endpoint by the hash of its id, or {@link SoftwareVersion#UNKNOWN}
      * @since 0.11.0
      */
     public void endpointVersions(LongFunction<SoftwareVersion> versions) {
@@ -62,9 +61,8 @@
     }
 
     /**
-     * Sets how one of all routers is elected for a trial. Without it, this router makes all trials.
+     * Sets what tells for the hash of a trial whether this router is elected to make it. By default, it is.
      *
-     * @param elected tells for the hash of a trial whether this router is elected
      * @since 0.11.0
      */
     public void trialElection(LongPredicate elected) {
@@ -90,6 +88,7 @@
         List<Suspect> newSuspects = collector.collect(inProgress, endpointHash, nowMillis - crashedAtMillis).stream()
                 .filter(suspect -> addLocalCrash(suspect, service, nowMillis))
                 .toList();
+        inProgress.forEach(request -> suspects.recordPrompt(request.request(), request.unansweredParts()));
         newSuspects.forEach(suspect -> storeIfCause(suspect.cause(), nowMillis));
         publish(new SuspectReport(newSuspects, List.of()));
     }
@@ -211,11 +210,7 @@
     }
 
     /**
-     * Merges the suspects read from the store. This router removes a suspect from the store if it turns out to be
-     * harmless.
-     *
-     * @param stored the suspects in the store
-     * @param nowMillis the time on the monotonic clock, in milliseconds
+     * Merges the suspects read from the store. This router removes a suspect from the store if it proves harmless.
      */
     public void mergeStored(Collection<Suspect> stored, long nowMillis) {
         for (Suspect suspect : stored) {
@@ -245,6 +240,7 @@
         if (suspects.size() == 0) {
             return decision;
         }
+        suspects.recordPrompt(features.request(), features.parts());
         for (CrashCause cause : features.all()) {
             CrashHistory history = suspects.find(cause);
             if (history == null || history.expired(nowMillis)) {
@@ -264,10 +260,8 @@
     }
 
     /**
-     * Returns the number of features that counted as a cause of crashes at the last {@link #tidy}; callable from any
-     * thread.
-     *
-     * @param kind the kind of features
+     * Returns the number of features of a kind that counted as causes of crashes at the last {@link #tidy}; callable
+     * from any thread.
      */
     public int causeCount(CauseKind kind) {
         return causeCounts.getOrDefault(kind, 0L).intValue();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectRegistry.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/SuspectRegistry.java
@@ -3,8 +3,8 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -42,6 +42,14 @@
         return known;
     }
 
+    /** Records the parts of the prompt of a request, if the request is suspected. */
+    void recordPrompt(RequestFingerprint request, List<PromptPartFingerprint> parts) {
+        CrashHistory history = histories.get(request);
+        if (history != null) {
+            history.promptParts(parts);
+        }
+    }
+
     /** Removes the history of a feature and returns it; null if the feature was not suspected. */
     @Nullable
     CrashHistory remove(CrashCause cause) {
@@ -60,10 +68,6 @@
         return histories.size();
     }
 
-    void forEach(BiConsumer<CrashCause, CrashHistory> action) {
-        histories.forEach(action);
-    }
-
     /**
      * Evicts the suspect with the fewest and oldest crashes if a limit is reached: from the workspace of the new
      * suspect if that workspace is at its limit, and otherwise from the workspace with the most suspects.
--- a/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/PromptPartQuarantineTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/PromptPartQuarantineTest.java
@@ -214,6 +214,23 @@
         assertThat(status(NOW + 4 * INTERVAL, "rare", "last")).isEqualTo(QuarantineStatus.SUSPECTED);
     }
 
+    /** Callers that poll send equal requests, some of which are in progress wherever the part crashes an endpoint. */
+    @Test
+    void aHarmlessRequestInProgressAtCrashesOfAPartIsNotRefused() {
+        answered(NOW, "a");
+        RequestFeatures polling = features(OWN, "a", "last");
+        for (int end = 0; end < 4; end++) {
+            long nowMillis = NOW + end * INTERVAL;
+            RequestFeatures crashing = features(OWN, "a", "bad", "last");
+            List<InProgressRequest> both = List.of(
+                    new InProgressRequest(polling.request(), SOON, polling.parts()),
+                    new InProgressRequest(crashing.request(), SOON, crashing.parts()));
+            quarantine.endpointCrashed(SERVICE, end, both, nowMillis, nowMillis);
+        }
+        assertThat(decide(polling, NOW + 4 * INTERVAL).admitted()).isTrue();
+        assertThat(status(NOW + 4 * INTERVAL, "a", "bad")).isEqualTo(QuarantineStatus.QUARANTINED);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {300, 1_000})
     void ofALongPromptTheLastSharedPartsAreConsidered(int count) {
