Relay a request whose router has used up its share of connections, instead of refusing it

Where a balancer hands most connections of callers to one router, that router's share of each endpoint's connections, which is that of an even spread, is used up while the other routers' shares are idle: its callers got 503 although the service was not full.

The request is relayed to another router once, over one hop, if nothing of it has been sent; if that router refuses it, the refusal stands.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
@@ -57,7 +57,7 @@
         }
         Optional<PlacementChoice> choice = context.placer().place(terms, history.triedEndpoints(), history.sends() > 0);
         if (choice.isEmpty() || backoffWait.overtakes(choice.get())) {
-            NextStep step = withoutEndpoint(backoffWait, responseStarted);
+            NextStep step = withoutEndpoint(terms, backoffWait, responseStarted);
             return relayPlanner.insteadOf(step, terms);
         }
         String lackOfCapacity = capacityGuard.refusal(terms, choice.get());
@@ -73,17 +73,19 @@
         return relayPlanner.lacksPath(terms) && relayPlanner.canRelay(terms);
     }
 
-    private NextStep withoutEndpoint(BackoffWait backoffWait, boolean responseStarted) {
+    private NextStep withoutEndpoint(RequestTerms terms, BackoffWait backoffWait, boolean responseStarted) {
         if (capacityGuard.lacksConnections()) {
-            return NO_CONNECTION;
+            return relayPlanner.forConnection(NO_CONNECTION, terms);
         }
         boolean certainlyNotRun = !responseStarted && history.notRun();
         return certainlyNotRun && backoffWait.backoffOnly() ? new NextStep.AwaitBackoff() : NO_ENDPOINT;
     }
 
     /** Returns the step after an endpoint had no free connection; empty if another endpoint may be tried. */
-    Optional<NextStep> noConnectionFree() {
-        return capacityGuard.noConnectionFree() ? Optional.empty() : Optional.of(NO_CONNECTION);
+    Optional<NextStep> noConnectionFree(RequestTerms terms) {
+        return capacityGuard.noConnectionFree()
+                ? Optional.empty()
+                : Optional.of(relayPlanner.forConnection(NO_CONNECTION, terms));
     }
 
     /** Returns the step for a request that no endpoint has the capacity to run. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -379,7 +379,7 @@
     public void noConnectionFree(Attempt full) {
         attempt = null;
         history.tried(full.endpoint());
-        planner.noConnectionFree().ifPresentOrElse(this::perform, this::placeAndAttempt);
+        planner.noConnectionFree(terms).ifPresentOrElse(this::perform, this::placeAndAttempt);
     }
 
     @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
@@ -80,6 +80,18 @@
                 : step;
     }
 
+    /**
+     * Returns a relay instead of the refusal of a request for which this router may open no connection. Each router's share
+     * of the connections of an endpoint is that of an even spread of callers, so other routers may have some left. If the
+     * first one has none either, the service is full.
+     *
+     * @param refusal the refusal of the request
+     * @param terms the terms of the request
+     */
+    NextStep forConnection(NextStep refusal, RequestTerms terms) {
+        return triedRouters.isEmpty() ? relay(terms).orElse(refusal) : refusal;
+    }
+
     /** Tells whether the request can be relayed to a router to which it was not relayed before. */
     boolean canRelay(RequestTerms terms) {
         return !relayed
