A closed fake endpoint keeps its port

Only the endpoint that the test starts later sends event 2, and the router that got the request knows only the address of an endpoint that is closed: the kernel had given the later endpoint the port of the closed one (5 of 60,000 times in a trial with nothing else running). That this happened is inferred from the answer, not seen in a log. A closed fake endpoint keeps its port bound without listening, so that connections are refused as before.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +31,7 @@
     private final Script script;
     private final List<Socket> sockets = new ArrayList<>();
     private final Thread accepting;
+    private final Socket portHolder = new Socket();
     private SoftwareVersion version = new SoftwareVersion("v1");
     private final BlockingQueue<ReceivedRequest> receivedRequests = new LinkedBlockingQueue<>();
 
@@ -80,10 +82,12 @@
 
     /**
      * Closes the endpoint, so that further connections are refused. Waits for the accepting thread, because the kernel
-     * continues to accept connections while a thread is blocked in accept.
+     * continues to accept connections while a thread is blocked in accept. The port stays bound, so that no endpoint that
+     * is started later is reached in place of this one.
      */
     @Override
     public void close() throws IOException {
+        int port = server.getLocalPort();
         server.close();
         try {
             accepting.join();
@@ -95,6 +99,15 @@
                 socket.close();
             }
         }
+        holdPort(port);
+    }
+
+    private void holdPort(int port) throws IOException {
+        if (!portHolder.isBound()) {
+            portHolder.setReuseAddress(true);
+            portHolder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            portHolder.setReuseAddress(false);
+        }
     }
 
     private void accept() {
