A report of a suspect without crashes clears nothing

Read in the diff: a suspect none of whose crashes is left counts as refuted, and the router tells the others so; a suspect that came without crashes was taken for that, too, so that one malformed report would have cleared what it names at all routers. The new test failed before.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/CrashHistory.java
@@ -13,10 +13,10 @@
 import org.radishpass.routing.fleet.SoftwareVersion;
 
 /**
- * The crashes of endpoints at which requests with one feature were in progress, and what follows from them. Only consecutive crashes
- * count: the request was sent to the next endpoint after the previous one had crashed. When a rack fails, many
- * endpoints crash at once while running equal requests, such as those of polling callers; together this counts as one
- * crash. Times are on the monotonic clock in milliseconds. Confined to the traffic thread.
+ * The crashes of endpoints at which requests with one feature were in progress, and what follows from them. Only
+ * consecutive crashes count: the request was sent to the next endpoint after the previous one had crashed. When a rack
+ * fails, many endpoints crash at once while running equal requests, such as those of polling callers; together this
+ * counts as one crash. Times are on the monotonic clock in milliseconds. Confined to the traffic thread.
  */
 final class CrashHistory {
     private static final long NEVER = Long.MIN_VALUE / 2;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/quarantine/Quarantine.java
@@ -43,9 +43,7 @@
         this.listener = listener;
     }
 
-    /**
-     * Sets the listener that receives what this router finds out itself, for other routers and for the store.
-     */
+    /** Sets the listener that receives what this router finds out itself, for other routers and for the store. */
     public void setSuspectListener(SuspectListener newListener) {
         suspectListener = newListener;
     }
@@ -186,7 +184,7 @@
         List<Suspect> newSuspects = new ArrayList<>(report.suspects().size());
         for (Suspect suspect : report.suspects()) {
             Suspect credible = collector.withoutRefutedCrashes(suspect);
-            if (credible.crashes().isEmpty()) {
+            if (credible.crashes().isEmpty() && !suspect.crashes().isEmpty()) {
                 refuted.add(suspect.cause());
             } else if (merge(credible, origin, nowMillis)) {
                 newSuspects.add(credible);
@@ -209,9 +207,7 @@
         return changed;
     }
 
-    /**
-     * Merges the suspects read from the store. This router removes a suspect from the store if it proves harmless.
-     */
+    /** Merges the suspects read from the store. This router removes a suspect from the store if it proves harmless. */
     public void mergeStored(Collection<Suspect> stored, long nowMillis) {
         for (Suspect suspect : stored) {
             merge(suspect, STORE, nowMillis);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayPeers.java
@@ -69,8 +69,8 @@
     }
 
     /**
-     * Tells whether a router ranks first for a key, by rendezvous hashing over itself and the others that are not suspected to
-     * be down.
+     * Tells whether a router ranks first for a key, by rendezvous hashing over itself and the others that are not
+     * suspected to be down.
      *
      * @param key the hash of the key
      * @param id the id of the router
--- a/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/PromptPartQuarantineTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/quarantine/PromptPartQuarantineTest.java
@@ -189,6 +189,19 @@
         assertThat(status(NOW, "bad")).isEqualTo(QuarantineStatus.SUSPECTED);
     }
 
+    /** Guards against a report without crashes, such as a malformed one, that clears what it names at all routers. */
+    @Test
+    void aReportWithoutCrashesClearsNothing() {
+        crashes(3, "bad");
+        reports.clear();
+        List<Suspect> empty = quarantine.all(NOW).suspects().stream()
+                .map(suspect -> new Suspect(suspect.cause(), List.of(), Suspect.NEVER_TRIED))
+                .toList();
+        quarantine.merge(new SuspectReport(empty, List.of()), "other", NOW + 3 * INTERVAL);
+        assertThat(reports).isEmpty();
+        assertThat(status(NOW + 3 * INTERVAL, "bad")).isEqualTo(QuarantineStatus.QUARANTINED);
+    }
+
     @Test
     void aPartRestoredFromTheStoreIsQuarantined() {
         crashes(3, "bad");
