--- a/radishpass-routing/src/main/java/org/radishpass/routing/fleet/EndpointDirectory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/fleet/EndpointDirectory.java
@@ -67,6 +67,20 @@
         return allByService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the software version of an endpoint; unknown if the endpoint is not listed.
+     *
+     * @param endpointHash the hash of the endpoint's id
+     * @since 0.11.0
+     */
+    public SoftwareVersion softwareVersion(long endpointHash) {
+        return all().stream()
+                .filter(endpoint -> endpoint.hash() == endpointHash)
+                .findAny()
+                .map(ServiceEndpoint::softwareVersion)
+                .orElse(SoftwareVersion.UNKNOWN);
+    }
+
     /**
      * Finds an endpoint by its id.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RequestLog.java
@@ -10,13 +10,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import net.logstash.logback.argument.StructuredArgument;
 import org.radishpass.routing.admission.AdmissionRefusal;
 import org.radishpass.routing.event.LogEvent;
 import org.radishpass.routing.fleet.ServiceEndpoint;
-import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.InProgressRequest;
-import org.radishpass.routing.quarantine.QuarantineListener;
 import org.radishpass.routing.reachability.ExitCorroboration;
 import org.radishpass.routing.stream.StreamOrigin;
 import org.slf4j.Logger;
@@ -27,7 +24,7 @@
  * second is limited; beyond the first limit only unsuccessful requests are logged. The number of suppressed lines is
  * logged as well. Confined to the traffic event loop.
  */
-final class RequestLog implements QuarantineListener {
+final class RequestLog {
     private static final Logger LOG = LoggerFactory.getLogger("org.radishpass.routing.requests");
 
     /**
@@ -208,51 +205,6 @@
                                 .toList()));
     }
 
-    @Override
-    public void quarantined(CrashCause cause, int count, String origin) {
-        LOG.warn(
-                "{} {} is quarantined; requests with it are refused from now on: {} endpoints exited one after the other while"
-                        + " executing them, the last reported by {}",
-                cause.kind().text(),
-                cause,
-                count,
-                origin,
-                event(cause, LogEvent.REQUEST_QUARANTINED, LogEvent.PART_QUARANTINED),
-                kv("fingerprint", cause.toString()),
-                kv("ends", count));
-    }
-
-    @Override
-    public void tried(CrashCause cause, int count) {
-        LOG.warn(
-                "testing quarantined {} {} with one request at one endpoint; {} endpoints exited while executing such requests",
-                cause.kind().text(),
-                cause,
-                count,
-                event(cause, LogEvent.REQUEST_TRIED, LogEvent.PART_TRIED),
-                kv("fingerprint", cause.toString()),
-                kv("ends", count));
-    }
-
-    @Override
-    public void cleared(CrashCause cause, int count) {
-        LOG.info(
-                "{} {} was answered and is no longer suspected of crashing endpoints; {} endpoints exited while executing it",
-                cause.kind().text(),
-                cause,
-                count,
-                event(cause, LogEvent.REQUEST_CLEARED, LogEvent.PART_CLEARED),
-                kv("fingerprint", cause.toString()),
-                kv("ends", count));
-    }
-
-    private static StructuredArgument event(CrashCause cause, LogEvent ofRequest, LogEvent ofPart) {
-        return switch (cause.kind()) {
-            case REQUEST -> ofRequest.field();
-            case PROMPT_PART -> ofPart.field();
-        };
-    }
-
     void endpointLeaving(ServiceEndpoint endpoint) {
         LOG.info(
                 "endpoint {} at {} is draining, as its response states; it receives no new requests",
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -11,14 +11,11 @@
 import org.radishpass.routing.admission.UsualTimeouts;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.fleet.ServiceEndpoint;
-import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.health.EndpointHealthTracker;
 import org.radishpass.routing.health.ResponseTimes;
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.placement.EndpointChooser;
-import org.radishpass.routing.quarantine.InProgressRequest;
 import org.radishpass.routing.quarantine.Quarantine;
-import org.radishpass.routing.reachability.ExitCorroboration;
 import org.radishpass.routing.reachability.ReachabilityMonitor;
 import org.radishpass.routing.relay.Relay;
 import org.radishpass.routing.report.FleetObservationTracker;
@@ -61,8 +58,7 @@
     private final RequestPlacer placer = new RequestPlacer(this);
     private final ColdEndpointGuard coldGuard = new ColdEndpointGuard(this);
     private final EndpointProber prober = new EndpointProber(this);
-    private final EndpointExitDetector exitDetector = new EndpointExitDetector(this::exitDetected);
-    private final ExitCorroboration exitCorroboration;
+    private final EndpointExitDetector exitDetector = new EndpointExitDetector(new ExitHandler(this));
     private final Quarantine quarantine;
     private final FleetObservationTracker observations;
     private final ReachabilityMonitor reachability;
@@ -111,14 +107,13 @@
             var unused = loop.schedule(task, StreamOriginRegistry.TELL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         });
         this.reachability = reachability;
-        this.exitCorroboration = new ExitCorroboration(health, inFlight, clock::millis);
         this.relay = relay;
         this.inFlight = inFlight;
         this.health = health;
         this.retryBudget = retryBudget;
         this.requestLog = requestLog;
-        this.quarantine = new Quarantine(requestLog);
-        this.quarantine.endpointVersions(this::softwareVersion);
+        this.quarantine = new Quarantine(new QuarantineLog());
+        this.quarantine.endpointVersions(hash -> view().directory().softwareVersion(hash));
         this.quarantine.trialElection(trial -> relay.peers().ranksFirst(trial, relay.routerId()));
         this.listener = listener;
         this.arrivalQueue = new ArrivalQueue(
@@ -236,58 +231,6 @@
         return quarantine;
     }
 
-    /**
-     * Handles what looks like the exit of an endpoint. If there are other routers, it counts at once only if this router's
-     * links work and no other has requests in flight there; otherwise their next reports are awaited.
-     */
-    private void exitDetected(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis) {
-        if (!relay.peers().anyKnown()) {
-            endpointExited(endpoint, inFlightRequests, exitedAtMillis);
-            return;
-        }
-        prober.checkOwnLinks(endpoint, linksWork -> {
-            if (linksWork && exitCorroboration.contradiction(endpoint) == ExitCorroboration.Contradiction.NONE) {
-                endpointExited(endpoint, inFlightRequests, exitedAtMillis);
-                return;
-            }
-            var unused = loop.schedule(
-                    () -> decideExit(endpoint, inFlightRequests, exitedAtMillis),
-                    ExitCorroboration.DELAY_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        });
-    }
-
-    private void decideExit(ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis) {
-        ExitCorroboration.Contradiction contradiction = exitCorroboration.contradiction(endpoint);
-        if (contradiction == ExitCorroboration.Contradiction.NONE) {
-            endpointExited(endpoint, inFlightRequests, exitedAtMillis);
-        } else {
-            requestLog.exitContradicted(endpoint, contradiction);
-        }
-    }
-
-    /**
-     * Handles the exit of an endpoint. The exit of an endpoint that had announced that it is leaving is regular, and
-     * does not make the requests in flight there suspicious.
-     */
-    private void endpointExited(
-            ServiceEndpoint endpoint, List<InProgressRequest> inFlightRequests, long exitedAtMillis) {
-        requestLog.endpointExited(endpoint, inFlightRequests);
-        if (!filter().leaving(endpoint)) {
-            quarantine.endpointCrashed(
-                    endpoint.service(), endpoint.hash(), inFlightRequests, exitedAtMillis, nowMillis());
-        }
-    }
-
-    /** Returns the software version of a listed endpoint by the hash of its id. */
-    private SoftwareVersion softwareVersion(long endpointHash) {
-        return view().directory().all().stream()
-                .filter(endpoint -> endpoint.hash() == endpointHash)
-                .findAny()
-                .map(ServiceEndpoint::softwareVersion)
-                .orElse(SoftwareVersion.UNKNOWN);
-    }
-
     /** Combines what the parts of this router observe; each part supplies one of the lists. */
     private FleetObservations ownObservations(long nowMillis) {
         List<ServiceDemand> demand = shareGuard.demand(nowMillis);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -31,7 +31,6 @@
 import org.radishpass.routing.performance.EndpointPerformance;
 import org.radishpass.routing.performance.PlacementMethod;
 import org.radishpass.routing.placement.EndpointChooser;
-import org.radishpass.routing.quarantine.CauseKind;
 import org.radishpass.routing.quarantine.Suspect;
 import org.radishpass.routing.quarantine.SuspectExchange;
 import org.radishpass.routing.quarantine.SuspectListener;
@@ -134,16 +133,7 @@
         AdmissionMetrics.register(context.arrivalQueue(), clock, metrics);
         context.shareGuard().registerMetrics(metrics);
         reachability.registerMetrics(metrics);
-        Gauge.builder(
-                        "radishpass.requests.quarantined",
-                        () -> context.quarantine().causeCount(CauseKind.REQUEST))
-                .description("different requests that are refused because endpoints end when they run them")
-                .register(metrics);
-        Gauge.builder(
-                        "radishpass.prompt.parts.quarantined",
-                        () -> context.quarantine().causeCount(CauseKind.PROMPT_PART))
-                .description("parts of prompts whose requests are refused because endpoints end when they answer them")
-                .register(metrics);
+        QuarantineMetrics.register(context.quarantine(), metrics);
         registerPlacementMetrics(metrics);
     }
 
