The traffic fixture waits until the routers that it makes known are known

Both are answers of the router that the fixture had known before: peers() hands the change to the traffic thread and returns, and that thread reads the request that arrives meanwhile before it runs the change.

peers() waits for the traffic thread.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -209,10 +209,14 @@
                 FleetRouter.STREAM_ORIGINS_LEVEL);
     }
 
-    /** Makes other routers known, under which this one has the given number. */
+    /**
+     * Makes other routers known, under which this one has the given number. Waits for the traffic thread, which otherwise
+     * may read a request that a caller sends afterwards before it runs this change.
+     */
     public TrafficFixture peers(int ownNumber, FleetRouter... routers) {
         server.identify(router(ownNumber, FleetRouter.NO_RELAY));
         server.workReports().routersChanged(List.of(routers), List.of(routers));
+        loops.onServer(false).next().submit(() -> {}).syncUninterruptibly();
         return this;
     }
 
