--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -261,6 +261,10 @@
             change(table, key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)), ++version);
         }
 
+        synchronized void remove(String table, String key) {
+            change(table, key, null, ++version);
+        }
+
         private void change(String table, String key, String value, long at) {
             Map<String, Object> row = new LinkedHashMap<>();
             row.put("table", table);
