--- a/review/standin/CaseStop.java
+++ b/review/standin/CaseStop.java
@@ -29,7 +29,7 @@
     private static final long GAP_MILLIS = 2_000;
     private static final long GRACE_MILLIS = 8_000;
     private static final int REQUESTS_PER_CHANNEL = 3;
-    private static final int CALLERS = Integer.getInteger("callers", 40);
+    private static final int CALLERS = 40;
 
     private final Lab lab;
     private final Balancer balancer = new Balancer();
