Review case 2: its load inside the largest dose of a burst

26 plans a second for 3.0 s, then the usual 15.6, instead of 25 a second for 4 s. The claim quotes the dose.

--- a/review/standin/CaseBodies.java
+++ b/review/standin/CaseBodies.java
@@ -19,7 +19,9 @@
 final class CaseBodies {
     private static final int BODY_BYTES = 4_194_304;
     private static final int PLANS = 100;
-    private static final int PLAN_GAP_MILLIS = 40;
+    private static final double BURST_SECONDS = 3.0;
+    private static final double BURST_PER_SECOND = 26;
+    private static final double USUAL_PER_SECOND = 15.6;
     private static final int PLAN_EVENTS = 76;
     private static final int EVENT_MILLIS = 80;
     private static final int CHUNK_BYTES = 65_536;
@@ -87,11 +89,13 @@
         Thread.sleep(5_000);
         List<Thread> uploads = new ArrayList<>();
         lab.log("plans begin to come, bodies of " + (lab.trouble ? BODY_BYTES : 12_000) + " bytes");
+        long begunMillis = lab.millis();
         for (int number = 0; number < PLANS; number++) {
             int router = 1 + number % 2;
+            Thread.sleep(Math.max(0, begunMillis + dueMillis(number) - lab.millis()));
             uploads.add(start(() -> plan(router)));
-            Thread.sleep(PLAN_GAP_MILLIS);
         }
+        lab.log("the last plan begins");
         for (Thread upload : uploads) {
             upload.join(25_000);
         }
@@ -112,6 +116,13 @@
         return broken ? 1 : 0;
     }
 
+    /** When a plan is due: in a burst at first, then at the usual rate. */
+    private static long dueMillis(int number) {
+        double inBurst = BURST_SECONDS * BURST_PER_SECOND;
+        double seconds = number <= inBurst ? number / BURST_PER_SECOND : BURST_SECONDS + (number - inBurst) / USUAL_PER_SECOND;
+        return Math.round(1_000 * seconds);
+    }
+
     private static Thread start(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
