A response continues a begun stream only if it is the rest of it

Cause: when a stream is resumed through another router, nobody asked whether the response is its continuation. Attempt judged statuses from 500 on, RelayAttempt none, and ResponseRelay ignored each head after the first and counted as a success from then on. The log of one such request shows the relayed attempt with status 500 and end chunks-ended, and the request as answered. On the direct path the same held for each status below 500, for other media types and for bodies without events.

Change: ResponseRelay, which both senders use, asks BegunResponse before any byte of the body; the decision is typed, and a rejection is a failed attempt like any other: it goes on elsewhere, directly or relayed, if attempts, time and the retry budget are left. The end of a response is judged by the status that was sent, not by whether something was sent. A continuation must begin with an event that has an id; a stream with an event without one is not resumed after it. A router tells how many attempts a relayed request has used, so that the new retries keep to max_attempts. SendObstacle takes the checks before a send out of Exchange.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/framing/EventStreamSplitter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/framing/EventStreamSplitter.java
@@ -27,6 +27,8 @@
     private final ForwardedIds forwardedIds = new ForwardedIds();
     private long forwardedEvents;
     private boolean resumable = true;
+    private boolean continuationUnproven;
+    private boolean foreign;
 
     /** Creates a splitter of a stream of which nothing has been received. */
     public EventStreamSplitter(HoldPolicy policy) {
@@ -40,6 +42,10 @@
      * @param allocator allocates the returned buffer
      */
     public ByteBuf append(ByteBuf part, ByteBufAllocator allocator) {
+        if (foreign) {
+            part.release();
+            return Unpooled.EMPTY_BUFFER;
+        }
         if (fate == Fate.FORWARDED && !policy.holdsAfter(scanner.events())) {
             scanToEnd(part);
             return part;
@@ -48,12 +54,12 @@
         int from = part.readerIndex();
         int to = part.writerIndex();
         int boundary = scanner.nextBoundary(part, from, to);
-        while (boundary >= 0) {
+        while (boundary >= 0 && !foreign) {
             endEvent(part, from, boundary, forwarded);
             from = boundary;
             boundary = scanner.nextBoundary(part, from, to);
         }
-        if (from < to) {
+        if (from < to && !foreign) {
             continueEvent(part, from, to, forwarded);
         }
         part.release();
@@ -82,6 +88,15 @@
         return scanner.position();
     }
 
+    /**
+     * Tells whether the current attempt was to continue the stream and sent something else. Nothing of it is forwarded.
+     *
+     * @since 0.12.0
+     */
+    public boolean foreign() {
+        return foreign;
+    }
+
     /** Tells whether another attempt can continue the stream after the last complete event. */
     public boolean resumable() {
         return resumable;
@@ -95,6 +110,8 @@
         scanner = new EventStreamScanner();
         fate = policy.holdsAfter(forwardedEvents) ? Fate.HELD : Fate.FORWARDED;
         lastFate = Fate.FORWARDED;
+        continuationUnproven = forwardedIds.last() != null;
+        foreign = false;
     }
 
     private void scanToEnd(ByteBuf part) {
@@ -113,7 +130,7 @@
         }
         if (fate == Fate.HELD) {
             hold(bytes, from, to);
-            lastFate = forwardedIds.add(held) ? Fate.FORWARDED : Fate.DROPPED;
+            lastFate = decide();
             release(lastFate, forwarded);
         } else {
             lastFate = fate;
@@ -137,13 +154,31 @@
         }
     }
 
-    /** Decides about an event that is too long to be held back, by its beginning. */
-    private Fate decideEarly() {
-        if (!ForwardedIds.containsId(held)) {
-            resumable = false; // an id further on would not be known as the last one
-            return Fate.FORWARDED;
+    /** Decides about an event by its id. The first event of a continuation must have one that shows what it continues. */
+    private Fate decide() {
+        EventIdentity identity = forwardedIds.add(held);
+        if (identity == EventIdentity.UNIDENTIFIED) {
+            return ForwardedIds.repeatable(held) ? Fate.FORWARDED : decideUnidentified();
         }
-        return forwardedIds.add(held) ? Fate.FORWARDED : Fate.DROPPED;
+        return decideIdentified(identity);
+    }
+
+    /** Decides about an event that is too long to be held back, by its beginning. An id further on would not be known. */
+    private Fate decideEarly() {
+        EventIdentity identity = forwardedIds.add(held);
+        return identity == EventIdentity.UNIDENTIFIED ? decideUnidentified() : decideIdentified(identity);
+    }
+
+    private Fate decideIdentified(EventIdentity identity) {
+        continuationUnproven = false;
+        return identity == EventIdentity.NEW ? Fate.FORWARDED : Fate.DROPPED;
+    }
+
+    /** Decides about an event without an id, after which a stream cannot be resumed: it would be sent again. */
+    private Fate decideUnidentified() {
+        foreign = continuationUnproven;
+        resumable = resumable && foreign;
+        return foreign ? Fate.DROPPED : Fate.FORWARDED;
     }
 
     private void hold(ByteBuf bytes, int from, int to) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/framing/ForwardedIds.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/framing/ForwardedIds.java
@@ -8,6 +8,8 @@
 /** The ids of the events that were forwarded, by which an event that is sent again is recognized. */
 final class ForwardedIds {
     private static final String ID_FIELD = "id:";
+    private static final String RETRY_FIELD = "retry:";
+    private static final byte COMMENT = ':';
     private static final long NO_NUMERIC_ID = Long.MIN_VALUE;
 
     private @Nullable String last;
@@ -23,25 +25,36 @@
      * Adds an event, unless it has been forwarded already.
      *
      * @param event the event, or a beginning of it that contains the id
-     * @return whether the event is to be forwarded
      */
-    boolean add(ByteBuf event) {
+    EventIdentity add(ByteBuf event) {
         String id = idOf(event);
         if (id == null) {
-            return true;
+            return EventIdentity.UNIDENTIFIED;
         }
         long number = numericId(id);
-        if (number != NO_NUMERIC_ID && lastNumeric != NO_NUMERIC_ID && number <= lastNumeric) {
-            return false;
+        boolean numeric = number != NO_NUMERIC_ID && lastNumeric != NO_NUMERIC_ID;
+        if (numeric && number <= lastNumeric) {
+            return EventIdentity.REPEATED;
         }
         last = id;
         lastNumeric = number;
-        return true;
+        return EventIdentity.NEW;
     }
 
-    /** Tells whether an event, or a beginning of it, contains an id. */
-    static boolean containsId(ByteBuf event) {
-        return idOf(event) != null;
+    /** Tells whether the lines of an event are comments or reconnection times only, which may be sent any number of times. */
+    static boolean repeatable(ByteBuf event) {
+        int line = event.readerIndex() + EventStreamScanner.byteOrderMarkLength(event);
+        int end = event.writerIndex();
+        while (line < end) {
+            int found = event.forEachByte(line, end - line, ByteProcessor.FIND_CRLF);
+            int lineEnd = found < 0 ? end : found;
+            boolean blank = line == lineEnd;
+            if (!blank && event.getByte(line) != COMMENT && !startsWith(event, line, lineEnd, RETRY_FIELD)) {
+                return false;
+            }
+            line = lineEnd + 1;
+        }
+        return true;
     }
 
     /** Returns the id of an event, or null. Only the id is decoded, since an event may be long. */
@@ -52,7 +65,7 @@
         while (line + ID_FIELD.length() <= end) {
             int found = event.forEachByte(line, end - line, ByteProcessor.FIND_CRLF);
             int lineEnd = found < 0 ? end : found;
-            if (found >= 0 && startsWithIdField(event, line, lineEnd)) {
+            if (found >= 0 && startsWith(event, line, lineEnd, ID_FIELD)) {
                 int value = line + ID_FIELD.length();
                 id = event.toString(value, lineEnd - value, StandardCharsets.US_ASCII)
                         .strip();
@@ -62,12 +75,12 @@
         return id;
     }
 
-    private static boolean startsWithIdField(ByteBuf bytes, int line, int lineEnd) {
-        if (lineEnd - line < ID_FIELD.length()) {
+    private static boolean startsWith(ByteBuf bytes, int line, int lineEnd, String field) {
+        if (lineEnd - line < field.length()) {
             return false;
         }
-        for (int index = 0; index < ID_FIELD.length(); index++) {
-            if (bytes.getByte(line + index) != ID_FIELD.charAt(index)) {
+        for (int index = 0; index < field.length(); index++) {
+            if (bytes.getByte(line + index) != field.charAt(index)) {
                 return false;
             }
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
@@ -29,6 +29,7 @@
     private static final String RESUME_AFTER = PREFIX + "Resume-After";
     private static final String ORIGIN_SERVICE = PREFIX + "Origin-Service";
     private static final String ORIGIN_VERSION = PREFIX + "Origin-Version";
+    private static final String ATTEMPTS_USED = PREFIX + "Attempts-Used";
     private static final String BODY_BYTES = PREFIX + "Body-Bytes";
     private static final String BODY_DECLARED = PREFIX + "Body-Declared";
 
@@ -111,6 +112,27 @@
         return origin;
     }
 
+    /**
+     * Sets the header that tells how many endpoints may have run a relayed request, the one that responds included.
+     *
+     * @since 0.12.0
+     */
+    public static void encodeAttemptsUsed(int attempts, HttpHeaders headers) {
+        headers.setInt(ATTEMPTS_USED, attempts);
+    }
+
+    /**
+     * Returns how many endpoints may have run a relayed request, and removes it from the headers; one if the router did not
+     * tell.
+     *
+     * @since 0.12.0
+     */
+    public static int removeAttemptsUsed(HttpHeaders headers) {
+        int attempts = headers.getInt(ATTEMPTS_USED, 1);
+        headers.remove(ATTEMPTS_USED);
+        return Math.max(1, attempts);
+    }
+
     private static Optional<StreamOrigin> origin(HttpHeaders headers) throws MalformedRelayException {
         String service = text(headers, ORIGIN_SERVICE);
         String version = text(headers, ORIGIN_VERSION);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -8,6 +8,7 @@
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.framing.BodyFraming;
+import org.radishpass.routing.framing.ContinuationDecision;
 import org.radishpass.routing.framing.EventPosition;
 import org.radishpass.routing.framing.ResponseEnd;
 import org.radishpass.routing.health.EndpointHealth;
@@ -189,18 +190,27 @@
         if (notRun) {
             return;
         }
-        if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-            recordFailure();
-            if (owner.handlesError(this, status)) {
-                return;
-            }
-        } else {
-            responseTimer.responseStarted();
-        }
         if (!record.relayedFor().isEmpty()) {
             RelayHeaders.encodeOrigin(StreamOrigin.of(endpoint), response.headers());
+            RelayHeaders.encodeAttemptsUsed(owner.attemptsUsed(), response.headers());
+        }
+        boolean serverError = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        if (serverError) {
+            recordFailure();
+        }
+        if (relay.relayHead(response) instanceof ContinuationDecision.Rejected rejected) {
+            rejected(rejected);
+        } else if (!serverError) {
+            responseTimer.responseStarted();
+        } else {
+            owner.serverError(this, status);
         }
-        relay.relayHead(response);
+    }
+
+    private void rejected(ContinuationDecision.Rejected decision) {
+        stop();
+        context.requestLog().continuedStreams().rejected(ResponseEndMetrics.Sender.ENDPOINT);
+        owner.continuationRejected(this, decision.cause());
     }
 
     @Override
@@ -210,11 +220,15 @@
             return;
         }
         recordFirstEvent();
-        relay.relayContent(part);
-        if (relay.started()) {
+        ContinuationDecision decision = relay.relayContent(part);
+        if (relay.forwarded()) {
             recordResponseBegan();
             owner.responseStarted(this);
         }
+        if (decision instanceof ContinuationDecision.Rejected rejected) {
+            rejected(rejected);
+            return;
+        }
         if (connection != null && !caller.writable()) {
             connection.autoRead(false);
         }
@@ -352,17 +366,26 @@
          */
         void noConnectionFree(Attempt attempt);
 
+        /** Returns how many endpoints may have run the request, that of the current attempt included. */
+        int attemptsUsed();
+
         /** Called when the response is overdue compared with the usual response time of the route. */
         void overdue(Attempt attempt);
 
         /**
-         * Called when the endpoint responds with a server error.
+         * Called when the endpoint responds with a server error, of which the caller has been sent nothing. The owner may
+         * stop the attempt and continue without this response.
+         */
+        void serverError(Attempt attempt, int status);
+
+        /**
+         * Called when the endpoint was to continue a response and sends something else. The attempt has been stopped.
          *
-         * @return whether the owner continues without this response, in which case the attempt has been stopped
+         * @param cause what does not match, as written to logs
          */
-        boolean handlesError(Attempt attempt, int status);
+        void continuationRejected(Attempt attempt, String cause);
 
-        /** Called with each part of a response of which the caller has been sent a beginning. */
+        /** Called with each part of a response of which the caller has been sent a part. */
         void responseStarted(Attempt attempt);
 
         /** Called when the endpoint has proved that it did not run the request. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ContinuedStreams.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ContinuedStreams.java
@@ -14,6 +14,7 @@
     private final Counter sameVersion;
     private final Counter otherVersion;
     private final Map<OriginSource, Counter> takenUp = new EnumMap<>(OriginSource.class);
+    private final Map<ResponseEndMetrics.Sender, Counter> rejected = new EnumMap<>(ResponseEndMetrics.Sender.class);
 
     ContinuedStreams(MeterRegistry metrics) {
         this.sameVersion = counter("same", metrics);
@@ -26,6 +27,20 @@
                             .tag("source", source.text())
                             .register(metrics));
         }
+        for (ResponseEndMetrics.Sender sender : ResponseEndMetrics.Sender.values()) {
+            rejected.put(
+                    sender,
+                    Counter.builder("radishpass.streams.continuations.rejected")
+                            .description(
+                                    "responses that were to continue a begun one and are something else, by their sender")
+                            .tag("sender", sender.text())
+                            .register(metrics));
+        }
+    }
+
+    /** Counts a response that was to continue a stream and is something else. */
+    void rejected(ResponseEndMetrics.Sender sender) {
+        Objects.requireNonNull(rejected.get(sender)).increment();
     }
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -114,7 +114,8 @@
         placeAndAttempt();
     }
 
-    private void placeAndAttempt() {
+    /** Does what is next with a request that is at no endpoint. */
+    void placeAndAttempt() {
         perform(planner.next(terms, quarantineGuard, backoffWait(), relay().started()));
     }
 
@@ -188,7 +189,8 @@
         refusal.giveUp(code, detail, relay().started());
     }
 
-    private void deadlineExpired() {
+    /** Ends the request because its deadline has passed. */
+    void deadlineExpired() {
         if (ended) {
             return;
         }
@@ -302,33 +304,20 @@
 
     @Override
     public void connected(Attempt current, EndpointConnection connection) {
-        if (maySend(current.endpoint())) {
+        Optional<SendObstacle> obstacle = SendObstacle.first(
+                new SendObstacle.Candidate(context, caller, terms, quarantineGuard, current.endpoint()));
+        if (obstacle.isPresent()) {
+            withdrawAttempt();
+            obstacle.get().resolve(this);
+        } else {
             send(current, connection);
         }
     }
 
-    /**
-     * Checks again whether the request may be sent: the caller is connected, the deadline has not passed, and the
-     * endpoint accepts the request. Otherwise ends the attempt and retries or ends the request.
-     */
-    private boolean maySend(ServiceEndpoint endpoint) {
-        if (caller.hasDisconnected()) {
-            withdrawAttempt();
-            callerDisconnected();
-        } else if (terms.remainingMillis(context.nowMillis()) <= 0) {
-            withdrawAttempt();
-            deadlineExpired();
-        } else if (!quarantineGuard.admitted()) {
-            withdrawAttempt();
-            perform(quarantineGuard.refusal());
-        } else if (!context.placer().stillEligible(terms, endpoint)) {
-            withdrawAttempt();
-            record.attemptEnded("the endpoint accepts no new requests");
-            placeAndAttempt();
-        } else {
-            return true;
-        }
-        return false;
+    /** Chooses an endpoint again, since the chosen one was not sent the request. */
+    void attemptWithdrawn(String cause) {
+        record.attemptEnded(cause);
+        placeAndAttempt();
     }
 
     private void send(Attempt current, EndpointConnection connection) {
@@ -368,6 +357,11 @@
         }
     }
 
+    @Override
+    public int attemptsUsed() {
+        return history.attemptsUsed();
+    }
+
     @Override
     public void unreachable(Attempt failed) {
         attempt = null;
@@ -383,7 +377,7 @@
     }
 
     @Override
-    public boolean handlesError(Attempt failed, int status) {
+    public void serverError(Attempt failed, int status) {
         boolean alternativeExists =
                 terms.kind().retryableAfterRun() && context.placer().hasAlternative(terms, history, failed.endpoint());
         if (alternativeExists && retryGuard.mayRetry(terms)) {
@@ -391,16 +385,16 @@
             failed.stop();
             history.tried(failed.endpoint());
             record.attemptEnded("status " + status);
+            relay().discardPending();
             placeAndAttempt();
-            return true;
-        }
-        if (relay().started()) {
-            attempt = null;
-            failed.stop();
-            giveUp(RefusalCode.ENDPOINT_FAILED, "the endpoint could not go on with the answer");
-            return true;
         }
-        return false;
+    }
+
+    @Override
+    public void continuationRejected(Attempt rejected, String cause) {
+        attempt = null;
+        history.tried(rejected.endpoint());
+        retryOrGiveUp(cause);
     }
 
     @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayAttempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayAttempt.java
@@ -11,6 +11,7 @@
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.framing.BodyFraming;
+import org.radishpass.routing.framing.ContinuationDecision;
 import org.radishpass.routing.framing.EndEvidence;
 import org.radishpass.routing.framing.ResponseEnd;
 import org.radishpass.routing.relay.RelayCall;
@@ -124,15 +125,28 @@
         record.relayedHeadReceived(context.nowMillis(), status);
         origin = RelayHeaders.removeOrigin(response.headers())
                 .orElseGet(() -> new StreamOrigin(record.terms().service(), SoftwareVersion.UNKNOWN));
-        relay.relayHead(response);
+        owner.relayAnswered(RelayHeaders.removeAttemptsUsed(response.headers()));
+        if (relay.relayHead(response) instanceof ContinuationDecision.Rejected rejected) {
+            rejected(rejected);
+        }
+    }
+
+    private void rejected(ContinuationDecision.Rejected decision) {
+        stop();
+        context.requestLog().continuedStreams().rejected(ResponseEndMetrics.Sender.ROUTER);
+        owner.relayFailed(decision.cause());
     }
 
     @Override
     public void content(ByteBuf part) {
-        relay.relayContent(part);
-        if (relay.started()) {
+        ContinuationDecision decision = relay.relayContent(part);
+        if (relay.forwarded()) {
             owner.relayedResponseStarted(origin);
         }
+        if (decision instanceof ContinuationDecision.Rejected rejected) {
+            rejected(rejected);
+            return;
+        }
         if (!caller.writable()) {
             autoRead(false);
         }
@@ -180,7 +194,14 @@
         void relayRefused(FleetRouter router, HttpResponse response, ByteBuf body);
 
         /**
-         * Called with each part of a response of which the caller has been sent a beginning.
+         * Called when the head of an endpoint's response was received through the other router.
+         *
+         * @param attemptsUsed how many endpoints may have run the request there
+         */
+        void relayAnswered(int attemptsUsed);
+
+        /**
+         * Called with each part of a response of which the caller has been sent a part.
          *
          * @param origin what began the stream; of unknown version if the router did not tell
          */
@@ -189,7 +210,10 @@
         /** Called when the response is whole. */
         void relayCompleted(int status);
 
-        /** Called when the response broke off, or nothing shows that it was whole. The request may have run. */
+        /**
+         * Called when the response broke off, nothing shows that it was whole, or it does not continue what the caller has
+         * been sent. The request may have run.
+         */
         void relayFailed(String cause);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayedExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayedExchange.java
@@ -58,7 +58,7 @@
         attempt = next;
         sent = false;
         responseStarted = relay.started();
-        next.start(request, body, history.sends());
+        next.start(request, body, history.attemptsUsed());
     }
 
     /** Enables or disables reading of the response. */
@@ -98,7 +98,7 @@
                 history.lastSendNotRun();
             }
             context.relay().peers().refused(router.id(), context.nowMillis());
-            if (planner.canRelay(record.terms())) {
+            if (responseStarted || planner.canRelay(record.terms())) {
                 body.release();
                 owner.continueAfterRelay();
                 return;
@@ -114,6 +114,11 @@
         caller.respond(response.status(), body, response.headers().get(HttpHeaderNames.RETRY_AFTER));
     }
 
+    @Override
+    public void relayAnswered(int attemptsUsed) {
+        history.sentByOther(attemptsUsed);
+    }
+
     @Override
     public void relayedResponseStarted(StreamOrigin origin) {
         owner.relayedResponseStarted(origin);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseEndMetrics.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseEndMetrics.java
@@ -26,7 +26,7 @@
                 .tag("framing", framing.text())
                 .tag("evidence", end.evidence().text())
                 .tag("whole", Boolean.toString(end.whole()))
-                .tag("sender", sender.text)
+                .tag("sender", sender.text())
                 .register(metrics)
                 .increment();
     }
@@ -41,5 +41,10 @@
         Sender(String text) {
             this.text = text;
         }
+
+        /** Returns the sender as written to metrics. */
+        String text() {
+            return text;
+        }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseRelay.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseRelay.java
@@ -7,13 +7,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.routing.config.RequestKind;
+import org.radishpass.routing.framing.BegunResponse;
 import org.radishpass.routing.framing.BodyFraming;
+import org.radishpass.routing.framing.ContinuationDecision;
 import org.radishpass.routing.framing.EventPosition;
 import org.radishpass.routing.framing.EventStreamSplitter;
 import org.radishpass.routing.framing.HoldPolicy;
@@ -29,12 +30,17 @@
     /** Size in bytes up to which a response is buffered until it is complete. */
     private static final int MAX_BUFFERED_BYTES = 65_536;
 
+    private static final ContinuationDecision FOREIGN_EVENT =
+            new ContinuationDecision.Rejected("an event without an id does not continue a stream of events with ids");
+
     private final CallerConnection caller;
     private final RequestKind kind;
     private final @Nullable EventStreamSplitter events;
     private @Nullable HttpResponse head;
+    private @Nullable BegunResponse begun;
     private @Nullable CompositeByteBuf buffered;
     private boolean started;
+    private boolean forwarded;
     private boolean chunked;
     private long bodyBytes;
 
@@ -49,6 +55,11 @@
         return started;
     }
 
+    /** Tells whether any part of the response to the current attempt has been sent to the caller. */
+    boolean forwarded() {
+        return forwarded;
+    }
+
     /**
      * Returns the id of the last event that was sent to the caller, or empty if the stream cannot be resumed at another
      * endpoint.
@@ -59,13 +70,18 @@
 
     /** Tells whether another attempt can continue the response after what has been sent to the caller. */
     boolean continuable() {
-        return !started || (kind.resumes() && events != null && events.resumable());
+        return !started || (kind.resumes() && successful() && events != null && events.resumable());
     }
 
-    /** Takes the head of a response. Ignored if the head of an earlier attempt has already been sent to the caller. */
-    void relayHead(HttpResponse response) {
-        if (started) {
-            return;
+    /**
+     * Takes the head of a response. If the caller has been sent the beginning of an earlier one, only a response that
+     * continues it is accepted, and its head is not sent.
+     *
+     * @return whether the body of the response may be relayed
+     */
+    ContinuationDecision relayHead(HttpResponse response) {
+        if (started && begun != null) {
+            return begun.judge(response);
         }
         DefaultHttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
         copy.headers().set(response.headers());
@@ -76,21 +92,28 @@
             copy.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         head = copy;
+        begun = BegunResponse.of(response);
+        return ContinuationDecision.ACCEPTED;
     }
 
-    /** Relays a part of the body and releases it. */
-    void relayContent(ByteBuf part) {
+    /**
+     * Relays a part of the body and releases it.
+     *
+     * @return whether the rest of the body may be relayed
+     */
+    ContinuationDecision relayContent(ByteBuf part) {
         bodyBytes += part.readableBytes();
         if (events == null || !successful()) {
             buffer(part);
-            return;
+            return ContinuationDecision.ACCEPTED;
         }
-        ByteBuf forwarded = events.append(part, caller.allocator());
-        if (forwarded.isReadable()) {
-            forward(forwarded);
+        ByteBuf complete = events.append(part, caller.allocator());
+        if (complete.isReadable()) {
+            forward(complete);
         } else {
-            forwarded.release();
+            complete.release();
         }
+        return events.foreign() ? FOREIGN_EVENT : ContinuationDecision.ACCEPTED;
     }
 
     /**
@@ -125,8 +148,10 @@
         }
         if (!started) {
             head = null;
+            begun = null;
         }
         bodyBytes = 0;
+        forwarded = false;
     }
 
     void flush() {
@@ -138,7 +163,7 @@
     }
 
     private boolean successful() {
-        return started || head == null || head.status().code() < HttpResponseStatus.BAD_REQUEST.code();
+        return begun == null || begun.successful();
     }
 
     private void buffer(ByteBuf part) {
@@ -157,6 +182,7 @@
 
     private void forward(ByteBuf part) {
         start();
+        forwarded = true;
         caller.responseContent(part);
     }
 
@@ -169,6 +195,7 @@
         if (buffered != null) {
             caller.responseContent(buffered);
             buffered = null;
+            forwarded = true;
         }
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendHistory.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendHistory.java
@@ -18,6 +18,7 @@
     private Verdict verdictBeforeLast = Verdict.NOT_RUN;
     private int sends;
     private int rejections;
+    private int attemptsOfOthers;
     private long lastSentAtMillis;
 
     /** Records that the request is being sent. From here on the endpoint may run the request. */
@@ -61,7 +62,21 @@
      * @param maxAttempts the maximum number of endpoints that may run the request
      */
     boolean maySendAgain(int maxAttempts) {
-        return sends - rejections < maxAttempts && rejections <= MAX_REJECTIONS;
+        return attemptsUsed() < maxAttempts && rejections <= MAX_REJECTIONS;
+    }
+
+    /** Returns how many endpoints may have run the request, as far as is known. */
+    int attemptsUsed() {
+        return sends - rejections + attemptsOfOthers;
+    }
+
+    /**
+     * Records that another router, to which the request was sent last, has sent it to endpoints.
+     *
+     * @param attempts the number of endpoints that may have run it
+     */
+    void sentByOther(int attempts) {
+        attemptsOfOthers += attempts - 1; // sending the request to the router counts as one
     }
 
     /** Returns how many times the request was sent. */
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendObstacle.java
@@ -0,0 +1,88 @@
+package org.radishpass.routing.traffic;
+
+import java.util.Arrays;
+import java.util.Optional;
+import org.radishpass.routing.fleet.ServiceEndpoint;
+
+/**
+ * A reason why a request is not sent although its endpoint has a connection for it. Time has passed since the endpoint was
+ * chosen, so that each is checked again before the request is written. The first one that applies decides.
+ */
+enum SendObstacle {
+    /** Nobody waits for the response. */
+    CALLER_DISCONNECTED {
+        @Override
+        boolean appliesTo(Candidate candidate) {
+            return candidate.caller.hasDisconnected();
+        }
+
+        @Override
+        void resolve(Exchange exchange) {
+            exchange.callerDisconnected();
+        }
+    },
+    /** The deadline of the request has passed. */
+    DEADLINE_PASSED {
+        @Override
+        boolean appliesTo(Candidate candidate) {
+            return candidate.terms.remainingMillis(candidate.context.nowMillis()) <= 0;
+        }
+
+        @Override
+        void resolve(Exchange exchange) {
+            exchange.deadlineExpired();
+        }
+    },
+    /** The request, or a part of its prompt, has been quarantined meanwhile. */
+    QUARANTINED {
+        @Override
+        boolean appliesTo(Candidate candidate) {
+            return !candidate.quarantineGuard.admitted();
+        }
+
+        @Override
+        void resolve(Exchange exchange) {
+            exchange.placeAndAttempt();
+        }
+    },
+    /** The endpoint has begun to leave, or is not eligible any more for another reason. */
+    ENDPOINT_NOT_ELIGIBLE {
+        @Override
+        boolean appliesTo(Candidate candidate) {
+            return !candidate.context.placer().stillEligible(candidate.terms, candidate.endpoint);
+        }
+
+        @Override
+        void resolve(Exchange exchange) {
+            exchange.attemptWithdrawn("the endpoint accepts no new requests");
+        }
+    };
+
+    /** Returns the first reason that applies; empty if the request may be sent. */
+    static Optional<SendObstacle> first(Candidate candidate) {
+        return Arrays.stream(values())
+                .filter(obstacle -> obstacle.appliesTo(candidate))
+                .findFirst();
+    }
+
+    abstract boolean appliesTo(Candidate candidate);
+
+    /** Continues or ends the request, whose attempt has been withdrawn. */
+    abstract void resolve(Exchange exchange);
+
+    /**
+     * A request that is about to be sent.
+     *
+     * @param context the shared state of the traffic event loop
+     * @param caller the connection of the caller
+     * @param terms the terms of the request
+     * @param quarantineGuard tells whether the request is quarantined
+     * @param endpoint the endpoint that it is about to be sent to
+     */
+    record Candidate(
+            TrafficContext context,
+            CallerConnection caller,
+            RequestTerms terms,
+            QuarantineGuard quarantineGuard,
+            ServiceEndpoint endpoint) {}
+}
