A stopping router takes only requests that it will be able to answer

Cause: the end of the stop was decided by a timer of StopSequence, the acceptance of requests by flags that knew nothing of it. Streams were refused after 2.8 s, all else was taken until the forced end, and nothing was asked again before a retry, after a wait or before a relay. Whether a request was cut depended on whether a long stream kept the router from ending earlier. Idle connections were closed every 500 ms, those included that the load balancer had just opened.

Change: StopDeadlines stores the times of a stop; GracefulStop decides in one place what is taken, asked at the arrival, by the planner of attempts, before each send, before a retry and before a relay. Idle connections stay open until the end, so that a late request is served or refused with 503, Retry-After and Connection: close. At the end requests in progress are answered, truthfully, and what a slow reader has not taken is waited for. A second signal does not begin anew, a late check catches up.

StreamAndCallerTest: a test expected that a forced stop leaves a request in progress alone, although the process ends right after; it now checks that the request is answered while the router waits for it, that the connection is closed and that nothing is left.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -21,6 +21,7 @@
 import org.radishpass.routing.traffic.EndpointListener;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
+import org.radishpass.routing.traffic.StopDeadlines;
 import org.radishpass.routing.traffic.TrafficServer;
 import org.radishpass.runtime.metrics.TrafficMeter;
 import org.radishpass.runtime.thread.ControlThread;
@@ -163,11 +164,15 @@
         return traffic;
     }
 
-    /** Begins to stop. From now on this router is not ready, and asks callers to use another router. */
-    public void beginStop() {
+    /**
+     * Begins to stop. From now on this router is not ready, and asks callers to use another router.
+     *
+     * @param deadlines when the steps of the stop are due
+     */
+    public void beginStop(StopDeadlines deadlines) {
         stopping = true;
         LOG.info("the router is stopping", LogEvent.STOP.field());
-        traffic.closeAfterResponses();
+        traffic.beginStop(deadlines);
         control.leave();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
@@ -7,7 +7,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.radishpass.routing.event.LogEvent;
+import org.radishpass.routing.traffic.MonotonicClock;
+import org.radishpass.routing.traffic.StopDeadlines;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,25 +24,12 @@
 public final class StopSequence {
     private static final Logger LOG = LoggerFactory.getLogger(StopSequence.class);
 
-    /**
-     * Milliseconds for which new requests are still accepted. The load balancer notices within two of its checks, which
-     * are a second apart.
-     */
-    private static final long REFUSE_AFTER_MILLIS = 2_800;
-
-    /** Minimum milliseconds until the process ends, so that late callers still get an answer. */
-    private static final long MIN_STOP_MILLIS = 4_200;
-
-    /** Milliseconds between checks whether requests are in progress. */
-    private static final long CHECK_INTERVAL_MILLIS = 100;
-
-    /**
-     * Milliseconds by which the stop ends before the grace period does, because the process must have ended by then.
-     */
-    private static final long GRACE_MARGIN_MILLIS = 500;
+    /** Milliseconds between checks whether the next step of the stop is due. */
+    private static final long CHECK_INTERVAL_MILLIS = 50;
 
     private final RoutedRouter router;
     private final Duration grace;
+    private final AtomicBoolean begun = new AtomicBoolean();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "stop");
@@ -58,14 +48,27 @@
         this.grace = grace;
     }
 
-    /** Begins to stop the router. */
+    /** Begins to stop the router. Later calls change nothing, since the process is killed when the first one said. */
     public void begin() {
-        long startedNanos = System.nanoTime();
-        router.beginStop();
-        var unusedRefusal =
-                timer.schedule(() -> router.traffic().refuseNew(), REFUSE_AFTER_MILLIS, TimeUnit.MILLISECONDS);
-        var unusedCheck = timer.scheduleWithFixedDelay(
-                () -> checkIdle(startedNanos), MIN_STOP_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        if (begun.getAndSet(true)) {
+            return;
+        }
+        long startMillis = MonotonicClock.SYSTEM.millis();
+        router.beginStop(StopDeadlines.of(startMillis, grace));
+        var unused = timer.scheduleWithFixedDelay(
+                () -> router.traffic().advanceStop(active -> stopped(active, startMillis)),
+                CHECK_INTERVAL_MILLIS,
+                CHECK_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void stopped(int active, long startMillis) {
+        LOG.info(
+                "the router has stopped",
+                LogEvent.STOPPED.field(),
+                kv("active", active),
+                kv("millis", MonotonicClock.SYSTEM.millis() - startMillis));
+        ended.countDown();
     }
 
     /**
@@ -76,12 +79,4 @@
     public void await() throws InterruptedException {
         ended.await();
     }
-
-    private void checkIdle(long startedNanos) {
-        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
-        router.traffic().stopIfIdle(millis > grace.toMillis() - GRACE_MARGIN_MILLIS, active -> {
-            LOG.info("the router has stopped", LogEvent.STOPPED.field(), kv("active", active), kv("millis", millis));
-            ended.countDown();
-        });
-    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/AttemptPlanner.java
@@ -45,6 +45,9 @@
      */
     NextStep next(
             RequestTerms terms, QuarantineGuard quarantineGuard, BackoffWait backoffWait, boolean responseStarted) {
+        if (!context.gracefulStop().accepts(record)) {
+            return NextStep.STOPPING;
+        }
         if (!quarantineGuard.admitted()) {
             return quarantineGuard.refusal();
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -131,6 +132,12 @@
         return !busy() && assembly == null;
     }
 
+    /** Tells whether all that was written to the caller has been handed to the operating system. */
+    boolean flushed() {
+        ChannelOutboundBuffer pending = ctx().channel().unsafe().outboundBuffer();
+        return pending == null || pending.totalPendingWriteBytes() == 0;
+    }
+
     private boolean busy() {
         return exchange != null || completeRequest != null;
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -57,10 +57,10 @@
         this.request = prepared.request();
         this.body = prepared.body();
         this.record = prepared.record();
-        this.retryGuard = new RetryGuard(context, history);
+        this.retryGuard = new RetryGuard(context, record, history);
         this.stream = new StreamContinuation(context, record);
         this.refusal = new ExchangeRefusal(context, caller, record, history, this::end);
-        RelayPlanner relayPlanner = new RelayPlanner(context, prepared.relayed());
+        RelayPlanner relayPlanner = new RelayPlanner(context, record, prepared.relayed());
         this.planner = new AttemptPlanner(context, record, history, relayPlanner);
         this.relayed = new RelayedExchange(context, caller, record, history, relayPlanner, this);
         this.quarantineGuard = new QuarantineGuard(context, record);
@@ -81,8 +81,8 @@
         terms = resolved;
         relay = new ResponseRelay(caller, terms.kind());
         record.terms(terms, prepared.features(terms));
-        if (context.stopped() || (context.refusingNew() && terms.kind().streams())) {
-            refusal.refuse(RefusalCode.NOT_READY, "this router is stopping", RetryDelay.OTHER_ROUTER.header());
+        if (!context.gracefulStop().accepts(record)) {
+            perform(NextStep.STOPPING);
             return;
         }
         quarantineGuard = new QuarantineGuard(context, record);
@@ -199,6 +199,14 @@
         giveUp(code, "the time for an answer is over");
     }
 
+    /** Ends the request because the process is about to end. */
+    void endForStop() {
+        if (!ended) {
+            stopAttempt();
+            perform(NextStep.STOPPING);
+        }
+    }
+
     /** Stops the attempt because the caller has closed its connection. */
     void callerDisconnected() {
         if (ended) {
@@ -305,7 +313,7 @@
     @Override
     public void connected(Attempt current, EndpointConnection connection) {
         Optional<SendObstacle> obstacle = SendObstacle.first(
-                new SendObstacle.Candidate(context, caller, terms, quarantineGuard, current.endpoint()));
+                new SendObstacle.Candidate(context, caller, record, terms, quarantineGuard, current.endpoint()));
         if (obstacle.isPresent()) {
             withdrawAttempt();
             obstacle.get().resolve(this);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
@@ -71,6 +71,9 @@
         if (code == RefusalCode.QUARANTINED) {
             return RetryDelay.quarantineHeader(record.quarantinedUntilMillis() - context.nowMillis());
         }
+        if (code == RefusalCode.NOT_READY) {
+            return RetryDelay.OTHER_ROUTER.header();
+        }
         return RetryDelay.of(code).header();
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/NextStep.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/NextStep.java
@@ -6,6 +6,9 @@
 
 /** What is done next with a request that is at no endpoint. */
 sealed interface NextStep {
+    /** The end of a request that this router may not live to answer. */
+    NextStep STOPPING = new GiveUp(RefusalCode.NOT_READY, "this router is stopping");
+
     /**
      * The request is sent to an endpoint.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RelayPlanner.java
@@ -22,6 +22,7 @@
             RefusalCode.NO_ENDPOINT, "this router reaches no endpoint of the service, and knows no router that does");
 
     private final TrafficContext context;
+    private final ExchangeRecord record;
     private final boolean relayed;
     private final Set<String> triedRouters = new HashSet<>();
 
@@ -29,10 +30,12 @@
      * Creates the planner of one request.
      *
      * @param context the shared state of the traffic event loop
+     * @param record the log record of the request
      * @param relayed whether another router has relayed the request to this one, so that it must not be relayed again
      */
-    RelayPlanner(TrafficContext context, boolean relayed) {
+    RelayPlanner(TrafficContext context, ExchangeRecord record, boolean relayed) {
         this.context = context;
+        this.record = record;
         this.relayed = relayed;
     }
 
@@ -95,6 +98,7 @@
     /** Tells whether the request can be relayed to a router to which it was not relayed before. */
     boolean canRelay(RequestTerms terms) {
         return !relayed
+                && context.gracefulStop().accepts(record)
                 && triedRouters.size() < MAX_ROUTERS
                 && context.relay().peers().available(terms.service(), triedRouters, context.nowMillis());
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseWriter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseWriter.java
@@ -115,7 +115,7 @@
     }
 
     private void prepare(HttpResponse head) {
-        if (context.stopping()) {
+        if (context.gracefulStop().begun()) {
             closeAfterResponse = true;
         }
         if (closeAfterResponse) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryGuard.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RetryGuard.java
@@ -3,10 +3,12 @@
 /** Decides whether one request may be sent to another endpoint. */
 final class RetryGuard {
     private final TrafficContext context;
+    private final ExchangeRecord record;
     private final SendHistory history;
 
-    RetryGuard(TrafficContext context, SendHistory history) {
+    RetryGuard(TrafficContext context, ExchangeRecord record, SendHistory history) {
         this.context = context;
+        this.record = record;
         this.history = history;
     }
 
@@ -17,6 +19,7 @@
     boolean mayRetry(RequestTerms terms) {
         return history.maySendAgain(terms.maxAttempts())
                 && terms.remainingMillis(context.nowMillis()) > 0
+                && context.gracefulStop().accepts(record)
                 && context.trySpendRetry(terms.service());
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendObstacle.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendObstacle.java
@@ -33,6 +33,18 @@
             exchange.deadlineExpired();
         }
     },
+    /** This router may not live to answer the request. */
+    ROUTER_STOPPING {
+        @Override
+        boolean appliesTo(Candidate candidate) {
+            return !candidate.context.gracefulStop().accepts(candidate.record);
+        }
+
+        @Override
+        void resolve(Exchange exchange) {
+            exchange.placeAndAttempt();
+        }
+    },
     /** The request, or a part of its prompt, has been quarantined meanwhile. */
     QUARANTINED {
         @Override
@@ -75,6 +87,7 @@
      *
      * @param context the shared state of the traffic event loop
      * @param caller the connection of the caller
+     * @param record the log record of the request
      * @param terms the terms of the request
      * @param quarantineGuard tells whether the request is quarantined
      * @param endpoint the endpoint that it is about to be sent to
@@ -82,6 +95,7 @@
     record Candidate(
             TrafficContext context,
             CallerConnection caller,
+            ExchangeRecord record,
             RequestTerms terms,
             QuarantineGuard quarantineGuard,
             ServiceEndpoint endpoint) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficContext.java
@@ -72,9 +72,7 @@
     private final BackoffQueue backoffQueue;
     private @Nullable EndpointFilter currentFilter;
     private CapacityForecast capacityForecast = CapacityForecast.UNKNOWN;
-    private boolean stopping;
-    private boolean refusingNew;
-    private boolean stopped;
+    private final GracefulStop gracefulStop;
 
     TrafficContext(
             EventLoop loop,
@@ -93,6 +91,7 @@
             Relay relay) {
         this.loop = loop;
         this.clock = clock;
+        this.gracefulStop = new GracefulStop(clock, responseTimes);
         this.views = views;
         this.dialect = dialect;
         this.resolver = new RequestResolver(dialect);
@@ -301,7 +300,7 @@
 
     private boolean awaitsConfiguration() {
         RoutingView view = view();
-        return !view.complete() && view.receiving() && !stopped;
+        return !view.complete() && view.receiving() && !gracefulStop.begun();
     }
 
     RequestLog requestLog() {
@@ -321,31 +320,8 @@
         return exchanges;
     }
 
-    /** Tells whether connections are closed after their next response, because the process is stopping. */
-    boolean stopping() {
-        return stopping;
-    }
-
-    void markStopping() {
-        stopping = true;
-    }
-
-    /** Tells whether new long-running requests are refused, because they could not end before the process does. */
-    boolean refusingNew() {
-        return refusingNew;
-    }
-
-    /** Tells whether no more requests are forwarded, because the process ends. */
-    boolean stopped() {
-        return stopped;
-    }
-
-    void markStopped() {
-        refusingNew = true;
-        stopped = true;
-    }
-
-    void refuseNew() {
-        refusingNew = true;
+    /** Returns what decides which requests a router that stops still takes. */
+    GracefulStop gracefulStop() {
+        return gracefulStop;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -74,6 +74,7 @@
     private final WorkReports workReports;
     private final RelayServer relayServer;
     private final List<Channel> listening = new ArrayList<>();
+    private final StopProcedure stopProcedure;
 
     /**
      * Creates a server that does not listen yet.
@@ -123,6 +124,7 @@
         this.relayServer = relay.server(
                 () -> new CallerConnection(context), () -> views.get().limits().maxHeaderBytes());
         this.workReports = new WorkReports(context);
+        this.stopProcedure = new StopProcedure(context, this::stopListening);
         Gauge.builder("radishpass.requests.active", context.exchanges(), java.util.Set::size)
                 .description("requests in progress")
                 .register(metrics);
@@ -331,52 +333,35 @@
     }
 
     /**
-     * Closes each connection after its next response from now on. Idle connections are closed later by {@link
-     * #closeIdle}.
+     * Begins to stop the server. From now on each connection is closed after its next response, and requests that could not
+     * end in time are refused. {@link #advanceStop} carries on.
+     *
+     * @param deadlines when the server goes from one step to the next; those of the first call hold
+     * @since 0.12.0
      */
-    public void closeAfterResponses() {
-        loop.execute(context::markStopping);
-    }
-
-    /** Refuses requests that could take long from now on, and closes the connections without a request. */
-    public void refuseNew() {
+    public void beginStop(StopDeadlines deadlines) {
         loop.execute(() -> {
-            context.refuseNew();
-            closeIdle();
+            context.gracefulStop().begin(deadlines);
+            context.heldArrivals().releaseAll();
         });
     }
 
     /**
-     * Stops the server if no request is in progress. From then on no request is forwarded, even if its last byte
-     * arrives before the process has ended, which may take half a second under a shortage of processor time.
+     * Takes the next step of a stop if it is due: first the server stops to listen and forwards no more requests, even if
+     * their last bytes arrive before the process has ended; then it ends the requests that are still in progress.
      *
-     * @param force whether to stop even if requests are in progress
-     * @param whenStopped called on the traffic event loop when the server has stopped, with the number of requests in
-     *     progress
+     * @param whenStopped called on the traffic event loop when the server has stopped, with the number of requests that had
+     *     to be ended
+     * @since 0.12.0
      */
-    public void stopIfIdle(boolean force, IntConsumer whenStopped) {
-        loop.execute(() -> {
-            int active = context.exchanges().size();
-            if (active > 0 && !force) {
-                return;
-            }
-            context.markStopped();
-            context.heldArrivals().releaseAll();
-            context.arrivalQueue().resolveAll();
-            relayServer.close();
-            for (Channel channel : listening) {
-                var unused = channel.close();
-            }
-            closeIdle();
-            whenStopped.accept(active);
-        });
+    public void advanceStop(IntConsumer whenStopped) {
+        loop.execute(() -> stopProcedure.advance(whenStopped));
     }
 
-    private void closeIdle() {
-        for (CallerConnection caller : new ArrayList<>(context.callers())) {
-            if (caller.idle()) {
-                caller.close();
-            }
+    private void stopListening() {
+        relayServer.close();
+        for (Channel channel : listening) {
+            var unused = channel.close();
         }
     }
 
@@ -393,10 +378,6 @@
         context.quarantine().tidy(nowMillis);
         context.streamOrigins().removeExpired();
         context.coldGuard().shares().tidy(nowMillis);
-        if (context.refusingNew()) {
-            closeIdle();
-            return;
-        }
         long idleMillis = view.limits().idleTimeoutMillis();
         long headMillis = view.limits().headerTimeoutMillis();
         for (CallerConnection caller : new ArrayList<>(context.callers())) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TestCaller.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TestCaller.java
@@ -46,6 +46,19 @@
         return text.toString();
     }
 
+    /** Reads until a given text has been read a number of times, and returns what came between. */
+    public String readUntilCount(String text, int count) throws IOException {
+        StringBuilder between = new StringBuilder();
+        byte[] expected = text.getBytes(StandardCharsets.UTF_8);
+        for (int number = 0; number < count; number++) {
+            between.append(readUntil("\r\n\r\n"));
+            if (!java.util.Arrays.equals(expected, socket.getInputStream().readNBytes(expected.length))) {
+                throw new IOException("other bytes than expected in response " + number);
+            }
+        }
+        return between.toString();
+    }
+
     /** Reads the body whose length the Content-Length header of a head states; empty if there is no such header. */
     public String readBody(String head) throws IOException {
         for (String line : head.split("\r\n", -1)) {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -216,10 +216,15 @@
     public TrafficFixture peers(int ownNumber, FleetRouter... routers) {
         server.identify(router(ownNumber, FleetRouter.NO_RELAY));
         server.workReports().routersChanged(List.of(routers), List.of(routers));
-        loops.onServer(false).next().submit(() -> {}).syncUninterruptibly();
+        awaitTrafficThread();
         return this;
     }
 
+    /** Waits until the traffic thread has run the tasks that it was given before. */
+    public void awaitTrafficThread() {
+        loops.onServer(false).next().submit(() -> {}).syncUninterruptibly();
+    }
+
     /** Returns the traffic server. */
     public TrafficServer server() {
         return server;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
@@ -23,6 +23,7 @@
  * router.
  */
 final class StreamAndCallerTest {
+    private static final java.time.Duration GRACE = java.time.Duration.ofSeconds(8);
     private static final long TIMEOUT_MILLIS = 20_000;
 
     private final TrafficFixture fixture;
@@ -53,9 +54,9 @@
             caller.send("POST /once/ HTTP/1.1\r\nHost: api\r\n" + PlainDialect.ID
                             + ": second\r\nExpect: 100-continue\r\n" + "Content-Length: 1\r\n\r\n")
                     .readUntil("100 Continue\r\n\r\n");
-            CompletableFuture<Integer> stopped = new CompletableFuture<>();
-            fixture.server().stopIfIdle(false, stopped::complete);
-            assertThat(stopped.get(20, TimeUnit.SECONDS)).isEqualTo(0);
+            fixture.server().beginStop(StopDeadlines.of(fixture.nowMillis(), GRACE));
+            fixture.advanceClock(StopDeadlines.MIN_STOP_MILLIS);
+            fixture.server().advanceStop(active -> {});
 
             assertThat(caller.send("x").readUntil("\r\n")).contains("503");
             assertThat(received.get()).isEqualTo(1);
@@ -124,13 +125,19 @@
                 TestCaller caller = fixture.configure(TIMEOUT_MILLIS, endpoint).caller()) {
             caller.request("POST", "/once/", "7", "x");
             endpoint.nextRequest();
-            fixture.server().closeAfterResponses();
-            fixture.server().refuseNew();
-            CompletableFuture<Integer> active = new CompletableFuture<>();
-            fixture.server().stopIfIdle(true, active::complete);
-            assertThat(active.get(20, TimeUnit.SECONDS)).isEqualTo(1);
+            fixture.server().beginStop(StopDeadlines.of(fixture.nowMillis(), GRACE));
+            CompletableFuture<Integer> stopped = new CompletableFuture<>();
+            fixture.advanceClock(StopDeadlines.MIN_STOP_MILLIS);
+            fixture.server().advanceStop(stopped::complete);
+            fixture.advanceClock(
+                    GRACE.toMillis() - StopDeadlines.END_MARGIN_MILLIS - StopDeadlines.MIN_STOP_MILLIS - 100);
+            fixture.server().advanceStop(stopped::complete);
             respond.countDown();
             String response = caller.readAll();
+            fixture.server().advanceStop(stopped::complete);
+            fixture.advanceClock(StopDeadlines.CLOSE_MILLIS);
+            fixture.server().advanceStop(stopped::complete);
+            assertThat(stopped.get(20, TimeUnit.SECONDS)).isEqualTo(0);
             assertThat(response).startsWith("HTTP/1.1 200");
             assertThat(response.toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
         }
