--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StopSequence.java
@@ -48,7 +48,7 @@
         this.grace = grace;
     }
 
-    /** Begins to stop the router. Later calls change nothing, since the process is killed when the first one said. */
+    /** Begins to stop the router. Later calls change nothing: the grace period runs from the first signal. */
     public void begin() {
         if (begun.getAndSet(true)) {
             return;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRefusal.java
@@ -71,7 +71,7 @@
         if (code == RefusalCode.QUARANTINED) {
             return RetryDelay.quarantineHeader(record.quarantinedUntilMillis() - context.nowMillis());
         }
-        if (code == RefusalCode.NOT_READY) {
+        if (code == RefusalCode.NOT_READY) { // this router is stopping
             return RetryDelay.OTHER_ROUTER.header();
         }
         return RetryDelay.of(code).header();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/GracefulStop.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/GracefulStop.java
@@ -18,7 +18,7 @@
     private final ResponseTimes responseTimes;
     private @Nullable StopDeadlines deadlines;
     private Phase phase = Phase.RUNNING;
-    private long endAtMillis = Long.MAX_VALUE;
+    private long earliestEndMillis = Long.MAX_VALUE;
 
     /**
      * Creates the decisions of a router that does not stop.
@@ -88,9 +88,9 @@
         boolean idle = !active && nowMillis >= current.idleEndAtMillis();
         if (phase == Phase.DRAINING && (idle || nowMillis >= current.closeAtMillis())) {
             phase = Phase.CLOSING;
-            endAtMillis = Math.min(current.endAtMillis(), nowMillis + StopDeadlines.CLOSE_MILLIS);
+            earliestEndMillis = Math.min(current.endAtMillis(), nowMillis + StopDeadlines.CLOSE_MILLIS);
         }
-        boolean over = nowMillis >= current.endAtMillis() || (!active && nowMillis >= endAtMillis);
+        boolean over = nowMillis >= current.endAtMillis() || (!active && nowMillis >= earliestEndMillis);
         if (phase == Phase.CLOSING && over) {
             phase = Phase.ENDED;
         }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/ContinuationTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/ContinuationTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.radishpass.routing.fleet.FleetRouter;
@@ -144,6 +145,27 @@
         }
     }
 
+    /** Guards against events of a stream after the beginning of an error body that was too long to be buffered. */
+    @Test
+    void anErrorThatIsCutOffIsNotContinued() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        String body = "id: 1\n" + "x".repeat(100_000) + "\n\n";
+        FakeEndpoint.Script script = (request, out) -> {
+            requests.incrementAndGet();
+            write(out, streamHead(request).replace("200 OK", "404 Not Found") + chunk(body));
+            request.close();
+        };
+        try (FakeEndpoint one = new FakeEndpoint("one", script);
+                FakeEndpoint other = new FakeEndpoint("other", script);
+                TrafficFixture fixture = new TrafficFixture().configure(TIMEOUT_MILLIS, one, other);
+                TestCaller caller = fixture.caller()) {
+            String response = send(caller);
+            assertThat(response).startsWith("HTTP/1.1 404");
+            assertThat(response).doesNotContain(LAST_CHUNK);
+            assertThat(requests.get()).isEqualTo(1);
+        }
+    }
+
     /** Guards against more runs than the route allows when other routers have sent the request to several endpoints. */
     @ParameterizedTest
     @CsvSource({"1, 3", "2, 2", "3, 2"})
