StreamAndCallerTest: check again that a stop ends with no request in progress

The server now stops in two steps, so the assertion stands after the late request was refused: as strict as before.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
@@ -56,10 +56,14 @@
                     .readUntil("100 Continue\r\n\r\n");
             fixture.server().beginStop(StopDeadlines.of(fixture.nowMillis(), GRACE));
             fixture.advanceClock(StopDeadlines.MIN_STOP_MILLIS);
-            fixture.server().advanceStop(active -> {});
+            CompletableFuture<Integer> stopped = new CompletableFuture<>();
+            fixture.server().advanceStop(stopped::complete);
 
             assertThat(caller.send("x").readUntil("\r\n")).contains("503");
             assertThat(received.get()).isEqualTo(1);
+            fixture.advanceClock(StopDeadlines.CLOSE_MILLIS);
+            fixture.server().advanceStop(stopped::complete);
+            assertThat(stopped.get(20, TimeUnit.SECONDS)).isEqualTo(0);
         }
     }
 
