Tests of a stop: no step races with what is sent after it

The clock of the fixture also went on during a stop, by which the margins of 100 to 300 ms depended on the machine.

Change: the fixture begins and advances a stop, waits for the traffic thread each time, and freezes the clock for its duration. No assertion has changed.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/TrafficFixture.java
@@ -3,13 +3,16 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntConsumer;
 import java.util.stream.IntStream;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
@@ -31,6 +34,7 @@
 import org.radishpass.routing.traffic.EndpointListener;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
+import org.radishpass.routing.traffic.StopDeadlines;
 import org.radishpass.routing.traffic.TrafficServer;
 import reactor.netty.resources.LoopResources;
 
@@ -47,6 +51,7 @@
 
     private final LoopResources loops = LoopResources.create("bed", 1, 1, true, false);
     private final AtomicLong skippedMillis = new AtomicLong();
+    private volatile OptionalLong frozenAtMillis = OptionalLong.empty();
     private final TrafficServer server;
     private final Channel listening;
     private volatile RoutingView view = RoutingView.UNKNOWN;
@@ -59,7 +64,7 @@
     public TrafficFixture() throws Exception {
         server = new TrafficServer(
                 loops.onServer(false).next(),
-                () -> MonotonicClock.SYSTEM.millis() + skippedMillis.get(),
+                this::nowMillis,
                 () -> view,
                 new PlainDialect(),
                 new DataCentre("here"),
@@ -168,7 +173,24 @@
 
     /** Returns the time on the traffic server's clock, in milliseconds. */
     public long nowMillis() {
-        return MonotonicClock.SYSTEM.millis() + skippedMillis.get();
+        return frozenAtMillis.orElseGet(MonotonicClock.SYSTEM::millis) + skippedMillis.get();
+    }
+
+    /**
+     * Begins to stop the traffic server, and freezes its clock, which from now on only {@link #advanceClock} moves. Waits for
+     * the traffic thread, which otherwise may read what is sent afterwards before it begins the stop.
+     */
+    public void beginStop(Duration grace) {
+        frozenAtMillis = OptionalLong.of(MonotonicClock.SYSTEM.millis());
+        server.beginStop(StopDeadlines.of(nowMillis(), grace));
+        awaitTrafficThread();
+    }
+
+    /** Advances the clock, and waits until the traffic thread has carried out the steps of the stop that are due. */
+    public void advanceStop(long millis, IntConsumer whenStopped) {
+        advanceClock(millis);
+        server.advanceStop(whenStopped);
+        awaitTrafficThread();
     }
 
     /** Advances the traffic server's clock. The timers of the event loop are not affected. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/GracefulStopTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/GracefulStopTest.java
@@ -259,15 +259,13 @@
     }
 
     private void beginStop() {
+        fixture.beginStop(GRACE);
         startMillis = fixture.nowMillis();
-        fixture.server().beginStop(StopDeadlines.of(startMillis, GRACE));
     }
 
     /** Advances the clock to a time after the signal, and carries out the steps of the stop that are due by then. */
     private void advanceTo(long millis) {
-        fixture.advanceClock(Math.max(0, startMillis + millis - fixture.nowMillis()));
-        fixture.server().advanceStop(stopped::complete);
-        fixture.awaitTrafficThread();
+        fixture.advanceStop(Math.max(0, startMillis + millis - fixture.nowMillis()), stopped::complete);
     }
 
     private static void awaitRequest(FakeEndpoint one, FakeEndpoint other) throws InterruptedException {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/traffic/StreamAndCallerTest.java
@@ -54,15 +54,13 @@
             caller.send("POST /once/ HTTP/1.1\r\nHost: api\r\n" + PlainDialect.ID
                             + ": second\r\nExpect: 100-continue\r\n" + "Content-Length: 1\r\n\r\n")
                     .readUntil("100 Continue\r\n\r\n");
-            fixture.server().beginStop(StopDeadlines.of(fixture.nowMillis(), GRACE));
-            fixture.advanceClock(StopDeadlines.MIN_STOP_MILLIS);
+            fixture.beginStop(GRACE);
             CompletableFuture<Integer> stopped = new CompletableFuture<>();
-            fixture.server().advanceStop(stopped::complete);
+            fixture.advanceStop(StopDeadlines.MIN_STOP_MILLIS, stopped::complete);
 
             assertThat(caller.send("x").readUntil("\r\n")).contains("503");
             assertThat(received.get()).isEqualTo(1);
-            fixture.advanceClock(StopDeadlines.CLOSE_MILLIS);
-            fixture.server().advanceStop(stopped::complete);
+            fixture.advanceStop(StopDeadlines.CLOSE_MILLIS, stopped::complete);
             assertThat(stopped.get(20, TimeUnit.SECONDS)).isEqualTo(0);
         }
     }
@@ -129,18 +127,16 @@
                 TestCaller caller = fixture.configure(TIMEOUT_MILLIS, endpoint).caller()) {
             caller.request("POST", "/once/", "7", "x");
             endpoint.nextRequest();
-            fixture.server().beginStop(StopDeadlines.of(fixture.nowMillis(), GRACE));
+            fixture.beginStop(GRACE);
             CompletableFuture<Integer> stopped = new CompletableFuture<>();
-            fixture.advanceClock(StopDeadlines.MIN_STOP_MILLIS);
-            fixture.server().advanceStop(stopped::complete);
-            fixture.advanceClock(
-                    GRACE.toMillis() - StopDeadlines.END_MARGIN_MILLIS - StopDeadlines.MIN_STOP_MILLIS - 100);
-            fixture.server().advanceStop(stopped::complete);
+            fixture.advanceStop(StopDeadlines.MIN_STOP_MILLIS, stopped::complete);
+            long shortOfEndMillis =
+                    GRACE.toMillis() - StopDeadlines.END_MARGIN_MILLIS - StopDeadlines.MIN_STOP_MILLIS - 100;
+            fixture.advanceStop(shortOfEndMillis, stopped::complete);
             respond.countDown();
             String response = caller.readAll();
-            fixture.server().advanceStop(stopped::complete);
-            fixture.advanceClock(StopDeadlines.CLOSE_MILLIS);
-            fixture.server().advanceStop(stopped::complete);
+            fixture.advanceStop(0, stopped::complete);
+            fixture.advanceStop(StopDeadlines.CLOSE_MILLIS, stopped::complete);
             assertThat(stopped.get(20, TimeUnit.SECONDS)).isEqualTo(0);
             assertThat(response).startsWith("HTTP/1.1 200");
             assertThat(response.toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
