radishpass-router: a stopping router refuses what it may not live to answer

What callers saw: a request with a deadline of 60 s was sent to an engine by a router that was to close its connections within 30 s, and requests that were in progress when it did so lost their connection without a response.

Requests could also begin in the 200 ms between the last look at those in progress and the close, and calls that peers forward were not counted at all.

Change: StopDeadlines stores the times of a stop; GracefulStop decides what is taken, asked at the arrival and by Placer, through which each first attempt, wait, retry, resumption and forwarded call goes. StopProcedure refuses new requests before it looks a last time, ends the attempts in progress at the end, and waits until their failures are written. Forwarded calls count as in progress. Responses during a stop carry Connection: close.

The test failed before, RouterStopIT on: status 200 instead of 503 (the late request ran), and no whole response at the forced end; both pass now.

--- a/radishpass-dist/src/test/java/org/radishpass/dist/TestFleet.java
+++ b/radishpass-dist/src/test/java/org/radishpass/dist/TestFleet.java
@@ -35,15 +35,20 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
     private static final EngineSettings ENGINE_SETTINGS = new EngineSettings(32, 20, 20_000, 4_000, 200, true);
     private static final long POLL_INTERVAL_MILLIS = 20;
+    private static final int DRAIN_SECONDS = 600;
 
     private final List<Router> routers = new ArrayList<>();
     private final HttpRuntime runtime = new HttpRuntime("test", 2);
     private final StandInDeployment deployment;
 
     TestFleet(Path directory, int routerCount) throws IOException {
+        this(directory, routerCount, DRAIN_SECONDS);
+    }
+
+    TestFleet(Path directory, int routerCount, int drainSeconds) throws IOException {
         this.deployment = new StandInDeployment(DeploymentKind.AUTHORITY, directory, ENGINE_SETTINGS, 5);
         for (int i = 0; i < routerCount; i++) {
-            routers.add(new Router(settings(directory, i), Clock.systemUTC()));
+            routers.add(new Router(settings(directory, i, drainSeconds), Clock.systemUTC()));
         }
         deployment.engines().forEach(this::loadPools);
         applyRecords(exampleRecords());
@@ -135,7 +140,7 @@
         return all && status.path("endpoints").size() > 0;
     }
 
-    private RouterSettings settings(Path directory, int index) {
+    private RouterSettings settings(Path directory, int index, int drainSeconds) {
         String dataCentre = DeploymentKind.AUTHORITY.dataCentres().get(index % 4);
         RouterSettings settings = new RouterSettings();
         List<String> faults = new SettingsParser(settings)
@@ -155,6 +160,8 @@
                                 "200",
                                 "--balancer-seconds",
                                 "0",
+                                "--drain-seconds",
+                                Integer.toString(drainSeconds),
                                 "--ports-file",
                                 directory
                                         .resolve("router-" + index + ".vm.json")
--- a/radishpass-router/src/main/java/org/radishpass/router/Router.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/Router.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.radishpass.router.internal.control.RouterControl;
 import org.radishpass.router.internal.traffic.RouterTraffic;
+import org.radishpass.router.internal.traffic.StopDeadlines;
 import org.radishpass.runtime.http.HttpRuntime;
 import org.radishpass.runtime.metrics.CountingHandler;
 import org.radishpass.runtime.metrics.ProcessMetrics;
@@ -31,8 +32,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final String PLATFORM_TRAFFIC_KIND = "platform";
-    private static final long DRAIN_POLL_MILLIS = 50;
-    private static final long CLOSE_DELAY_MILLIS = 200;
 
     private final RouterSettings settings;
     private final HttpRuntime runtime;
@@ -81,20 +80,19 @@
      * Drains and closes the router, so that no request is interrupted.
      *
      * <p>The router first reports that it is not ready, then waits until the platform's load balancer has noticed, then
-     * waits for the requests in progress, up to the configured limit.
+     * waits for the requests in progress, up to the configured limit. In that time it refuses requests that may take longer
+     * than the limit.
      *
      * @throws InterruptedException if the thread is interrupted while it waits
      */
     public void stop() throws InterruptedException {
         control.announceLeaving();
         LOG.info("router {} is stopping; it waits for {} requests in progress", settings.id(), traffic.inProgress());
-        Thread.sleep(Duration.ofSeconds(settings.balancerSeconds()).toMillis());
-        long deadline =
-                System.nanoTime() + Duration.ofSeconds(settings.drainSeconds()).toNanos();
-        while (traffic.inProgress() > 0 && System.nanoTime() - deadline < 0) {
-            Thread.sleep(DRAIN_POLL_MILLIS);
-        }
-        Thread.sleep(CLOSE_DELAY_MILLIS);
+        int endedRequests = traffic.stop(StopDeadlines.of(
+                System.nanoTime(),
+                Duration.ofSeconds(settings.balancerSeconds()),
+                Duration.ofSeconds(settings.drainSeconds())));
+        LOG.info("router {} has stopped; it ended {} requests before their response", settings.id(), endedRequests);
         close();
     }
 
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/endpoint/EndpointClient.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/endpoint/EndpointClient.java
@@ -33,6 +33,7 @@
 
     private final HttpClient client;
     private final Clock clock;
+    private final Mono<Void> routerEnd;
 
     /**
      * Creates a client.
@@ -41,8 +42,22 @@
      * @param clock the source of the current time
      */
     public EndpointClient(HttpClient client, Clock clock) {
+        this(client, clock, Mono.never());
+    }
+
+    /**
+     * Creates a client whose attempts end with the router.
+     *
+     * @param client the HTTP client, which must not resend requests on its own
+     * @param clock the source of the current time
+     * @param routerEnd completes when the router ends; attempts in progress fail then
+     * @since 0.12.0
+     */
+    public EndpointClient(HttpClient client, Clock clock, Mono<Void> routerEnd) {
         this.client = client;
         this.clock = clock;
+        this.routerEnd = routerEnd.then(
+                Mono.error(() -> new AttemptFailure(Verdict.MAY_HAVE_RUN, "the router stopped before the response")));
     }
 
     /**
@@ -62,6 +77,7 @@
                     return content.asByteArray().concatMapIterable(framer::accept);
                 })
                 .transform(EndpointClient::requireEndMarker)
+                .takeUntilOther(routerEnd)
                 .onErrorMap(error -> toAttemptFailure(error, sent));
     }
 
@@ -84,6 +100,7 @@
                             .map(body -> new CompleteResponse(response.status().code(), type, body));
                 })
                 .timeout(Duration.between(clock.instant(), attempt.deadline()))
+                .takeUntilOther(routerEnd)
                 .onErrorMap(error -> toAttemptFailure(error, sent));
     }
 
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerServer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/CallerServer.java
@@ -70,6 +70,9 @@
     }
 
     private Publisher<Void> route(HttpServerRequest request, HttpServerResponse response) {
+        if (components.gracefulStop().begun()) {
+            response.keepAlive(false);
+        }
         String path = request.path();
         return switch (request.method().name() + " /" + path) {
             case "POST /v1/chat/completions" -> authenticated(request, response, chats::handle);
@@ -114,7 +117,10 @@
                     .write(response, components.authenticator().nextRequestId(), e.refusal());
         }
         components.metrics().requestStarted();
-        return Mono.defer(() -> Mono.from(handler.handle(caller, request, response)))
+        return Mono.defer(() -> {
+                    components.gracefulStop().requireAccepted(caller.deadline());
+                    return Mono.from(handler.handle(caller, request, response));
+                })
                 .onErrorResume(error -> respondWithError(caller, error, response))
                 .doFinally(signal -> components.metrics().requestEnded());
     }
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
@@ -32,6 +32,7 @@
     private final RouterControl control;
     private final SlotClient slotClient;
     private final PassiveHealth health;
+    private final GracefulStop gracefulStop;
     private final Clock clock;
 
     /**
@@ -40,12 +41,14 @@
      * @param control the router's control state
      * @param slotClient reserves and releases slots
      * @param health the endpoints at which requests recently failed
+     * @param gracefulStop decides which requests are taken while the router stops
      * @param clock the source of the current time
      */
-    public Placer(RouterControl control, SlotClient slotClient, PassiveHealth health, Clock clock) {
+    Placer(RouterControl control, SlotClient slotClient, PassiveHealth health, GracefulStop gracefulStop, Clock clock) {
         this.control = control;
         this.slotClient = slotClient;
         this.health = health;
+        this.gracefulStop = gracefulStop;
         this.clock = clock;
         this.denials = new RecentDenials(clock);
     }
@@ -55,7 +58,8 @@
      *
      * @param request the request to place
      * @param trace receives the result of each slot request
-     * @return the placement, or a {@link RefusedException} if no slot becomes free by the deadline
+     * @return the placement, or a {@link RefusedException} if no slot becomes free by the deadline, or if this router may
+     *     not live to answer the request
      */
     public Mono<Placement> place(PlaceRequest request, PlacementTrace trace) {
         return Mono.defer(() -> placeOrRetry(request, trace, INITIAL_BACKOFF_MILLIS));
@@ -71,6 +75,7 @@
     }
 
     private Mono<Placement> placeOrRetry(PlaceRequest request, PlacementTrace trace, int pauseMillis) {
+        gracefulStop.requireAccepted(request.deadline());
         RouterSnapshot snapshot = control.snapshot();
         PlacementPolicy policy = snapshot.configuration().policy();
         List<Endpoint> ranked = rank(policy, request, snapshot);
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/RouterTraffic.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/RouterTraffic.java
@@ -17,6 +17,7 @@
 public final class RouterTraffic implements AutoCloseable {
     private final TrafficMetrics trafficMetrics;
     private final CallerServer server;
+    private final StopProcedure stopProcedure;
 
     /**
      * Creates the components and begins to listen for callers.
@@ -38,15 +39,18 @@
         this.trafficMetrics = new TrafficMetrics(metrics);
         PassiveHealth health = new PassiveHealth(clock);
         SlotClient slotClient = new SlotClient(control, clock);
+        GracefulStop gracefulStop = new GracefulStop(clock, System::nanoTime);
+        this.stopProcedure = new StopProcedure(gracefulStop, trafficMetrics::inProgress);
         TrafficComponents components = new TrafficComponents(
-                new Placer(control, slotClient, health, clock),
-                new EndpointClient(runtime.client(), clock),
+                new Placer(control, slotClient, health, gracefulStop, clock),
+                new EndpointClient(runtime.client(), clock, gracefulStop.ended()),
                 new Retries.Factory(health, clock),
                 new WorkspaceLimiter(),
                 trafficMetrics,
                 new RefusalWriter(trafficMetrics),
                 new DecisionLog(),
                 new CallerAuthenticator(control, clock),
+                gracefulStop,
                 clock);
         TicketService tickets = new TicketService(control, clock);
         this.server = new CallerServer(
@@ -70,6 +74,18 @@
         return trafficMetrics.inProgress();
     }
 
+    /**
+     * Refuses requests that this router may not live to answer, and waits for those in progress.
+     *
+     * @param deadlines when the steps of the stop are due
+     * @return the number of requests that had to be ended
+     * @throws InterruptedException if the thread is interrupted while it waits
+     * @since 0.12.0
+     */
+    public int stop(StopDeadlines deadlines) throws InterruptedException {
+        return stopProcedure.run(deadlines);
+    }
+
     @Override
     public void close() {
         server.close();
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ServiceHandler.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/ServiceHandler.java
@@ -73,38 +73,39 @@
     /** Executes a call that another router forwarded because this router issued the call's ticket. */
     Mono<PeerMessage> handleForwarded(PeerMessage.TicketRun message) {
         return Mono.defer(() -> {
-                    RouterSnapshot snapshot = control.snapshot();
-                    WorkspaceSpec workspace = snapshot.configuration()
-                            .workspace(message.workspace())
-                            .orElseThrow(() -> RefusedException.notRun(
-                                    RefusalCode.UNAUTHORIZED, "the workspace is not known here"));
-                    ServiceSpec service = snapshot.configuration()
-                            .service(message.service())
-                            .orElseThrow(() ->
-                                    RefusedException.notRun(RefusalCode.NOT_FOUND, "the service is not known here"));
-                    Instant now = components.clock().instant();
-                    CallerRequest caller = new CallerRequest(
-                            components.authenticator().nextRequestId(),
-                            workspace,
-                            message.priority(),
-                            now,
-                            now.plusMillis(message.remainingMillis()),
-                            snapshot);
-                    String type = message.contentType().isEmpty() ? null : message.contentType();
-                    ServiceCall call = new ServiceCall(
-                            message.service(),
-                            message.method(),
-                            message.path(),
-                            type,
-                            message.body(),
-                            false,
-                            message.ticket());
-                    return execute(caller, service.pool(), call);
+                    components.metrics().requestStarted();
+                    return executeForwarded(message)
+                            .doFinally(signal -> components.metrics().requestEnded());
                 })
                 .map(TicketService::toMessage)
                 .onErrorResume(error -> Mono.just(TicketService.toFailureMessage(error)));
     }
 
+    private Mono<CompleteResponse> executeForwarded(PeerMessage.TicketRun message) {
+        return Mono.defer(() -> {
+            RouterSnapshot snapshot = control.snapshot();
+            WorkspaceSpec workspace = snapshot.configuration()
+                    .workspace(message.workspace())
+                    .orElseThrow(
+                            () -> RefusedException.notRun(RefusalCode.UNAUTHORIZED, "the workspace is not known here"));
+            ServiceSpec service = snapshot.configuration()
+                    .service(message.service())
+                    .orElseThrow(() -> RefusedException.notRun(RefusalCode.NOT_FOUND, "the service is not known here"));
+            Instant now = components.clock().instant();
+            CallerRequest caller = new CallerRequest(
+                    components.authenticator().nextRequestId(),
+                    workspace,
+                    message.priority(),
+                    now,
+                    now.plusMillis(message.remainingMillis()),
+                    snapshot);
+            String type = message.contentType().isEmpty() ? null : message.contentType();
+            ServiceCall call = new ServiceCall(
+                    message.service(), message.method(), message.path(), type, message.body(), false, message.ticket());
+            return execute(caller, service.pool(), call);
+        });
+    }
+
     private Mono<CompleteResponse> execute(CallerRequest caller, String pool, ServiceCall call) {
         WorkspaceSpec workspace = caller.workspace();
         if (!components
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/TrafficComponents.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/TrafficComponents.java
@@ -15,6 +15,7 @@
  * @param refusals writes refusals to callers
  * @param decisions keeps the recent placement decisions
  * @param authenticator authenticates callers
+ * @param gracefulStop decides which requests are taken while the router stops
  * @param clock the source of the current time
  * @since 0.1.0
  */
@@ -27,4 +28,5 @@
         RefusalWriter refusals,
         DecisionLog decisions,
         CallerAuthenticator authenticator,
+        GracefulStop gracefulStop,
         Clock clock) {}
