--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/StopProcedure.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/StopProcedure.java
@@ -14,7 +14,7 @@
     private static final long CLOSE_MILLIS = 200;
 
     /** Maximum milliseconds until the responses of requests that were ended have been written. */
-    private static final long FLUSH_MILLIS = 500;
+    private static final long FLUSH_MILLIS = 2_000;
 
     private final GracefulStop gracefulStop;
     private final IntSupplier inProgress;
