--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/GracefulStop.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/GracefulStop.java
@@ -61,8 +61,8 @@
 
     /**
      * Tells whether a request may be taken, or sent once more. As long as the load balancer may not have noticed the stop,
-     * callers are served whatever they ask for. Another request must have ended before the router does; its response might
-     * be cut off otherwise, and another router can still take it.
+     * callers are served whatever they ask for. Another request must have a deadline before the end of the router; its
+     * response might be cut off otherwise, and another router can still take it.
      *
      * @param deadline the time when the caller stops waiting
      */
@@ -81,7 +81,7 @@
      * Returns normally if a request may be taken, or sent once more.
      *
      * @param deadline the time when the caller stops waiting
-     * @throws RefusedException if the router may not live to answer the request
+     * @throws RefusedException if the request may outlast the router, which stops
      */
     void requireAccepted(Instant deadline) {
         if (!accepts(deadline)) {
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/Placer.java
@@ -58,8 +58,8 @@
      *
      * @param request the request to place
      * @param trace receives the result of each slot request
-     * @return the placement, or a {@link RefusedException} if no slot becomes free by the deadline, or if this router may
-     *     not live to answer the request
+     * @return the placement, or a {@link RefusedException} if no slot becomes free by the deadline, or if the request
+     *     may outlast this router, which stops
      */
     public Mono<Placement> place(PlaceRequest request, PlacementTrace trace) {
         return Mono.defer(() -> placeOrRetry(request, trace, INITIAL_BACKOFF_MILLIS));
--- a/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/RouterTraffic.java
+++ b/radishpass-router/src/main/java/org/radishpass/router/internal/traffic/RouterTraffic.java
@@ -75,7 +75,7 @@
     }
 
     /**
-     * Refuses requests that this router may not live to answer, and waits for those in progress.
+     * Refuses requests that may outlast this router, and waits for those in progress.
      *
      * @param deadlines when the steps of the stop are due
      * @return the number of requests that had to be ended
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/NextStep.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/NextStep.java
@@ -6,7 +6,7 @@
 
 /** What is done next with a request that is at no endpoint. */
 sealed interface NextStep {
-    /** The end of a request that this router may not live to answer. */
+    /** The end of a request that may outlast this router. */
     NextStep STOPPING = new GiveUp(RefusalCode.NOT_READY, "this router is stopping");
 
     /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendObstacle.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/SendObstacle.java
@@ -33,7 +33,7 @@
             exchange.deadlineExpired();
         }
     },
-    /** This router may not live to answer the request. */
+    /** The request may outlast this router, which stops. */
     ROUTER_STOPPING {
         @Override
         boolean appliesTo(Candidate candidate) {
