--- a/review/standin-2/Case9.java
+++ b/review/standin-2/Case9.java
@@ -30,7 +30,7 @@
         return (runner, request, out) -> {
             String id = request.header("Request-Id");
             long now = Lab2.now();
-            if (leaves && now > ack + DRAIN_MILLIS && now > inTouchFrom) {
+            if (leaves && now - DRAIN_MILLIS > ack && now > inTouchFrom) {
                 LATE.incrementAndGet();
                 lab.say("runner " + runner.id + ", gone for " + (now - ack) + " ms, gets " + id);
             } else {
