--- a/review/standin-2/Lab2.java
+++ b/review/standin-2/Lab2.java
@@ -718,12 +718,18 @@
         private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
         private final List<Socket> sockets = new ArrayList<>();
         private List<java.util.concurrent.atomic.AtomicBoolean> channels = new ArrayList<>();
+        private volatile boolean resets;
 
         Proxy(String target) throws IOException {
             int port = Integer.parseInt(target.substring(target.indexOf(':') + 1));
             daemon("proxy", () -> {
                 while (true) {
                     Socket near = server.accept();
+                    if (resets) {
+                        near.setSoLinger(true, 0);
+                        near.close();
+                        continue;
+                    }
                     Socket far = new Socket("127.0.0.1", port);
                     near.setTcpNoDelay(true);
                     far.setTcpNoDelay(true);
@@ -743,6 +749,17 @@
             return "127.0.0.1:" + server.getLocalPort();
         }
 
+        /** Resets the open channels and each new one, until it is called again with false. */
+        synchronized void reset(boolean on) throws IOException {
+            resets = on;
+            if (on) {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+                sockets.clear();
+            }
+        }
+
         /** From now on the channels that are open carry nothing more. Returns how many they are. */
         synchronized int silence() {
             int count = 0;
