--- a/review/standin-2/Case8.java
+++ b/review/standin-2/Case8.java
@@ -1,118 +1,131 @@
-/** Channels that were accepted under a shorter limit of heads keep it for good. Rule DENIED. */
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** All routers are killed and started again; clients take their streams up. Rule LOST (of streams that are taken up). */
 final class Case8 {
-    private static final int REQUESTS = 100;
-    private static final int KEPT = 20;
-    private static final int SHORT_HEAD = 100;
-    private static final int LONG_HEAD = 20_000;
-    private static final int LIMIT = 32_768;
-    private static final int FORMER_LIMIT = 16_384;
-    private static final int STORE_DOWN_MILLIS = 4_500;
+    private static final int ROUTERS = 3;
+    private static final int RUNNERS = 4;
+    private static final int CLIENTS = 20;
+    private static final int EVENTS = 58;
+    private static final int EVENT_PAUSE_MILLIS = 100;
+    private static final int DEADLINE_MILLIS = 12_000;
+    private static final int STREAMED_MILLIS = 2_000;
+    private static final int DOWN_MILLIS = 1_200;
+
+    /** From the start of the routers until streams are taken up; contact_ms and more. */
+    private static final int IN_TOUCH_MILLIS = 3_800;
+
+    private static final AtomicInteger TAKEN_UP = new AtomicInteger();
+    private static final AtomicInteger WENT_ON = new AtomicInteger();
+    private static final AtomicInteger FRESH = new AtomicInteger();
+    private static final AtomicInteger BEGAN = new AtomicInteger();
 
     public static void main(String... arguments) {
         Lab2.main("review/8", Case8::run);
     }
 
     private static int run(Lab2 lab, boolean trouble) throws Exception {
-        int changed = afterChange(lab, trouble);
-        int started = afterStart(lab, trouble);
-        lab.say("of " + REQUESTS + " proper requests each, ended with a 4xx of the router's own: " + changed
-                + " after a change of the limit, " + started + " after a start while the store was down; allowed are 5 + 1 in 500");
-        return Math.max(changed, started) > 5 + REQUESTS / 500 ? Lab2.BROKEN : Lab2.HELD;
-    }
-
-    private static Lab2.Store store(Lab2 lab) throws Exception {
         Lab2.Store store = lab.add(lab.new Store());
-        for (int number = 1; number <= 2; number++) {
-            lab.add(lab.new Runner(store, "i-" + number, "wuno96b", (runner, request, out) -> {
-                lab.say("runner " + runner.id + " runs " + request.header("Request-Id"));
-                Lab2.write(out, Lab2.success(request, "done"));
-            }));
+        for (int number = 0; number < RUNNERS; number++) { // all of version v1
+            lab.add(lab.new Runner(store, "i-" + number, "huvo11a", (runner, request, out) -> stream(lab, runner, request, out), 64));
         }
-        return store;
-    }
-
-    /** One disruption: a version raises the limit. */
-    private static int afterChange(Lab2 lab, boolean trouble) throws Exception {
-        Lab2.Store store = store(lab);
-        // without the disruption the longer heads are allowed from the beginning, and the second version changes nothing
-        store.put("op", "config", Lab2.config(7, "", trouble ? FORMER_LIMIT : LIMIT));
-        Lab2.Router router = lab.new Router();
-        router.settings(store, 8);
-        router.start();
-        router.awaitReady(20_000);
-        Lab2.Channel[] kept = open(lab, router);
-        Thread.sleep(4_000); // the machine is in touch: more than contact_ms without a start
-        store.put("op", "config", Lab2.config(12, "", LIMIT));
-        lab.say("the store acknowledged version 12: max_header_bytes " + LIMIT);
-        Thread.sleep(4_000); // twice config_apply_ms
-        return denied(lab, router, kept);
-    }
-
-    /** Two disruptions: the store is down, and the router is killed and started again meanwhile. The limit never changes. */
-    private static int afterStart(Lab2 lab, boolean trouble) throws Exception {
-        Lab2.Store store = store(lab);
-        Lab2.Proxy proxy = lab.add(new Lab2.Proxy(store.address()));
-        store.put("op", "config", Lab2.config(7, "", LIMIT));
-        Lab2.Router router = lab.new Router();
-        router.settings(8, proxy.address());
-        router.start();
-        router.awaitReady(20_000);
-        Thread.sleep(4_000);
-        if (trouble) {
-            lab.say("the store is down for " + STORE_DOWN_MILLIS + " ms");
-            proxy.reset(true);
-            router.kill();
+        String route = Lab2.route("r-query", "/pufi791/", "stream", "huvo11a", 2, DEADLINE_MILLIS)
+                .replace("\"session_affinity\":false", "\"session_affinity\":true,\"stream_resume\":true");
+        store.put("op", "config", Lab2.config(7, "," + route, 16_384));
+        List<Lab2.Router> routers = new ArrayList<>();
+        for (int number = 0; number < ROUTERS; number++) {
+            Lab2.Router router = lab.new Router();
+            router.settings(store, 8);
             router.start();
+            routers.add(router);
         }
-        Thread.sleep(2_000);
-        Lab2.Channel[] kept = open(lab, router);
-        Thread.sleep(STORE_DOWN_MILLIS - 2_000);
-        proxy.reset(false);
-        lab.say("the store is there");
-        router.awaitReady(20_000);
-        Thread.sleep(4_000); // the store is stable and the machine in touch: more than contact_ms without a disturbance
-        return denied(lab, router, kept);
-    }
-
-    private static Lab2.Channel[] open(Lab2 lab, Lab2.Router router) throws Exception {
-        Lab2.Channel[] kept = new Lab2.Channel[KEPT];
-        for (int number = 0; number < KEPT; number++) {
-            kept[number] = lab.add(new Lab2.Channel(router));
-            int status = send(lab, kept[number], SHORT_HEAD);
-            if (status != 200 && status != 503) {
-                throw new java.io.IOException("a request with a short head was answered " + status);
+        for (Lab2.Router router : routers) {
+            router.awaitReady(20_000);
+        }
+        Thread.sleep(5_000);
+        long begun = Lab2.now();
+        List<Thread> clients = new ArrayList<>();
+        for (int number = 0; number < CLIENTS; number++) {
+            Lab2.Router first = routers.get(number % ROUTERS);
+            Lab2.Router later = routers.get((number + 1) % ROUTERS);
+            clients.add(Lab2.daemon("client", () -> client(lab, first, later, begun, trouble)));
+        }
+        Thread.sleep(STREAMED_MILLIS);
+        if (trouble) {
+            for (Lab2.Router router : routers) {
+                router.kill();
             }
+            Thread.sleep(DOWN_MILLIS);
+            for (Lab2.Router router : routers) {
+                router.start();
+            }
+        }
+        for (Thread client : clients) {
+            client.join(40_000);
+        }
+        lab.say("of " + TAKEN_UP + " streams that were taken up " + WENT_ON + " went on; of " + FRESH + " new ones " + BEGAN + " began");
+        if (TAKEN_UP.get() < 12 || BEGAN.get() == 0) {
+            return Lab2.NOT_RUN;
         }
-        return kept;
+        double goesOn = (double) WENT_ON.get() / TAKEN_UP.get();
+        double begins = (double) BEGAN.get() / FRESH.get();
+        return goesOn < begins / 2 ? Lab2.BROKEN : Lab2.HELD;
     }
 
-    private static int denied(Lab2 lab, Lab2.Router router, Lab2.Channel[] kept) throws Exception {
-        try (Lab2.Channel fresh = new Lab2.Channel(router)) {
-            lab.say("on a new channel: " + send(lab, fresh, LONG_HEAD));
+    private static void stream(Lab2 lab, Lab2.Runner runner, Lab2.Message request, java.io.OutputStream out) throws Exception {
+        String after = request.header("Last-Event-Id");
+        lab.say("runner " + runner.id + " runs " + request.header("Request-Id") + (after == null ? "" : " after event " + after));
+        Lab2.write(out, "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id") + "\r\nResponse-Signature: 3e1b.07"
+                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int number = 1 + (after == null ? 0 : Integer.parseInt(after)); number <= EVENTS; number++) {
+            String event = "id: " + number + "\ndata: piece " + number + "\n\n";
+            Lab2.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+            Thread.sleep(EVENT_PAUSE_MILLIS);
         }
-        int denied = 0;
-        for (int number = 0; number < REQUESTS; number++) {
-            int slot = number % KEPT;
-            int status = send(lab, kept[slot], LONG_HEAD);
-            if (status >= 300 && status < 500 && status != 408 && status != 421 && status != 429) {
-                denied++;
-                kept[slot] = lab.add(new Lab2.Channel(router)); // the router closed the other one
-            }
-            Thread.sleep(20);
-        }
-        return denied;
+        Lab2.write(out, "0\r\n\r\n");
     }
 
-    /** Sends a request whose head has about so many bytes, all within max_header_bytes, and returns the status. */
-    private static int send(Lab2 lab, Lab2.Channel channel, int bytes) throws Exception {
+    private static void client(Lab2 lab, Lab2.Router first, Lab2.Router later, long begun, boolean trouble) throws Exception {
         String id = Lab2.requestId();
-        StringBuilder more = new StringBuilder();
-        while (more.length() < bytes) {
-            more.append("Trace-").append(more.length()).append(": ").append("x".repeat(70)).append("\r\n");
+        Lab2.Channel channel = new Lab2.Channel(first);
+        channel.send(Lab2.request("POST", "/pufi791/a", id, DEADLINE_MILLIS, "", "x"));
+        if (!trouble) { // the same break of each channel, by its client
+            Lab2.daemon("leave", () -> {
+                Thread.sleep(STREAMED_MILLIS);
+                channel.close();
+            });
+        }
+        Lab2.Message answer = channel.answer(DEADLINE_MILLIS);
+        String text = answer == null ? "" : answer.text();
+        int at = text.lastIndexOf("\nid: ", text.lastIndexOf("\n\n"));
+        if (at < 0) {
+            lab.say("request " + id + " was broken off before its second event");
+            return;
+        }
+        int last = Integer.parseInt(text.substring(at + 5, text.indexOf('\n', at + 5)));
+        lab.say("request " + id + " was broken off after event " + last);
+        Thread.sleep(Math.max(0, begun + STREAMED_MILLIS + DOWN_MILLIS + IN_TOUCH_MILLIS - Lab2.now()));
+        String again = Lab2.requestId();
+        TAKEN_UP.incrementAndGet();
+        try (Lab2.Channel other = new Lab2.Channel(later)) {
+            long left = begun + DEADLINE_MILLIS - Lab2.now();
+            other.send(Lab2.request(
+                    "POST", "/pufi791/a", again, left, "Resumes: " + id + "\r\nLast-Event-Id: " + last + "\r\n", "x"));
+            Lab2.Message rest = other.answer((int) left + 500);
+            boolean goesOn = rest != null && rest.status() == 200 && rest.text().startsWith("id: " + (last + 1) + "\n");
+            WENT_ON.addAndGet(goesOn ? 1 : 0);
+            lab.say("request " + again + " takes " + id + " up after event " + last + ": "
+                    + (rest == null ? "no answer" : rest.first + (goesOn ? ", it goes on" : " " + rest.text())));
+        }
+        String fresh = Lab2.requestId();
+        FRESH.incrementAndGet();
+        try (Lab2.Channel other = new Lab2.Channel(later)) {
+            other.send(Lab2.request("POST", "/pufi791/a", fresh, DEADLINE_MILLIS, "", "x"));
+            Lab2.Message whole = other.answer(DEADLINE_MILLIS);
+            boolean begins = whole != null && whole.status() == 200 && whole.text().startsWith("id: 1\n");
+            BEGAN.addAndGet(begins ? 1 : 0);
+            lab.say("request " + fresh + ", a new stream: " + (whole == null ? "no answer" : whole.first));
         }
-        channel.send(Lab2.request("GET", "/slot11/a", id, 2_500, more.toString(), ""));
-        Lab2.Message answer = channel.answer(3_000);
-        lab.say("request " + id + ", head of " + bytes + " bytes: " + (answer == null ? "no answer" : answer.first));
-        return answer == null ? 0 : answer.status();
     }
 }
