--- a/radishpass-core/src/main/java/org/radishpass/core/fleet/DataCentre.java
+++ b/radishpass-core/src/main/java/org/radishpass/core/fleet/DataCentre.java
@@ -1,5 +1,7 @@
 package org.radishpass.core.fleet;
 
+import java.util.Optional;
+
 /**
  * A data centre, identified by its name.
  *
@@ -14,6 +16,15 @@
         }
     }
 
+    /**
+     * Returns the data centre with a name that another program wrote; empty if the name cannot be one.
+     *
+     * @since 0.12.0
+     */
+    public static Optional<DataCentre> parse(String name) {
+        return name.isBlank() ? Optional.empty() : Optional.of(new DataCentre(name));
+    }
+
     @Override
     public String toString() {
         return name;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationReadResult.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationReadResult.java
@@ -45,10 +45,16 @@
     record HistoryLost() implements ConfigurationReadResult {}
 
     /**
-     * The store did not respond, or refused the request.
+     * The store could not be read.
      *
-     * @param reason why the request failed
+     * @param failure the kind of failure
+     * @param reason why the read failed
      * @since 0.2.0
      */
-    record Unavailable(String reason) implements ConfigurationReadResult {}
+    record Unavailable(ReadFailure failure, String reason) implements ConfigurationReadResult {
+        /** Creates the result of a request to which the store did not respond, or which it refused. */
+        public Unavailable(String reason) {
+            this(ReadFailure.STORE_UNAVAILABLE, reason);
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
@@ -110,7 +110,7 @@
         if (current != null && document.hash().equals(documents.newest().hash())) {
             return false; // Several peers offer the same document, and decoding 1,500 routes takes at least 10 ms.
         }
-        RoutingConfiguration configuration = decoder.decode(document.bytes());
+        RoutingConfiguration configuration = decode(document.bytes());
         if (configuration.version() <= version()) {
             return false;
         }
@@ -118,4 +118,14 @@
         documents.add(document);
         return true;
     }
+
+    private RoutingConfiguration decode(byte[] content) {
+        try {
+            return decoder.decode(content);
+        } catch (MalformedDocumentException e) {
+            throw e;
+        } catch (RuntimeException e) {
+            throw new MalformedDocumentException("the decoder of configurations failed: " + e, e);
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReadResult.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryReadResult.java
@@ -20,17 +20,20 @@
      * @since 0.2.0
      */
     record Listed(
-            StorePosition position,
-            long storeMillis,
-            List<ServiceEndpoint> endpoints,
-            List<EndpointEntry.Unusable> unusable)
+            StorePosition position, long storeMillis, List<ServiceEndpoint> endpoints, List<UnusableEntry> unusable)
             implements DirectoryReadResult {}
 
     /**
-     * The store did not respond, or refused the request.
+     * The endpoints could not be read.
      *
-     * @param reason why the request failed
+     * @param failure the kind of failure
+     * @param reason why the read failed
      * @since 0.2.0
      */
-    record Unavailable(String reason) implements DirectoryReadResult {}
+    record Unavailable(ReadFailure failure, String reason) implements DirectoryReadResult {
+        /** Creates the result of a request to which the store did not respond, or which it refused. */
+        public Unavailable(String reason) {
+            this(ReadFailure.STORE_UNAVAILABLE, reason);
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DirectoryTracker.java
@@ -43,7 +43,8 @@
     private EndpointListVersion listVersion = EndpointListVersion.NONE;
     private long readAtMillis = StoreClock.UNKNOWN_MILLIS;
     private long ownReadStoreMillis = StoreClock.UNKNOWN_MILLIS;
-    private boolean lastReadFailed;
+    private @Nullable ReadFailure lastReadFailure;
+    private long storeAnsweredAtMillis = StoreClock.UNKNOWN_MILLIS;
     private String source = DirectoryOrigin.UNKNOWN.source();
     private long hash;
     private EndpointDirectory directory = EndpointDirectory.EMPTY;
@@ -97,17 +98,22 @@
     /**
      * Records that a read of the store failed.
      *
-     * @return whether the previous read succeeded
+     * @param failure the kind of failure
+     * @param askedAtMillis when the request was sent, on the monotonic clock in milliseconds
+     * @return whether the previous read succeeded or failed in another way
      */
-    public boolean noteReadFailure() {
-        boolean firstFailure = !lastReadFailed;
-        lastReadFailed = true;
+    public boolean noteReadFailure(ReadFailure failure, long askedAtMillis) {
+        boolean firstFailure = lastReadFailure != failure;
+        lastReadFailure = failure;
+        if (!failure.registrationsMayExpire()) {
+            storeAnsweredAtMillis = Math.max(storeAnsweredAtMillis, askedAtMillis);
+        }
         return firstFailure;
     }
 
     /** Tells whether the last read of the store failed. */
     public boolean lastReadFailed() {
-        return lastReadFailed;
+        return lastReadFailure != null;
     }
 
     /**
@@ -120,17 +126,17 @@
     public boolean applyOwnRead(DirectoryReadResult.Listed listed, long askedAtMillis) {
         boolean firstList = !known();
         if (useOfRead(listed.position()) != ReadUse.USED) {
-            lastReadFailed = false;
+            lastReadFailure = null;
             return false;
         }
         boolean restored = known() && listed.position().inLaterEraThan(listVersion.position());
         boolean settled = updateContinuity(askedAtMillis, restored);
-        lastReadFailed = false;
+        lastReadFailure = null;
         listVersion = new EndpointListVersion(listed.position(), listed.storeMillis(), settled);
         readAtMillis = Math.max(readAtMillis, askedAtMillis);
         ownReadStoreMillis = listed.storeMillis();
         source = DirectoryOrigin.STORE;
-        listed.unusable().forEach(entry -> removeByName(entry.name()));
+        listed.unusable().forEach(entry -> removeUnlisted(entry.name(), listed.endpoints()));
         listed.endpoints().stream()
                 .filter(ServiceEndpoint::leaving)
                 .forEach(endpoint -> leavingIncarnations.confirmedByStore(endpoint.id()));
@@ -147,10 +153,11 @@
     }
 
     private boolean updateContinuity(long askedAtMillis, boolean restored) {
-        boolean storeMayHaveBeenUnavailable = lastReadFailed || listVersion.settled();
+        boolean storeMayHaveBeenUnavailable = lastReadFailure == ReadFailure.STORE_UNAVAILABLE || listVersion.settled();
+        long answeredAtMillis = Math.max(readAtMillis, storeAnsweredAtMillis);
         if (!known()) {
             continuity.firstRead(askedAtMillis);
-        } else if (restored || ReadContinuity.isGap(askedAtMillis - readAtMillis, storeMayHaveBeenUnavailable)) {
+        } else if (restored || ReadContinuity.isGap(askedAtMillis - answeredAtMillis, storeMayHaveBeenUnavailable)) {
             continuity.interrupted(askedAtMillis);
         }
         return continuity.settled(askedAtMillis);
@@ -309,8 +316,11 @@
         return sameColdPeriod ? read.withColdUntil(before.coldUntilStoreMillis()) : read;
     }
 
-    private void removeByName(String name) {
-        endpointsById.values().removeIf(endpoint -> endpoint.name().equals(name));
+    /** Removes the endpoint whose entry has become unusable, unless another entry lists an endpoint of that name. */
+    private void removeUnlisted(String name, Collection<ServiceEndpoint> listed) {
+        if (listed.stream().noneMatch(endpoint -> endpoint.name().equals(name))) {
+            endpointsById.values().removeIf(endpoint -> endpoint.name().equals(name));
+        }
     }
 
     private void updateDerivedState() {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -13,9 +14,12 @@
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.fleet.StorePosition;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Encodes endpoint lists as MessagePack for peers, and decodes them. */
 final class EndpointListCodec {
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointListCodec.class);
     private static final ObjectMapper MAPPER = new MessagePackMapper();
 
     private EndpointListCodec() {
@@ -47,13 +51,26 @@
                             new StorePosition(document.era(), document.revision()),
                             document.storeMillis(),
                             document.settled()),
-                    document.endpoints().stream().map(Entry::endpoint).toList(),
+                    endpoints(document.endpoints()),
                     Set.copyOf(document.kept()));
         } catch (RuntimeException e) {
             throw new IOException("malformed endpoint list: " + e.getMessage(), e);
         }
     }
 
+    /** Decodes the entries. One that cannot be decoded is left out, so that it does not hide the others. */
+    private static List<ServiceEndpoint> endpoints(List<Entry> entries) {
+        List<ServiceEndpoint> endpoints = new ArrayList<>(entries.size());
+        for (Entry entry : entries) {
+            try {
+                endpoints.add(entry.endpoint());
+            } catch (RuntimeException e) {
+                LOG.warn("ignoring endpoint {} of a router's list: {}", entry.name(), e.toString());
+            }
+        }
+        return endpoints;
+    }
+
     /** The encoded form of a list and of the store read on which it is based. Earlier releases do not send the era. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Document(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListFollower.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the endpoint list at a fixed interval while this router is responsible for it, and after a {@link RetryBackoff}
@@ -28,6 +30,8 @@
      */
     private static final long SECOND_REQUEST_DELAY_MILLIS = 350;
 
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointListFollower.class);
+
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final ControlSource source;
@@ -105,16 +109,27 @@
             if (result instanceof DirectoryReadResult.Listed listed) {
                 finished = true;
                 retryBackoff.reset();
-                listener.listed(listed, askedAtMillis);
+                apply(listed, askedAtMillis);
                 readInProgress = false;
                 scheduleRead(Duration.ofMillis(READ_INTERVAL_MILLIS));
             } else if (result instanceof DirectoryReadResult.Unavailable unavailable && pendingRequests == 0) {
                 finished = true;
-                listener.listUnavailable(unavailable.reason());
+                listener.listUnavailable(unavailable, askedAtMillis);
                 readInProgress = false;
                 scheduleRead(retryBackoff.next());
             }
         }
+
+        /** Applies a list. A failure must not end the reading of later lists. */
+        private void apply(DirectoryReadResult.Listed listed, long askedAtMillis) {
+            try {
+                listener.listed(listed, askedAtMillis);
+            } catch (RuntimeException e) {
+                LOG.error("the endpoint list could not be applied, reading it again", e);
+                listener.listUnavailable(
+                        new DirectoryReadResult.Unavailable(ReadFailure.PROCESSING, e.toString()), askedAtMillis);
+            }
+        }
     }
 
     /** Receives the results of reads; called on the control thread. */
@@ -130,7 +145,12 @@
          */
         void listed(DirectoryReadResult.Listed listed, long askedAtMillis);
 
-        /** Called when the store did not respond or refused the request. */
-        void listUnavailable(String reason);
+        /**
+         * Called when the list could not be read.
+         *
+         * @param result why
+         * @param askedAtMillis when the request was sent, on the monotonic clock in milliseconds
+         */
+        void listUnavailable(DirectoryReadResult.Unavailable result, long askedAtMillis);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EntryFault.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EntryFault.java
@@ -19,7 +19,9 @@
     /** A field has an unexpected type. */
     TYPE("type", "a field is of another type"),
     /** A field has a value that cannot be used. */
-    VALUE("value", "a field has a value that cannot be used");
+    VALUE("value", "a field has a value that cannot be used"),
+    /** The decoder failed unexpectedly. */
+    DECODER("decoder", "the decoder failed on it, which is a fault of this router");
 
     private final String label;
     private final String meaning;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/QuarantineReadResult.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/QuarantineReadResult.java
@@ -22,9 +22,15 @@
     }
 
     /**
-     * The store did not respond, or refused to.
+     * The store could not be read.
      *
-     * @param reason why the store did not respond
+     * @param failure the kind of failure
+     * @param reason why the read failed
      */
-    record Unavailable(String reason) implements QuarantineReadResult {}
+    record Unavailable(ReadFailure failure, String reason) implements QuarantineReadResult {
+        /** Creates the result of a request to which the store did not respond, or which it refused. */
+        public Unavailable(String reason) {
+            this(ReadFailure.STORE_UNAVAILABLE, reason);
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReadResult.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RegistryReadResult.java
@@ -35,10 +35,16 @@
     record Registration(FleetRouter router, StorePosition position) {}
 
     /**
-     * The store did not respond, or refused to.
+     * The store could not be read.
      *
-     * @param reason why the store did not respond
+     * @param failure the kind of failure
+     * @param reason why the read failed
      * @since 0.2.0
      */
-    record Unavailable(String reason) implements RegistryReadResult {}
+    record Unavailable(ReadFailure failure, String reason) implements RegistryReadResult {
+        /** Creates the result of a request to which the store did not respond, or which it refused. */
+        public Unavailable(String reason) {
+            this(ReadFailure.STORE_UNAVAILABLE, reason);
+        }
+    }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreFollower.java
@@ -102,7 +102,7 @@
         storeClock.observed(askedAtMillis, clock.millis(), listed.storeMillis());
         listener.eraRead(listed.position().era());
         if (directory.lastReadFailed()) {
-            LOG.info("the store responds again", LogEvent.STORE_BACK.field());
+            LOG.info("the endpoint list can be read from the store again", LogEvent.STORE_BACK.field());
             listener.storeBack();
         }
         readMonitor.read(
@@ -172,12 +172,14 @@
         }
 
         @Override
-        public void listUnavailable(String reason) {
-            if (directory.noteReadFailure()) {
+        public void listUnavailable(DirectoryReadResult.Unavailable result, long askedAtMillis) {
+            readMonitor.readFailed(result.failure());
+            if (directory.noteReadFailure(result.failure(), askedAtMillis)) {
                 LOG.warn(
                         "cannot read the endpoint list from the store, retrying: {}",
-                        reason,
-                        LogEvent.STORE_LOST.field());
+                        result.reason(),
+                        result.failure().event().field(),
+                        kv("failure", result.failure().label()));
             }
             configurationFollower.restartLongPoll();
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreReadMonitor.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StoreReadMonitor.java
@@ -83,6 +83,15 @@
         }
     }
 
+    /** Counts a read of the endpoints by this router that failed. */
+    void readFailed(ReadFailure failure) {
+        Counter.builder("radishpass.store.readings.failed")
+                .description("readings of the endpoints by this router that failed, by whose fault it was")
+                .tag("failure", failure.label())
+                .register(metrics)
+                .increment();
+    }
+
     private void logReadsUsedAgain(StorePosition read) {
         if (ignoredReads > 0) {
             LOG.info(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/UnusableEntries.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/UnusableEntries.java
@@ -3,10 +3,9 @@
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.Map;
 import org.radishpass.routing.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,36 +18,35 @@
 final class UnusableEntries {
     private static final Logger LOG = LoggerFactory.getLogger(UnusableEntries.class);
 
-    /**
-     * Maximum number of entries with a report of their own, so that a faulty writer cannot fill the log. Further
-     * entries are not reported.
-     */
-    private static final int MAX_REPORTED_ENTRIES = 100;
-
     private final MeterRegistry metrics;
-    private final Map<String, EntryFault> faults = new HashMap<>();
+    private final EntryReports reports = new EntryReports();
+    private volatile int current;
 
     UnusableEntries(MeterRegistry metrics) {
         this.metrics = metrics;
+        Gauge.builder("radishpass.entries.unusable.current", this, entries -> entries.current)
+                .description("entries of the list of endpoints that were unusable at the last read")
+                .register(metrics);
     }
 
     /** Applies the unusable entries of a read and reports the changes. */
-    void read(Collection<EndpointEntry.Unusable> entries) {
-        Map<String, EntryFault> faultsBefore = new HashMap<>(faults);
-        faults.clear();
-        for (EndpointEntry.Unusable entry : entries) {
-            if (faults.size() < MAX_REPORTED_ENTRIES && entry.fault() != faultsBefore.remove(entry.name())) {
-                report(entry);
-            }
-            faults.put(entry.name(), entry.fault());
-        }
-        faultsBefore.keySet().stream()
-                .filter(name -> !faults.containsKey(name))
+    void read(Collection<UnusableEntry> entries) {
+        current = entries.size();
+        EntryReports.Changes changes = reports.update(entries);
+        changes.appeared().forEach(this::report);
+        changes.mended()
                 .forEach(name -> LOG.info(
                         "unusable entry {} was removed or is valid again", name, LogEvent.ENTRY_MENDED.field()));
+        if (changes.limitExceeded()) {
+            LOG.warn(
+                    "{} entries of the endpoint list are unusable; only {} are reported one by one",
+                    entries.size(),
+                    EntryReports.MAX_REPORTED_ENTRIES,
+                    LogEvent.LOG_SUPPRESSED.field());
+        }
     }
 
-    private void report(EndpointEntry.Unusable entry) {
+    private void report(UnusableEntry entry) {
         Counter.builder("radishpass.entries.unusable")
                 .description("entries of the list of endpoints that became unusable, by fault")
                 .tag("fault", entry.fault().label())
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -82,6 +82,10 @@
     /** See {@link #meaning}. */
     STORE_LOST("store-lost", "the store does not answer or refuses; what is known stays in force"),
     /** See {@link #meaning}. */
+    STORE_RESPONSE_FAILED(
+            "store-response-failed",
+            "the store answered, but this router could not process the answer, which is a fault of the router; what is known stays in force"),
+    /** See {@link #meaning}. */
     STORE_BACK("store-back", "the store answers again"),
     /** See {@link #meaning}. */
     STORE_HISTORY("store-history", "the store has lost its history; the configuration is read as a whole"),
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryFleet.java
@@ -23,7 +23,7 @@
     private static final long STORE_CLOCK_OFFSET_MILLIS = 7_000_000;
 
     private final Map<String, ServiceEndpoint> registered = new LinkedHashMap<>();
-    private final List<EndpointEntry.Unusable> corrupted = new ArrayList<>();
+    private final List<UnusableEntry> corrupted = new ArrayList<>();
     private long nowMillis = 100_000;
     private long era = 1;
     private long revision = 1;
@@ -75,13 +75,13 @@
     }
 
     /** The content of the store at some moment. */
-    record Snapshot(long revision, Map<String, ServiceEndpoint> registered, List<EndpointEntry.Unusable> corrupted) {}
+    record Snapshot(long revision, Map<String, ServiceEndpoint> registered, List<UnusableEntry> corrupted) {}
 
     /** Replaces an endpoint's registration by an entry that cannot be decoded. */
     void corrupt(String name) {
         revision++;
         if (registered.remove(name) != null) {
-            corrupted.add(new EndpointEntry.Unusable(name, EntryFault.SYNTAX, "corrupted"));
+            corrupted.add(new UnusableEntry(name, EntryFault.SYNTAX, "corrupted"));
         }
     }
 
@@ -133,7 +133,7 @@
 
         /** Fails to read the store. */
         void failToReadStore() {
-            tracker.noteReadFailure();
+            tracker.noteReadFailure(ReadFailure.STORE_UNAVAILABLE, nowMillis);
         }
 
         /** Receives a response in which an endpoint states that it is leaving. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/DirectoryTrackerTest.java
@@ -25,8 +25,10 @@
     @Test
     void missingEndpointIsRetainedUntilTheStoreHasBeenReadForTheGracePeriod() {
         listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
-        assertThat(tracker.noteReadFailure()).isTrue();
-        assertThat(tracker.noteReadFailure()).isFalse();
+        assertThat(tracker.noteReadFailure(ReadFailure.STORE_UNAVAILABLE, 11_000))
+                .isTrue();
+        assertThat(tracker.noteReadFailure(ReadFailure.STORE_UNAVAILABLE, 12_000))
+                .isFalse();
         listed(tracker, 5, List.of(endpoint("a")), 20_000);
         listed(tracker, 6, List.of(endpoint("a")), 20_000 + ReadContinuity.ABSENCE_GRACE_MILLIS - 1);
         assertThat(tracker.directory().find("b").isPresent()).isTrue();
@@ -137,11 +139,37 @@
     @Test
     void missingEndpointIsRemovedAfterAShortStoreFailure() {
         listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
-        tracker.noteReadFailure();
+        tracker.noteReadFailure(ReadFailure.STORE_UNAVAILABLE, 10_500);
         listed(tracker, 2, List.of(endpoint("a")), 10_000 + ReadContinuity.MAX_CONTINUOUS_GAP_MILLIS);
         assertThat(tracker.directory().find("b").isPresent()).isFalse();
     }
 
+    /** Guards against keeping endpoints that are gone because a response that could not be processed passed for an outage. */
+    @Test
+    void missingEndpointIsRemovedAfterResponsesThatCouldNotBeProcessed() {
+        listed(tracker, 1, List.of(endpoint("a"), endpoint("b")), 10_000);
+        for (long askedAtMillis = 11_000; askedAtMillis < 20_000; askedAtMillis += 1_000) {
+            tracker.noteReadFailure(ReadFailure.PROCESSING, askedAtMillis);
+        }
+        listed(tracker, 2, List.of(endpoint("a")), 20_000);
+        assertThat(tracker.directory().find("b").isPresent()).isFalse();
+    }
+
+    /** Guards against an unusable entry that takes away the sound endpoint of the same name. */
+    @Test
+    void unusableEntryDoesNotRemoveTheEndpointThatASoundEntryLists() {
+        listed(tracker, 1, List.of(endpoint("a").withColdUntil(500)), 10_000);
+        tracker.applyOwnRead(
+                new DirectoryReadResult.Listed(
+                        at(2),
+                        11_000,
+                        List.of(endpoint("a").withColdUntil(501)),
+                        List.of(new UnusableEntry("a", EntryFault.NAME, "key is a JSON number"))),
+                11_000);
+        assertThat(tracker.directory().find("a").orElseThrow().coldUntilStoreMillis())
+                .isEqualTo(500);
+    }
+
     @Test
     void listIsSettledOnceTheStoreWasReadForTheGracePeriod() {
         listed(tracker, 1, List.of(endpoint("a")), 10_000);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/EndpointListCodecTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/EndpointListCodecTest.java
@@ -18,6 +18,7 @@
 final class EndpointListCodecTest {
     private static final ObjectMapper MAPPER = new MessagePackMapper();
     private static final int ENTRIES = 3;
+    private static final int DATA_CENTRE = 5;
 
     private static final EndpointSnapshot LIST = new EndpointSnapshot(
             new EndpointListVersion(new StorePosition(0, 7), 5, true),
@@ -43,6 +44,18 @@
         assertThat(endpoint.softwareVersion().sameAs(SoftwareVersion.UNKNOWN)).isFalse();
     }
 
+    /** Guards against one entry with a blank data centre that hides all other endpoints of a router's list. */
+    @Test
+    void anEntryThatCannotBeDecodedDoesNotHideTheOthers() throws Exception {
+        ArrayNode list = (ArrayNode) MAPPER.readTree(EndpointListCodec.encode(LIST));
+        ArrayNode entries = (ArrayNode) list.get(ENTRIES);
+        ArrayNode damaged = entries.get(0).deepCopy();
+        damaged.set(DATA_CENTRE, " ");
+        entries.insert(0, damaged);
+        assertThat(EndpointListCodec.decode(MAPPER.writeValueAsBytes(list)).endpoints())
+                .containsExactlyElementsIn(LIST.endpoints());
+    }
+
     /** Guards against lists that a router of the release before cannot read, since it skips components in the same way. */
     @Test
     void componentsOfALaterReleaseAreSkipped() throws Exception {
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/UnusableEntriesTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/UnusableEntriesTest.java
@@ -32,7 +32,7 @@
 
     @Test
     void reportsAreLimitedWhenManyEntriesAreUnusable() {
-        List<EndpointEntry.Unusable> manyEntries = java.util.stream.IntStream.range(0, 5_000)
+        List<UnusableEntry> manyEntries = java.util.stream.IntStream.range(0, 5_000)
                 .mapToObj(number -> entry("e" + number, EntryFault.VALUE))
                 .toList();
         entries.read(manyEntries);
@@ -40,6 +40,19 @@
         assertThat(reportedCount(EntryFault.VALUE)).isEqualTo(100);
     }
 
+    /** Guards against a line at each read for entries beyond the limit, which had never been reported. */
+    @Test
+    void entriesBeyondTheLimitAreNeitherReportedNorReportedAsMended() {
+        EntryReports reports = new EntryReports();
+        List<UnusableEntry> manyEntries = java.util.stream.IntStream.range(0, 5_000)
+                .mapToObj(number -> entry("e" + number, EntryFault.VALUE))
+                .toList();
+        assertThat(reports.update(manyEntries).limitExceeded()).isTrue();
+        EntryReports.Changes again = reports.update(manyEntries);
+        assertThat(again).isEqualTo(new EntryReports.Changes(List.of(), List.of(), false));
+        assertThat(reports.update(List.of()).mended()).hasSize(EntryReports.MAX_REPORTED_ENTRIES);
+    }
+
     private double reportedCount(EntryFault fault) {
         return metrics.get("radishpass.entries.unusable")
                 .tag("fault", fault.label())
@@ -47,7 +60,7 @@
                 .count();
     }
 
-    private static EndpointEntry.Unusable entry(String name, EntryFault fault) {
-        return new EndpointEntry.Unusable(name, fault, "detail");
+    private static UnusableEntry entry(String name, EntryFault fault) {
+        return new UnusableEntry(name, fault, "detail");
     }
 }
