--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/PeerMessage.java
@@ -45,7 +45,8 @@
     @JsonSubTypes.Type(value = RoutingMessage.SuspectRequests.class, name = "sq"),
     @JsonSubTypes.Type(value = RoutingMessage.StreamOrigins.class, name = "so"),
     @JsonSubTypes.Type(value = RoutingMessage.StreamOriginWanted.class, name = "sw"),
-    @JsonSubTypes.Type(value = RoutingMessage.StreamOriginFound.class, name = "sf")
+    @JsonSubTypes.Type(value = RoutingMessage.StreamOriginFound.class, name = "sf"),
+    @JsonSubTypes.Type(value = RoutingMessage.StreamVersions.class, name = "sv")
 })
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public sealed interface PeerMessage
--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/RoutingMessage.java
@@ -116,6 +116,43 @@
         }
     }
 
+    /**
+     * The record of the software versions at which streams may have begun, as read from the store.
+     *
+     * @param era the era of the store in which the record was read
+     * @param revision the revision of the store at which the record was written
+     * @param recordEra the era of the store in which the record was written
+     * @param unknownUntilMillis streams that began earlier may be of any version, on the store's clock in milliseconds
+     * @param periods the periods of the versions
+     * @since 0.13.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record StreamVersions(
+            long era, long revision, long recordEra, long unknownUntilMillis, List<StreamVersionEntry> periods)
+            implements RoutingMessage {
+        /** Rejects a message that lacks a component. */
+        public StreamVersions {
+            periods = List.copyOf(periods);
+        }
+    }
+
+    /**
+     * A period in which streams may have begun at one software version of a service.
+     *
+     * @param service the name of the service
+     * @param version the software version; empty if unknown
+     * @param endedAtMillis the end of the period, on the store's clock in milliseconds; the largest number for none
+     * @since 0.13.0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record StreamVersionEntry(String service, String version, long endedAtMillis) {
+        /** Rejects a message that lacks a component. */
+        public StreamVersionEntry {
+            Objects.requireNonNull(service, "service");
+            Objects.requireNonNull(version, "version");
+        }
+    }
+
     /**
      * The routers that the sender knows to be alive.
      *
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -5,10 +5,13 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.core.placement.Rendezvous;
 import org.radishpass.peer.message.PeerMessage;
 import org.radishpass.peer.transport.PeerHandler;
 import org.radishpass.peer.transport.PeerLinks;
@@ -18,6 +21,7 @@
 import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.RegionMap;
+import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.load.WorkReportExchange;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
@@ -25,6 +29,7 @@
 import org.radishpass.routing.quarantine.SuspectListener;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.stream.StreamOriginExchange;
+import org.radishpass.routing.stream.StreamVersionRecord;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.runtime.thread.ControlThread;
@@ -40,10 +45,14 @@
 final class ControlPlane {
     private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
 
+    /** Milliseconds over which routers that start and do not know each other yet spread what only one of them has to do. */
+    private static final int START_STAGGER_MILLIS = 150;
+
     private final ControlThread thread;
     private final MonotonicClock clock;
     private final Runnable onRoutable;
     private final RegionMap regions;
+    private final String selfId;
     private final ConfigurationTracker configuration;
     private final DirectoryTracker directory = new DirectoryTracker();
     private final DrainTracker drains = new DrainTracker();
@@ -57,6 +66,8 @@
     private final StoreRestoreHandler restoreHandler;
     private final Flux<Long> eras;
     private final StoreReadMonitor readMonitor;
+    private final StreamVersionKeeper streamVersions;
+    private final StreamSettling settling;
     private volatile RoutingView view = RoutingView.UNKNOWN;
     private long configurationSinceMillis;
 
@@ -93,10 +104,17 @@
         this.onRoutable = onRoutable;
         this.suspects = suspects;
         this.regions = regions;
+        this.selfId = self.id();
         this.configuration = new ConfigurationTracker(decoder);
         StoreClock storeClock = new StoreClock();
         StoreEra era = new StoreEra();
-        ControlState controlState = new ControlState(configuration, directory, drains, storeClock, era);
+        ControlState controlState =
+                new ControlState(configuration, directory, drains, storeClock, era, new StreamVersionTracker());
+        StreamOriginJournal journal =
+                new StreamOriginJournal(thread, clock, source, self, storeClock, streams, metrics);
+        this.settling = new StreamSettling(thread, streams, controlState.streamVersions(), journal);
+        this.streamVersions =
+                new StreamVersionKeeper(thread, clock, source, controlState, streams, new StreamVersionListener());
         this.coldEndpoints = new ColdEndpoints(directory, drains, storeClock);
         this.readMonitor = new StoreReadMonitor(metrics, era);
         this.eras = source.eras();
@@ -105,7 +123,8 @@
         this.registryCleaner = new RegistryCleaner(source);
         this.registration = new Registration(thread, source, self);
         this.quarantine = new QuarantinePersistence(thread, clock, source, storeClock, suspects);
-        this.peers = new PeerExchange(thread, clock, self, work, suspects, streams, controlState, new PeerListener());
+        this.peers = new PeerExchange(
+                thread, clock, self, work, suspects, streams, journal, controlState, new PeerListener());
         this.restoreHandler = new StoreRestoreHandler(readMonitor, follower, registration, quarantine, peers);
         Gauge.builder(
                         "radishpass.datacentres.drained",
@@ -127,6 +146,8 @@
         follower.start();
         suspects.setSuspectListener(new SuspectReportListener());
         thread.run(quarantine::load);
+        settling.start();
+        streamVersions.start();
     }
 
     /**
@@ -138,10 +159,17 @@
     void join(PeerLinks links, List<Address> seeds) {
         peers.start(links);
         peers.learnAddresses(seeds);
-        registration.register(peers::addRouters);
+        registration.register(this::registered);
         publish();
     }
 
+    /** Learns the registered routers, which tell whether the record of software versions can be trusted. */
+    private void registered(Collection<FleetRouter> routers) {
+        peers.addRouters(routers);
+        streamVersions.check();
+        settling.update(peers);
+    }
+
     /** Returns the handler of messages from peers. */
     PeerHandler handler() {
         return peers;
@@ -198,7 +226,7 @@
                 configurationSinceMillis,
                 configuration.newerExpectedUntilMillis(),
                 directory.directory(),
-                directory.known(),
+                directory.known() && streamVersions.ready(),
                 follower.knownOrReceiving(),
                 directory.origin(),
                 peers.started() ? peers.routerCount() : RoutingView.ROUTERS_UNKNOWN,
@@ -216,7 +244,8 @@
                         .current()
                         .map(current -> coldEndpoints.coldUntilMillisById(current, clock.millis()))
                         .orElse(Map.of()),
-                regions);
+                regions,
+                streamVersions.endpointsWithoutNewStreams());
     }
 
     private void drainsChanged(String origin) {
@@ -274,6 +303,7 @@
         @Override
         public void directoryRead() {
             publish();
+            streamVersions.check();
             peers.reportNow();
         }
 
@@ -308,6 +338,39 @@
         }
     }
 
+    /** Connects the record of software versions with the rest of this router. */
+    private final class StreamVersionListener implements StreamVersionKeeper.Listener {
+        @Override
+        public boolean readsDirectory() {
+            return peers.storeReadScope().readsDirectory();
+        }
+
+        @Override
+        public boolean allRoutersRecordVersions() {
+            return registration.registered() && peers.allRecordStreamVersions();
+        }
+
+        @Override
+        public Duration staggeredDelay() {
+            return peers.started() && registration.registered()
+                    ? peers.staggeredDelay(directory.listVersion().position().era())
+                    : Duration.ofMillis(Math.floorMod(Rendezvous.hash(selfId), START_STAGGER_MILLIS));
+        }
+
+        @Override
+        public void streamVersionsChanged() {
+            publish();
+            if (registration.registered()) {
+                settling.update(peers);
+            }
+        }
+
+        @Override
+        public void tellStreamVersions() {
+            peers.tellStreamVersions();
+        }
+    }
+
     /** Applies what peers reported. */
     private final class PeerListener implements PeerExchange.Listener {
         @Override
@@ -344,11 +407,23 @@
         @Override
         public void endpointsChanged() {
             publish();
+            streamVersions.check();
+        }
+
+        @Override
+        public void streamVersionsWanted(Consumer<Boolean> done) {
+            streamVersions.confirm(done);
+        }
+
+        @Override
+        public void streamVersionsReceived(StreamVersionRecord record, StorePosition writtenAt) {
+            streamVersions.receive(record, writtenAt);
         }
 
         @Override
         public void routersAdded() {
             publish();
+            streamVersions.check();
         }
 
         @Override
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlSource.java
@@ -1,12 +1,14 @@
 package org.radishpass.routing.control;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.function.LongConsumer;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
+import org.radishpass.routing.stream.StreamVersionRecord;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -101,4 +103,40 @@
      * @since 0.5.0
      */
     Mono<Boolean> release(CrashCause cause);
+
+    /**
+     * Reads the record of the software versions at which streams may have begun.
+     *
+     * @since 0.13.0
+     */
+    Mono<StreamVersionReadResult> streamVersions();
+
+    /**
+     * Replaces the record of the software versions at which streams may have begun, unless another router has replaced it
+     * since, and reads the record that is in the store then.
+     *
+     * @param record the new record
+     * @param replaced the position at which the record was written that is replaced; {@link StorePosition#NONE} if there is
+     *     no record
+     * @return the record in the store, which may be another one
+     * @since 0.13.0
+     */
+    Mono<StreamVersionReadResult> saveStreamVersions(StreamVersionRecord record, StorePosition replaced);
+
+    /**
+     * Reads the stored origins of streams.
+     *
+     * @since 0.13.0
+     */
+    Mono<StreamOriginReadResult> streamOrigins();
+
+    /**
+     * Stores origins of streams, and removes batches.
+     *
+     * @param added the batches to store; names that exist are replaced
+     * @param removed the names of batches to remove
+     * @return whether the store has done so
+     * @since 0.13.0
+     */
+    Mono<Boolean> saveStreamOrigins(List<StoredOrigins> added, List<String> removed);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlState.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlState.java
@@ -8,10 +8,12 @@
  * @param drains tracks the drained data centres, whose endpoints get no new requests
  * @param storeClock relates the store's clock to this router's clock
  * @param era the era of the store
+ * @param streamVersions tracks the software versions at which streams may have begun
  */
 record ControlState(
         ConfigurationTracker configuration,
         DirectoryTracker directory,
         DrainTracker drains,
         StoreClock storeClock,
-        StoreEra era) {}
+        StoreEra era,
+        StreamVersionTracker streamVersions) {}
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/PeerExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.placement.Rendezvous;
@@ -20,6 +21,7 @@
 import org.radishpass.routing.quarantine.SuspectExchange;
 import org.radishpass.routing.quarantine.SuspectReport;
 import org.radishpass.routing.stream.StreamOriginExchange;
+import org.radishpass.routing.stream.StreamVersionRecord;
 import org.radishpass.routing.traffic.MonotonicClock;
 import org.radishpass.runtime.thread.ControlThread;
 import org.slf4j.Logger;
@@ -52,6 +54,7 @@
     private @Nullable WorkReporter workReporter;
     private @Nullable SuspectReporter suspectReporter;
     private @Nullable StreamOriginReporter originReporter;
+    private final StreamOriginJournal journal;
 
     PeerExchange(
             ControlThread thread,
@@ -60,6 +63,7 @@
             WorkReportExchange work,
             SuspectExchange suspects,
             StreamOriginExchange streams,
+            StreamOriginJournal journal,
             ControlState controlState,
             Listener listener) {
         this.thread = thread;
@@ -68,6 +72,7 @@
         this.work = work;
         this.suspects = suspects;
         this.streams = streams;
+        this.journal = journal;
         this.controlState = controlState;
         this.listener = listener;
         this.peers = new PeerTable(self);
@@ -80,7 +85,8 @@
     void start(PeerLinks peerLinks) {
         this.links = peerLinks;
         this.suspectReporter = new SuspectReporter(thread, clock, self, suspects, peers, peerLinks);
-        StreamOriginReporter origins = new StreamOriginReporter(thread, clock, self, streams, peers, peerLinks);
+        StreamOriginReporter origins = new StreamOriginReporter(
+                thread, clock, self, streams, peers, peerLinks, journal, listener::streamVersionsWanted);
         this.originReporter = origins;
         streams.peers(origins);
         this.workReporter = new WorkReporter(thread, clock, self, work, controlState, peers, peerLinks);
@@ -126,6 +132,37 @@
         return FleetMembers.of(self.id(), peers.all().stream().map(Peer::id).toList());
     }
 
+    /** Tells the other routers the recorded software versions. */
+    void tellStreamVersions() {
+        if (started()) {
+            peers.all().stream().filter(peer -> !peer.suspected()).forEach(this::sendStreamVersions);
+        }
+    }
+
+    private void sendStreamVersions(Peer peer) {
+        if (peer.router().recordsStreamVersions()) {
+            RoutingMessageMapper.toStreamVersions(controlState.streamVersions())
+                    .ifPresent(message -> links().send(peer.vm(), message));
+        }
+    }
+
+    /** Tells whether all known routers begin streams at recorded versions only. Those not heard of yet do not count. */
+    boolean allRecordStreamVersions() {
+        return peers.all().stream()
+                .filter(peer -> peer.router().located())
+                .allMatch(peer -> peer.router().recordsStreamVersions());
+    }
+
+    /** Tells whether this router is one of those that store origins of streams. */
+    boolean storesStreamOrigins() {
+        return new OriginWriters(clock, self, peers).includesSelf();
+    }
+
+    /** Tells whether no router precedes this one by name. */
+    boolean first() {
+        return peers.precedingPeers() == 0;
+    }
+
     /** Reports what this router has found out about requests that are suspected of crashing their endpoints. */
     void reportSuspects(SuspectReport report) {
         suspectReporter().ifPresent(reporter -> reporter.reportFound(report));
@@ -167,6 +204,11 @@
             return runOnControlThread(
                     () -> suspectReporter().ifPresent(reporter -> reporter.onMessage(from, suspectRequests)));
         }
+        if (message instanceof RoutingMessage.StreamVersions versions) {
+            return runOnControlThread(() -> listener.streamVersionsReceived(
+                    RoutingMessageMapper.toStreamVersionRecord(versions),
+                    new StorePosition(versions.era(), versions.revision())));
+        }
         if (message instanceof RoutingMessage.StreamOrigins origins) {
             return runOnControlThread(() -> originReporter().ifPresent(reporter -> reporter.onOrigins(origins)));
         }
@@ -256,6 +298,7 @@
                                         RoutingMessageMapper.toEntries(peers.unsuspectedRouters())));
                 documents.fetchMissing(links(), peer);
                 suspectReporter().ifPresent(reporter -> reporter.sendAllTo(peer));
+                sendStreamVersions(peer);
             });
             reportNow();
         });
@@ -317,6 +360,7 @@
                     peer.id(),
                     LogEvent.PEER_BACK.field());
             suspectReporter().ifPresent(reporter -> reporter.sendAllTo(peer));
+            sendStreamVersions(peer);
             probeSoon();
         }
     }
@@ -370,6 +414,12 @@
         /** Called when the endpoint list has been replaced by that of a peer, or confirmed by a peer. */
         void endpointsChanged();
 
+        /** Called when a stream is taken up for which the recorded versions have to be read again. */
+        void streamVersionsWanted(Consumer<Boolean> done);
+
+        /** Called when a peer tells the recorded versions. */
+        void streamVersionsReceived(StreamVersionRecord record, StorePosition writtenAt);
+
         /** Called when routers have been added. */
         void routersAdded();
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutedRouter.java
@@ -57,7 +57,7 @@
     private RoutedRouter(Builder builder) {
         this.loops = builder.loops;
         this.self = new FleetRouter(
-                builder.peerAddress, builder.home, builder.cores, builder.relayPort, FleetRouter.STREAM_ORIGINS_LEVEL);
+                builder.peerAddress, builder.home, builder.cores, builder.relayPort, FleetRouter.STREAM_VERSIONS_LEVEL);
         this.metrics = builder.metrics;
         EventLoop loop = loops.onServer(false).next();
         this.traffic = new TrafficServer(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutingMessageMapper.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/RoutingMessageMapper.java
@@ -10,8 +10,12 @@
 import org.radishpass.peer.message.RoutingMessage;
 import org.radishpass.routing.fleet.DataCentreDrain;
 import org.radishpass.routing.fleet.FleetRouter;
+import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.load.InFlight;
+import org.radishpass.routing.stream.StreamOrigin;
+import org.radishpass.routing.stream.StreamVersionRecord;
+import org.radishpass.routing.stream.VersionPeriod;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -109,6 +113,34 @@
                         entry.drained()));
     }
 
+    /** Returns the message with the recorded software versions; empty if none are known. */
+    static Optional<RoutingMessage.StreamVersions> toStreamVersions(StreamVersionTracker tracker) {
+        return tracker.record()
+                .map(record -> new RoutingMessage.StreamVersions(
+                        tracker.position().era(),
+                        tracker.position().revision(),
+                        record.era(),
+                        record.unknownUntilMillis(),
+                        record.periods().stream()
+                                .map(period -> new RoutingMessage.StreamVersionEntry(
+                                        period.origin().service(),
+                                        period.origin().version().name(),
+                                        period.endedAtMillis()))
+                                .toList()));
+    }
+
+    /** Returns the record of software versions of a message. */
+    static StreamVersionRecord toStreamVersionRecord(RoutingMessage.StreamVersions message) {
+        return new StreamVersionRecord(
+                message.recordEra(),
+                message.unknownUntilMillis(),
+                message.periods().stream()
+                        .map(entry -> new VersionPeriod(
+                                new StreamOrigin(entry.service(), new SoftwareVersion(entry.version())),
+                                entry.endedAtMillis()))
+                        .toList());
+    }
+
     /** Returns the store read on which a peer's endpoint list is based. */
     static EndpointListVersion toListVersion(RoutingMessage.RoutingState state, StoreEra era) {
         return new EndpointListVersion(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StreamOriginReporter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StreamOriginReporter.java
@@ -18,6 +18,7 @@
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.SoftwareVersion;
 import org.radishpass.routing.stream.KnownOrigin;
+import org.radishpass.routing.stream.OriginAnswer;
 import org.radishpass.routing.stream.StreamOrigin;
 import org.radishpass.routing.stream.StreamOriginExchange;
 import org.radishpass.routing.stream.StreamOriginPeers;
@@ -50,6 +51,9 @@
     private final StreamOriginExchange exchange;
     private final PeerTable peers;
     private final PeerLinks links;
+    private final OriginWriters writers;
+    private final StreamOriginJournal journal;
+    private final Consumer<Consumer<Boolean>> versionReader;
 
     StreamOriginReporter(
             ControlThread thread,
@@ -57,44 +61,66 @@
             FleetRouter self,
             StreamOriginExchange exchange,
             PeerTable peers,
-            PeerLinks links) {
+            PeerLinks links,
+            StreamOriginJournal journal,
+            Consumer<Consumer<Boolean>> versionReader) {
         this.thread = thread;
         this.clock = clock;
         this.self = self;
         this.exchange = exchange;
         this.peers = peers;
         this.links = links;
+        this.writers = new OriginWriters(clock, self, peers);
+        this.journal = journal;
+        this.versionReader = versionReader;
     }
 
     @Override
     public void tell(List<KnownOrigin> origins) {
         thread.run(() -> {
             long nowMillis = clock.millis();
+            List<Long> storing = writers.all();
             Map<Peer, List<RoutingMessage.StreamOriginEntry>> entries = new LinkedHashMap<>();
             for (KnownOrigin known : origins) {
                 RoutingMessage.StreamOriginEntry entry = toEntry(known, nowMillis);
-                responsible(known.stream())
+                responsible(known.stream(), storing)
                         .forEach(peer -> entries.computeIfAbsent(peer, key -> new ArrayList<>())
                                 .add(entry));
             }
             entries.forEach((peer, told) -> links.send(peer.vm(), new RoutingMessage.StreamOrigins(told)));
+            store(origins, storing);
         });
     }
 
+    /** Stores the origins of the streams that fall to this router. */
+    private void store(List<KnownOrigin> origins, List<Long> storing) {
+        List<KnownOrigin> here = origins.stream()
+                .filter(known -> writers.storesHere(storing, known.stream()))
+                .toList();
+        if (!here.isEmpty()) {
+            journal.add(here, storing.size());
+        }
+    }
+
+    @Override
+    public void confirmVersions(Consumer<Boolean> done) {
+        thread.run(() -> versionReader.accept(done));
+    }
+
     @Override
-    public void ask(long stream, String service, long lifetimeMillis, Consumer<Optional<StreamOrigin>> answer) {
+    public void ask(long stream, String service, long lifetimeMillis, Consumer<OriginAnswer> answer) {
         thread.run(() -> {
-            Set<Peer> asked = responsible(stream);
+            Set<Peer> asked = responsible(stream, writers.all());
             PeerMessage question = new RoutingMessage.StreamOriginWanted(stream, service, lifetimeMillis);
             Flux.fromIterable(asked)
                     .flatMap(peer -> links.fetch(peer.vm(), question)
                             .timeout(Duration.ofMillis(ANSWER_MILLIS), thread.scheduler())
                             .onErrorResume(error -> Mono.empty()))
-                    .flatMap(reply -> Mono.justOrEmpty(toOrigin(reply)))
-                    .next()
-                    .map(Optional::of)
-                    .defaultIfEmpty(Optional.empty())
-                    .doOnNext(origin -> logUnknown(origin, stream, asked))
+                    .map(StreamOriginReporter::toOrigin)
+                    .scan(OriginAnswer.NONE, (known, reply) -> new OriginAnswer(reply, known.answers() + 1))
+                    .takeUntil(known -> known.origin().isPresent())
+                    .last(OriginAnswer.NONE)
+                    .doOnNext(found -> logUnknown(found.origin(), stream, asked))
                     .subscribe(answer);
         });
     }
@@ -102,12 +128,14 @@
     /** Takes over what a peer tells. */
     void onOrigins(RoutingMessage.StreamOrigins message) {
         long nowMillis = clock.millis();
-        exchange.told(message.origins().stream()
+        List<KnownOrigin> origins = message.origins().stream()
                 .map(entry -> new KnownOrigin(
                         entry.stream(),
                         new StreamOrigin(entry.service(), new SoftwareVersion(entry.version())),
                         nowMillis + entry.remainingMillis()))
-                .toList());
+                .toList();
+        exchange.told(origins);
+        store(origins, writers.all());
     }
 
     /** Answers a peer. */
@@ -123,15 +151,17 @@
 
     /**
      * Returns the routers that are responsible for a stream: those that rank highest, also while they are suspected to be
-     * down, those that rank highest without these, and the one that ranks highest in the data centre of this router.
+     * down, those that rank highest without these, the one that ranks highest in the data centre of this router, and those
+     * that store the stream.
      */
-    private Set<Peer> responsible(long stream) {
+    private Set<Peer> responsible(long stream, List<Long> storing) {
         Set<Peer> responsible = new LinkedHashSet<>(highest(stream, RESPONSIBLE, peer -> true));
         responsible.addAll(highest(stream, RESPONSIBLE, peer -> !peer.suspected()));
         responsible.addAll(highest(
                 stream,
                 1,
                 peer -> !peer.suspected() && peer.router().dataCentre().equals(self.dataCentre())));
+        responsible.addAll(writers.peersOf(storing, stream));
         return responsible;
     }
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -59,6 +59,13 @@
             "stream-origin-unknown",
             "none of the routers that were asked knows which software version began a stream; the request that takes it up is refused"),
     /** See {@link #meaning}. */
+    STREAM_VERSIONS(
+            "stream-versions",
+            "the recorded software versions at which streams may have begun have changed; `record` has them, with their ends on the store's clock"),
+    /** See {@link #meaning}. */
+    STREAM_ORIGINS_READ(
+            "stream-origins-read", "after a start, this router has read from the store what began `streams` streams"),
+    /** See {@link #meaning}. */
     EXIT_CONTRADICTED(
             "endpoint-exit-contradicted",
             "an endpoint looks as if its process had ended, but other routers reach it or this router reaches none; it counts as running"),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/fleet/FleetRouter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/fleet/FleetRouter.java
@@ -18,9 +18,12 @@
     /** The level of a router of an earlier release, or of which the level is not known. */
     public static final int UNKNOWN_LEVEL = 0;
 
-    /** The level of a router that keeps what began streams, which is that of this release. */
+    /** The level of a router that keeps what began streams. */
     public static final int STREAM_ORIGINS_LEVEL = 1;
 
+    /** The level of a router that begins streams at recorded software versions only, which is that of this release. */
+    public static final int STREAM_VERSIONS_LEVEL = 2;
+
     /** The value of {@link #relayPort} of a router that accepts no relayed requests, or of which that is not known. */
     public static final int NO_RELAY = 0;
 
@@ -41,6 +44,11 @@
         return messageLevel >= STREAM_ORIGINS_LEVEL;
     }
 
+    /** Tells whether the router begins streams at recorded software versions only. */
+    public boolean recordsStreamVersions() {
+        return messageLevel >= STREAM_VERSIONS_LEVEL;
+    }
+
     /** Tells whether the router accepts requests that other routers relay. */
     public boolean relays() {
         return relayPort != NO_RELAY;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/stream/KnownOrigin.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/stream/KnownOrigin.java
@@ -42,6 +42,11 @@
         return new KnownOrigin(stream, origin, deadlineMillis + GRACE_MILLIS);
     }
 
+    /** Returns this origin with its time on another clock. */
+    public KnownOrigin expiringAt(long millis) {
+        return new KnownOrigin(stream, origin, millis);
+    }
+
     /** Tells whether the stream can no longer be taken up. */
     public boolean expired(long nowMillis) {
         return nowMillis >= expiresAtMillis;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/stream/OriginSource.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/stream/OriginSource.java
@@ -10,7 +10,7 @@
 public enum OriginSource {
     /** This router began the stream, or keeps its origin for another one. */
     KEPT,
-    /** The service has had one software version only for longer than any stream lives. */
+    /** Streams of the service that can still be taken up have begun at one software version only, as recorded. */
     SOLE_VERSION,
     /** Another router has answered. */
     PEER,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/stream/StreamOriginExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/stream/StreamOriginExchange.java
@@ -13,11 +13,32 @@
     /** Sets how other routers are told and asked. */
     void peers(StreamOriginPeers peers);
 
-    /** Takes over what another router has told. */
+    /**
+     * Sets the recorded versions.
+     *
+     * @since 0.13.0
+     */
+    void versions(StreamVersions versions);
+
+    /**
+     * Lets streams that callers take up wait for {@link #settled}, because this router has just started.
+     *
+     * @since 0.13.0
+     */
+    void settling();
+
+    /**
+     * Ends the wait: this router has read what is stored, or it takes too long.
+     *
+     * @since 0.13.0
+     */
+    void settled();
+
+    /** Takes over what another router has told, or what is stored. */
     void told(List<KnownOrigin> origins);
 
     /**
-     * Looks up what this router knows by itself.
+     * Looks up whether this router keeps the origin of a stream.
      *
      * @param stream the hash of the stream
      * @param service the service to which a request without a stream would go
--- a/radishpass-routing/src/main/java/org/radishpass/routing/stream/StreamOriginPeers.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/stream/StreamOriginPeers.java
@@ -1,7 +1,6 @@
 package org.radishpass.routing.stream;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -18,12 +17,17 @@
         }
 
         @Override
-        public void ask(long stream, String service, long lifetimeMillis, Consumer<Optional<StreamOrigin>> answer) {
-            answer.accept(Optional.empty());
+        public void ask(long stream, String service, long lifetimeMillis, Consumer<OriginAnswer> answer) {
+            answer.accept(OriginAnswer.NONE);
+        }
+
+        @Override
+        public void confirmVersions(Consumer<Boolean> done) {
+            done.accept(false);
         }
     };
 
-    /** Tells the routers that are responsible for streams what began them. */
+    /** Tells the routers that are responsible for streams what began them, and has it stored. */
     void tell(List<KnownOrigin> origins);
 
     /**
@@ -32,7 +36,16 @@
      * @param stream the hash of the stream
      * @param service the service to which a request without a stream would go
      * @param lifetimeMillis the longest time for which a stream can be taken up, in milliseconds
-     * @param answer receives the answer once, on any thread; empty if no router knows
+     * @param answer receives the answer once, on any thread
+     */
+    void ask(long stream, String service, long lifetimeMillis, Consumer<OriginAnswer> answer);
+
+    /**
+     * Reads the recorded versions from the store again.
+     *
+     * @param done receives, on any thread, whether they were read; if so, {@link StreamOriginExchange#versions} has been
+     *     called before with what they are by now
+     * @since 0.13.0
      */
-    void ask(long stream, String service, long lifetimeMillis, Consumer<Optional<StreamOrigin>> answer);
+    void confirmVersions(Consumer<Boolean> done);
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointFilter.java
@@ -113,6 +113,7 @@
                 key -> select(
                         view.directory().accepting(key.service()),
                         endpoint -> notDrained(endpoint)
+                                && (!key.beginsStream() || mayBeginStream(endpoint))
                                 && key.permits(endpoint, eligibility().regions())));
     }
 
@@ -128,7 +129,19 @@
     }
 
     private boolean mayRun(RequestTerms terms, ServiceEndpoint endpoint) {
-        return notDrained(endpoint) && inAllowedRegion(terms, endpoint) && terms.mayContinueAt(endpoint);
+        return notDrained(endpoint)
+                && inAllowedRegion(terms, endpoint)
+                && terms.mayContinueAt(endpoint)
+                && (!beginsStream(terms) || mayBeginStream(endpoint));
+    }
+
+    /** Tells whether the request begins a stream that can be taken up elsewhere, or has begun none yet. */
+    private static boolean beginsStream(RequestTerms terms) {
+        return terms.kind().resumes() && terms.requiredOrigin() == null;
+    }
+
+    private boolean mayBeginStream(ServiceEndpoint endpoint) {
+        return !eligibility().withoutNewStreams().contains(endpoint.id());
     }
 
     private boolean notDrained(ServiceEndpoint endpoint) {
@@ -160,14 +173,16 @@
      * @param byRoute the regions that the route allows; empty if it allows all
      * @param byWorkspace the regions that the workspace allows; empty if it allows all
      * @param origin what began the stream that the request continues; null if it continues none
+     * @param beginsStream whether the request begins a stream that can be taken up elsewhere
      */
     private record Restriction(
             String service,
             Set<Region> byRoute,
             Set<Region> byWorkspace,
-            @Nullable StreamOrigin origin) {
+            @Nullable StreamOrigin origin,
+            boolean beginsStream) {
         private static Restriction none(String service) {
-            return new Restriction(service, Set.of(), Set.of(), null);
+            return new Restriction(service, Set.of(), Set.of(), null, false);
         }
 
         private static Restriction of(RequestTerms terms) {
@@ -176,11 +191,12 @@
                     terms.service(),
                     terms.route().allowedRegions(),
                     workspace == null ? Set.of() : workspace.allowedRegions(),
-                    terms.requiredOrigin());
+                    terms.requiredOrigin(),
+                    EndpointFilter.beginsStream(terms));
         }
 
         private Restriction ofAnyOrigin() {
-            return origin == null ? this : new Restriction(service, byRoute, byWorkspace, null);
+            return origin == null && !beginsStream ? this : new Restriction(service, byRoute, byWorkspace, null, false);
         }
 
         private boolean permits(ServiceEndpoint endpoint, RegionMap regions) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/StreamContinuation.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/StreamContinuation.java
@@ -59,9 +59,7 @@
     }
 
     private StreamOriginRegistry registry() {
-        StreamOriginRegistry registry = context.streamOrigins();
-        registry.observe(context.view().directory().all());
-        return registry;
+        return context.streamOrigins();
     }
 
     private void resolved(
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/TrafficServer.java
@@ -42,7 +42,6 @@
 import org.radishpass.routing.retry.RetryAllowance;
 import org.radishpass.routing.retry.SharedRetryBudget;
 import org.radishpass.routing.stream.StreamOriginExchange;
-import org.radishpass.routing.stream.StreamOriginRegistry;
 
 /**
  * Receives the requests of callers and serves them. Its state is confined to one event loop, the traffic event loop.
@@ -194,9 +193,6 @@
                 });
         context.scheduleRepeatedly(PROBE_INTERVAL_MILLIS, context.prober()::probeDue);
         context.scheduleRepeatedly(ServiceShares.REFRESH_MILLIS, context.shareGuard()::refresh);
-        context.scheduleRepeatedly(
-                StreamOriginRegistry.OBSERVE_MILLIS,
-                () -> context.streamOrigins().observe(views.get().directory().all()));
         context.scheduleRepeatedly(CLEANUP_INTERVAL_MILLIS, this::cleanUp);
         return serving;
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/ConfigurationFollowerTest.java
@@ -16,6 +16,7 @@
 import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
+import org.radishpass.routing.stream.StreamVersionRecord;
 import org.radishpass.routing.testing.VirtualScheduler;
 import org.radishpass.runtime.thread.ControlThread;
 import reactor.core.publisher.Mono;
@@ -368,6 +369,26 @@
         public Mono<Boolean> release(CrashCause cause) {
             return Mono.never();
         }
+
+        @Override
+        public Mono<StreamVersionReadResult> streamVersions() {
+            return Mono.never();
+        }
+
+        @Override
+        public Mono<StreamVersionReadResult> saveStreamVersions(StreamVersionRecord record, StorePosition replaced) {
+            return Mono.never();
+        }
+
+        @Override
+        public Mono<StreamOriginReadResult> streamOrigins() {
+            return Mono.never();
+        }
+
+        @Override
+        public Mono<Boolean> saveStreamOrigins(List<StoredOrigins> added, List<String> removed) {
+            return Mono.never();
+        }
     }
 
     /** Records the configurations that were read. */
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualFleet.java
@@ -47,7 +47,7 @@
             int dataCentre = number % dataCentres;
             Address address = new Address("10." + dataCentre + ".0." + (1 + number / dataCentres), PEER_PORT);
             routerSpecs.add(new FleetRouter(
-                    address, new DataCentre("dc-" + dataCentre), 1, PEER_PORT + 1, FleetRouter.STREAM_ORIGINS_LEVEL));
+                    address, new DataCentre("dc-" + dataCentre), 1, PEER_PORT + 1, FleetRouter.STREAM_VERSIONS_LEVEL));
             network.add(address.toString(), megabits);
         }
         List<ServiceEndpoint> listed = new ArrayList<>();
@@ -96,6 +96,21 @@
         start(spec, seeds());
     }
 
+    /** Ends all processes at the same moment. */
+    void killAll() {
+        routerSpecs.forEach(spec -> kill(spec.id()));
+    }
+
+    /** Returns the id of a router, by its number. */
+    String id(int number) {
+        return routerSpecs.get(number).id();
+    }
+
+    /** Starts a process of a router that has ended, by its number. */
+    void start(int number) {
+        start(routerSpecs.get(number), seeds());
+    }
+
     /** Ends all processes at the same moment, and starts them again. */
     void restartAll() {
         routerSpecs.forEach(spec -> kill(spec.id()));
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualRouter.java
@@ -27,6 +27,7 @@
 import org.radishpass.routing.fleet.FleetMembers;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.RegionMap;
+import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.load.InFlight;
 import org.radishpass.routing.load.InFlightTracker;
 import org.radishpass.routing.load.WorkReport;
@@ -38,6 +39,7 @@
 import org.radishpass.routing.report.FleetObservations;
 import org.radishpass.routing.stream.StreamOriginRegistry;
 import org.radishpass.routing.testing.VirtualProcess;
+import org.radishpass.routing.traffic.RoutingView;
 import org.radishpass.runtime.thread.ControlThread;
 import reactor.core.publisher.Mono;
 
@@ -153,6 +155,17 @@
                 .orElse(false);
     }
 
+    /** Returns the endpoints at which a stream may begin that can be taken up at another router. */
+    List<ServiceEndpoint> endpointsForNewStreams() {
+        RoutingView view = control.view();
+        return view.directoryKnown()
+                ? view.directory().accepting(SERVICE).stream()
+                        .filter(endpoint ->
+                                !view.eligibility().withoutNewStreams().contains(endpoint.id()))
+                        .toList()
+                : List.of();
+    }
+
     /** Sends a request to an endpoint, which stays in flight. */
     void startRequest(String endpointId) {
         work.inFlight.started(endpointId, 1);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/control/VirtualStore.java
@@ -13,6 +13,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
 import org.radishpass.routing.fleet.DataCentreDrain;
@@ -21,6 +22,7 @@
 import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
+import org.radishpass.routing.stream.StreamVersionRecord;
 import org.radishpass.routing.testing.VirtualScheduler;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -46,6 +48,11 @@
     private final Map<String, FleetRouter> routers = new LinkedHashMap<>();
     private final Map<DataCentre, DataCentreDrain> drains = new LinkedHashMap<>();
     private final Set<String> refused = new HashSet<>();
+    private final Map<String, StoredOrigins> storedOrigins = new LinkedHashMap<>();
+    private @Nullable StreamVersionRecord streamVersions;
+    private long streamVersionsRevision;
+    private int originWrites;
+    private boolean streamVersionsRefused;
     private List<ServiceEndpoint> endpoints = List.of();
     private long era = 1;
     private long revision = 1;
@@ -65,6 +72,9 @@
                 Map.copyOf(quarantined),
                 Map.copyOf(routers),
                 Map.copyOf(drains),
+                Map.copyOf(storedOrigins),
+                streamVersions,
+                streamVersionsRevision,
                 endpoints);
     }
 
@@ -79,6 +89,9 @@
         replaceContents(quarantined, from.quarantined());
         replaceContents(routers, from.routers());
         replaceContents(drains, from.drains());
+        replaceContents(storedOrigins, from.storedOrigins());
+        streamVersions = from.streamVersions();
+        streamVersionsRevision = from.streamVersionsRevision();
         endpoints = from.endpoints();
         failLongPolls();
     }
@@ -162,6 +175,34 @@
         return endpoints;
     }
 
+    /** Makes the store refuse to write the record of software versions, while it serves all other requests. */
+    void refuseStreamVersions(boolean refused) {
+        streamVersionsRefused = refused;
+    }
+
+    /** Removes the record of software versions, as another program might. */
+    void dropStreamVersions() {
+        revision++;
+        streamVersions = null;
+    }
+
+    /** Replaces the record of software versions, as a program that damages it might. */
+    void replaceStreamVersions(StreamVersionRecord record) {
+        revision++;
+        streamVersions = record;
+        streamVersionsRevision = revision;
+    }
+
+    /** Returns the number of writes of origins so far. */
+    int originWrites() {
+        return originWrites;
+    }
+
+    /** Returns the number of stored batches of origins. */
+    int originBatches() {
+        return storedOrigins.size();
+    }
+
     /** Returns the number of calls so far. */
     int calls() {
         return calls;
@@ -179,6 +220,9 @@
             Map<CrashCause, Suspect> quarantined,
             Map<String, FleetRouter> routers,
             Map<DataCentre, DataCentreDrain> drains,
+            Map<String, StoredOrigins> storedOrigins,
+            @Nullable StreamVersionRecord streamVersions,
+            long streamVersionsRevision,
             List<ServiceEndpoint> endpoints) {}
 
     /** A request that is held until something changes. */
@@ -313,6 +357,44 @@
             });
         }
 
+        @Override
+        public Mono<StreamVersionReadResult> streamVersions() {
+            return respond(() -> ROUTER_BYTES, VirtualStore.this::readStreamVersions)
+                    .onErrorResume(error -> Mono.just(
+                            new StreamVersionReadResult.Unavailable(ReadFailure.STORE_UNAVAILABLE, error.toString())));
+        }
+
+        @Override
+        public Mono<StreamVersionReadResult> saveStreamVersions(StreamVersionRecord record, StorePosition replaced) {
+            return respond(() -> 0, () -> {
+                        if (replaced.era() == era || !replaced.known()) {
+                            compareAndSet(record, replaced);
+                        }
+                        return true;
+                    })
+                    .onErrorReturn(false)
+                    .then(streamVersions());
+        }
+
+        @Override
+        public Mono<StreamOriginReadResult> streamOrigins() {
+            return respond(() -> ROUTER_BYTES * storedOrigins.size(), () -> (StreamOriginReadResult)
+                            new StreamOriginReadResult.Listed(List.copyOf(storedOrigins.values()), scheduler.millis()))
+                    .onErrorResume(error -> Mono.just(
+                            new StreamOriginReadResult.Unavailable(ReadFailure.STORE_UNAVAILABLE, error.toString())));
+        }
+
+        @Override
+        public Mono<Boolean> saveStreamOrigins(List<StoredOrigins> added, List<String> removed) {
+            return respond(() -> 0, () -> {
+                        originWrites++;
+                        added.forEach(batch -> storedOrigins.put(batch.name(), batch));
+                        removed.forEach(storedOrigins::remove);
+                        return true;
+                    })
+                    .onErrorReturn(false);
+        }
+
         private <T> Mono<T> respond(IntSupplier bytes, Supplier<T> value) {
             return respond(bytes, value, size -> {});
         }
@@ -350,6 +432,20 @@
         }
     }
 
+    private StreamVersionReadResult readStreamVersions() {
+        StreamVersionRecord record = streamVersions;
+        return record == null
+                ? new StreamVersionReadResult.Absent()
+                : new StreamVersionReadResult.Found(record, new StorePosition(era, streamVersionsRevision));
+    }
+
+    private void compareAndSet(StreamVersionRecord record, StorePosition replaced) {
+        boolean unchanged = replaced.known() ? replaced.revision() == streamVersionsRevision : streamVersions == null;
+        if (unchanged && !streamVersionsRefused) {
+            replaceStreamVersions(record);
+        }
+    }
+
     private StorePosition position() {
         return new StorePosition(era, revision);
     }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeStore.java
@@ -11,17 +11,23 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.control.ConfigurationReadResult;
 import org.radishpass.routing.control.ControlSource;
 import org.radishpass.routing.control.DirectoryReadResult;
 import org.radishpass.routing.control.QuarantineReadResult;
+import org.radishpass.routing.control.ReadFailure;
 import org.radishpass.routing.control.RegistryReadResult;
+import org.radishpass.routing.control.StoredOrigins;
+import org.radishpass.routing.control.StreamOriginReadResult;
+import org.radishpass.routing.control.StreamVersionReadResult;
 import org.radishpass.routing.fleet.FleetRouter;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.fleet.StorePosition;
 import org.radishpass.routing.quarantine.CrashCause;
 import org.radishpass.routing.quarantine.Suspect;
+import org.radishpass.routing.stream.StreamVersionRecord;
 import reactor.core.publisher.Mono;
 
 /** An in-memory store shared by several routers. Each router has its own link to the store, which a test can cut. */
@@ -33,6 +39,23 @@
     private volatile String document = "";
     private final Map<CrashCause, Suspect> quarantined = new ConcurrentHashMap<>();
     private final AtomicLong revision = new AtomicLong(1);
+    private final Map<String, StoredOrigins> storedOrigins = new ConcurrentHashMap<>();
+    private @Nullable StreamVersionRecord streamVersions;
+    private long streamVersionsRevision;
+
+    private synchronized StreamVersionReadResult versions() {
+        StreamVersionRecord record = streamVersions;
+        return record == null
+                ? new StreamVersionReadResult.Absent()
+                : new StreamVersionReadResult.Found(record, at(streamVersionsRevision));
+    }
+
+    private synchronized void replaceVersions(StreamVersionRecord record, StorePosition replaced) {
+        if (replaced.known() ? replaced.revision() == streamVersionsRevision : streamVersions == null) {
+            streamVersions = record;
+            streamVersionsRevision = revision.incrementAndGet();
+        }
+    }
 
     /** Publishes a configuration document and increments the revision. */
     public void publish(String newDocument) {
@@ -161,6 +184,37 @@
             });
         }
 
+        @Override
+        public Mono<StreamVersionReadResult> streamVersions() {
+            return Mono.fromSupplier(() ->
+                    cut ? new StreamVersionReadResult.Unavailable(ReadFailure.STORE_UNAVAILABLE, "cut") : versions());
+        }
+
+        @Override
+        public Mono<StreamVersionReadResult> saveStreamVersions(StreamVersionRecord record, StorePosition replaced) {
+            return Mono.defer(() -> {
+                if (!cut) {
+                    replaceVersions(record, replaced);
+                }
+                return streamVersions();
+            });
+        }
+
+        @Override
+        public Mono<StreamOriginReadResult> streamOrigins() {
+            return Mono.fromSupplier(() -> new StreamOriginReadResult.Listed(
+                    List.copyOf(storedOrigins.values()), System.nanoTime() / 1_000_000));
+        }
+
+        @Override
+        public Mono<Boolean> saveStreamOrigins(List<StoredOrigins> added, List<String> removed) {
+            return Mono.fromSupplier(() -> {
+                added.forEach(batch -> storedOrigins.put(batch.name(), batch));
+                removed.forEach(storedOrigins::remove);
+                return true;
+            });
+        }
+
         private ConfigurationReadResult readResult() {
             if (cut) {
                 return new ConfigurationReadResult.Unavailable("cut");
