Space the reads of the recorded versions for streams that are taken up

Seen by reading: each stream that is taken up while one version serves has the record read again, and a router read without a pause. When all callers take up their streams after a start of all, many routers exceed the reads that the store accepts, and what else they read is refused with it. Change: a router reads at most each 50 ms, and all together 500 times a second, a quarter of what the store accepts; streams that come meanwhile share the next read.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ControlPlane.java
@@ -345,6 +345,11 @@
             return peers.storeReadScope().readsDirectory();
         }
 
+        @Override
+        public int routers() {
+            return peers.routerCount();
+        }
+
         @Override
         public boolean allRoutersRecordVersions() {
             return registration.registered() && peers.allRecordStreamVersions();
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/StreamVersionKeeper.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/StreamVersionKeeper.java
@@ -3,7 +3,6 @@
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -60,8 +59,9 @@
     private final StreamVersionReader reader;
     private final WriteTurn turn = new WriteTurn();
     private final RetryBackoff backoff = new RetryBackoff();
-    private final List<Consumer<Boolean>> toConfirm = new ArrayList<>();
+    private final PendingConfirmations confirmations = new PendingConfirmations();
     private boolean callInProgress;
+    private boolean confirmationScheduled;
     private boolean trusted;
     private long retryAtMillis;
     private long refreshAtMillis;
@@ -113,8 +113,21 @@
 
     /** Reads the record again, for a stream that a caller takes up. The receiver is told whether it was read. */
     void confirm(Consumer<Boolean> done) {
-        toConfirm.add(done);
-        read();
+        confirmations.add(done);
+        readForConfirmations();
+    }
+
+    private void readForConfirmations() {
+        Duration delay = confirmations.delay(clock.millis());
+        if (delay.isZero()) {
+            read();
+        } else if (!confirmationScheduled) {
+            confirmationScheduled = true;
+            thread.scheduleAfter(delay, () -> {
+                confirmationScheduled = false;
+                read();
+            });
+        }
     }
 
     /** Applies a record that a peer has read. */
@@ -199,8 +212,7 @@
             return;
         }
         callInProgress = true;
-        List<Consumer<Boolean>> confirmed = List.copyOf(toConfirm);
-        toConfirm.clear();
+        List<Consumer<Boolean>> confirmed = confirmations.take(clock.millis(), listener.routers());
         reader.read().publishOn(thread.scheduler()).subscribe(read -> onRead(read, confirmed));
     }
 
@@ -250,11 +262,10 @@
     }
 
     private void continueAfterCall() {
-        if (toConfirm.isEmpty()) {
-            check();
-        } else {
-            read();
+        if (!confirmations.isEmpty()) {
+            readForConfirmations();
         }
+        check();
     }
 
     private void recordChanged(String origin) {
@@ -297,6 +308,9 @@
         /** Tells whether this router reads the list of endpoints from the store. */
         boolean readsDirectory();
 
+        /** Returns the number of routers of the fleet, as far as known. */
+        int routers();
+
         /** Tells whether all other routers are known, and begin streams at recorded versions only. */
         boolean allRoutersRecordVersions();
 
