Take the idle period and the skipped responses out of EndpointConnection

No logic changes: two classes of the connection package hold what the class counted itself, since it grows with the boundary between messages. ConnectionReuseTest, TruncatedResponseTest, EndlessResponseTest, EndpointFailureTest, ConnectionCapTest and RelayedRequestTest pass.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/package-info.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Decisions on connections to endpoints: how many one router may hold, and which idle ones may be reused.
+ * Decisions on connections to endpoints: how many one router may hold, which idle ones may be reused, and to which request a
+ * response belongs.
  *
  * @since 0.8.0
  */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.IdlePeriod;
+import org.radishpass.routing.connection.SkippedResponses;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.framing.BodyFraming;
@@ -28,18 +30,6 @@
  * skipped.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
-    /** Milliseconds before the announced end of an idle connection from which on it is no longer used. */
-    private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
-
-    /** Milliseconds for which an idle connection is kept if the endpoint does not announce a keep-alive time. */
-    private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
-
-    /** The responses before the one to the request, informational or to another request, that are skipped. */
-    private static final int MAX_SKIPPED_RESPONSES = 32;
-
-    /** The bytes of the bodies of such responses that are skipped. */
-    private static final long MAX_SKIPPED_BYTES = 1_048_576;
-
     private final EndpointPool pool;
     private final Channel channel;
     private @Nullable ResponseListener listener;
@@ -52,13 +42,9 @@
     private boolean reading;
     private boolean resetByCap;
     private boolean headReceived;
-    private boolean skippingResponse;
-    private int skippedResponses;
-    private long skippedBytes;
     private boolean closeAfterResponse;
-    private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
-    private long usableUntilMillis;
-    private long usedAtMillis;
+    private final SkippedResponses skipped = new SkippedResponses();
+    private final IdlePeriod idlePeriod = new IdlePeriod();
 
     EndpointConnection(EndpointPool pool, Channel channel) {
         this.pool = pool;
@@ -95,12 +81,12 @@
 
     /** Tells whether the idle connection can carry another request. */
     boolean reusable(long nowMillis) {
-        return channel.isActive() && nowMillis < usableUntilMillis;
+        return channel.isActive() && idlePeriod.usable(nowMillis);
     }
 
     /** Returns when the connection was last known to work, on the monotonic clock in milliseconds. */
     long usedAtMillis() {
-        return usedAtMillis;
+        return idlePeriod.usedAtMillis();
     }
 
     /**
@@ -126,9 +112,7 @@
         this.method = request.method();
         this.framing = BodyFraming.NONE;
         this.headReceived = false;
-        this.skippingResponse = false;
-        this.skippedResponses = 0;
-        this.skippedBytes = 0;
+        this.skipped.reset();
         this.closeAfterResponse = false;
         var unused = channel.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
@@ -146,7 +130,7 @@
     /** Returns the connection to the pool. Called when nothing was sent on the connection. */
     void release() {
         if (!usedBefore) {
-            markIdle(); // a new connection is known to work; a reused one may have been closed meanwhile
+            idlePeriod.begin(pool.nowMillis()); // a new connection is known to work; a reused one may have been closed meanwhile
         }
         pool.release(this);
     }
@@ -234,9 +218,8 @@
         }
         headReceived = true;
         framing = BodyFraming.of(method, response);
-        skippingResponse = false;
         closeAfterResponse = head.closing();
-        keepAliveMillis = head.keepAliveMillis().orElse(DEFAULT_KEEP_ALIVE_MILLIS);
+        idlePeriod.announced(head.keepAliveMillis());
         ResponseListener activeListener = listener;
         if (activeListener != null) {
             activeListener.head(response, head);
@@ -244,13 +227,12 @@
     }
 
     private void skipResponse() {
-        skippingResponse = true;
-        skippedResponses++;
+        skipped.headSkipped();
         checkSkipped();
     }
 
     private void checkSkipped() {
-        if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
+        if (skipped.exceeded()) {
             fail(EndEvidence.MALFORMED, "more bytes that are no response to the request than are skipped");
         }
     }
@@ -258,10 +240,9 @@
     private void content(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         ResponseListener activeListener = listener;
-        if (skippingResponse || !headReceived || activeListener == null) {
-            skippedBytes += content.content().readableBytes();
+        if (skipped.insideResponse() || !headReceived || activeListener == null) {
+            skipped.contentSkipped(content.content().readableBytes(), last);
             content.release();
-            skippingResponse = skippingResponse && !last;
             checkSkipped();
             return;
         }
@@ -291,16 +272,11 @@
 
     private void returnToPool() {
         usedBefore = true;
-        markIdle();
+        idlePeriod.begin(pool.nowMillis());
         channel.config().setAutoRead(true);
         pool.release(this);
     }
 
-    private void markIdle() {
-        usedAtMillis = pool.nowMillis();
-        usableUntilMillis = usedAtMillis + Math.max(0, keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS);
-    }
-
     private void fail(EndEvidence evidence, String cause) {
         ResponseListener failedListener = listener;
         listener = null;
