Tell bytes outside of responses, rejected heads and the use of connections

Cause: the line of a request didn't say whether its connection was new, how long it had been idle and what was skipped on it, and nothing counted bytes outside of a response; the hypotheses of the incident can't be told apart. Change: each attempt states its connection (new, or its how many-th request, idle milliseconds, responses skipped before its own). The events unsolicited-bytes and head-rejected and two counters tell when bytes came that belong to no response, and why a head was rejected; one line per 100 ms at most, with the number left out. They replace a warning for each response to another request, which was not bounded. No logic changes. Run: OperationsTablesTest, ConnectionReuseTest, TruncatedResponseTest and EndpointFailureTest pass.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/event/LogEvent.java
@@ -161,6 +161,14 @@
             "demand-impossible",
             "a router reported demand with impossible figures; it is not used; `dropped` is how many such reports there were since the last line"),
     /** See {@link #meaning}. */
+    UNSOLICITED_BYTES(
+            "unsolicited-bytes",
+            "an endpoint sent bytes that belong to no response; `phase` says when, `connection` on which connection; `suppressed` lines were left out before"),
+    /** See {@link #meaning}. */
+    HEAD_REJECTED(
+            "head-rejected",
+            "the head of a response was rejected, for `reason`, while `request` waited; `suppressed` lines were left out before"),
+    /** See {@link #meaning}. */
     MALFORMED("malformed", "a request was refused before it was whole: malformed or larger than the limits"),
     /** See {@link #meaning}. */
     LOG_SUPPRESSED("log-suppressed", "lines that were left out in the second before, to keep the volume bounded");
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ArrivalPhase;
+import org.radishpass.routing.connection.ConnectionUse;
 import org.radishpass.routing.connection.IdlePeriod;
 import org.radishpass.routing.connection.SkippedResponses;
 import org.radishpass.routing.dialect.ResponseHead;
@@ -43,6 +45,8 @@
     private boolean resetByCap;
     private boolean headReceived;
     private boolean closeAfterResponse;
+    private int requests;
+    private ConnectionUse use = new ConnectionUse(0, 0);
     private final SkippedResponses skipped = new SkippedResponses();
     private final IdlePeriod idlePeriod = new IdlePeriod();
 
@@ -97,6 +101,20 @@
         return usedBefore;
     }
 
+    /** Begins the use of the connection for the request that is sent next, and returns it. */
+    ConnectionUse nextUse() {
+        requests++;
+        use = new ConnectionUse(requests, requests == 1 ? 0 : pool.nowMillis() - idlePeriod.usedAtMillis());
+        return use;
+    }
+
+    /** Records bytes that were received, before they are decoded. */
+    void bytesReceived(int length) {
+        if (listener == null) {
+            pool.unsolicited(ArrivalPhase.IDLE, use, length + " bytes");
+        }
+    }
+
     /**
      * Writes a request. From here on the endpoint may run the request.
      *
@@ -130,7 +148,8 @@
     /** Returns the connection to the pool. Called when nothing was sent on the connection. */
     void release() {
         if (!usedBefore) {
-            idlePeriod.begin(pool.nowMillis()); // a new connection is known to work; a reused one may have been closed meanwhile
+            idlePeriod.begin(
+                    pool.nowMillis()); // a new connection is known to work; a reused one may have been closed meanwhile
         }
         pool.release(this);
     }
@@ -158,6 +177,9 @@
         }
         if (((HttpObject) message).decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
+            if (!headReceived) {
+                pool.headRejected("malformed", use, requestId);
+            }
             fail(
                     EndEvidence.MALFORMED,
                     "malformed response: "
@@ -208,11 +230,13 @@
         ResponseHead head = pool.dialect().decodeResponse(response);
         pool.headReceived(head);
         if (!head.matchesRequest(requestId)) {
-            pool.unmatchedResponse(requestId, head);
+            pool.unmatchedResponse(use, requestId, head);
+            use.responseSkipped();
             skipResponse();
             return;
         }
         if (head.unsignedSuccess()) {
+            pool.headRejected("unsigned-success", use, requestId);
             fail(EndEvidence.MALFORMED, "successful response without the signature of the endpoint");
             return;
         }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -3,8 +3,11 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -22,6 +25,7 @@
 import jdk.net.ExtendedSocketOptions;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.connection.ConnectionCap;
+import org.radishpass.routing.connection.DesynchronizationMonitor;
 import org.radishpass.routing.connection.RouterCount;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
@@ -65,6 +69,7 @@
     private final Counter refusedByShare;
     private final Counter resetByCap;
     private final Counter unmatchedResponses;
+    private final DesynchronizationMonitor monitor;
     private final Map<String, EndpointPool> pools = new HashMap<>();
     private final Set<String> retired = new HashSet<>();
     private final RouterCount routerCount = new RouterCount();
@@ -95,6 +100,7 @@
         this.unmatchedResponses = Counter.builder("radishpass.endpoint.foreign.answers")
                 .description("answers that belonged to no waiting request and were dropped")
                 .register(metrics);
+        this.monitor = new DesynchronizationMonitor(metrics);
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -120,6 +126,11 @@
         addresses = translation;
     }
 
+    /** Returns what records bytes that belong to no response. */
+    DesynchronizationMonitor monitor() {
+        return monitor;
+    }
+
     RequestDialect dialect() {
         return dialect;
     }
@@ -144,12 +155,22 @@
             }
             opened.increment();
             EndpointConnection connection = new EndpointConnection(pool, connecting.channel());
-            connecting.channel().pipeline().addLast(connection);
+            connecting.channel().pipeline().addFirst(observer(connection)).addLast(connection);
             connecting.channel().closeFuture().addListener(closed -> pool.slotFreed());
             pool.connected(connection, callback);
         });
     }
 
+    private static ChannelInboundHandlerAdapter observer(EndpointConnection connection) {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                connection.bytesReceived(((ByteBuf) message).readableBytes());
+                ctx.fireChannelRead(message);
+            }
+        };
+    }
+
     /** Returns the largest number of routers that was known recently, this router included; 0 before any is known. */
     int routerCount() {
         return routerCount.update(views.get().members().count(), clock.millis());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -3,20 +3,18 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ArrivalPhase;
 import org.radishpass.routing.connection.ConnectionCap;
 import org.radishpass.routing.connection.ConnectionReset;
 import org.radishpass.routing.connection.ConnectionShare;
+import org.radishpass.routing.connection.ConnectionUse;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealth;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The pool of connections to one endpoint. */
 final class EndpointPool {
-    private static final Logger LOG = LoggerFactory.getLogger(EndpointPool.class);
-
     /** Maximum number of idle connections; larger than the number that one router needs at once under steady load. */
     private static final int MAX_IDLE = 24;
 
@@ -248,12 +246,22 @@
         connections.headReceived(endpoint, head);
     }
 
-    void unmatchedResponse(String expectedId, ResponseHead head) {
+    /** Records bytes that belong to no response. */
+    void unsolicited(ArrivalPhase phase, ConnectionUse use, String detail) {
+        connections.monitor().unsolicited(endpoint.id(), phase, use.text(), detail, nowMillis());
+    }
+
+    /** Records a response to another request than the one in flight. */
+    void unmatchedResponse(ConnectionUse use, String expectedId, ResponseHead head) {
         connections.countUnmatchedResponse();
-        LOG.warn(
-                "endpoint {} responded to request {} while {} was in flight; dropping the response",
-                endpoint.id(),
-                head.requestId(),
-                expectedId);
+        unsolicited(
+                ArrivalPhase.BEFORE_RESPONSE,
+                use,
+                "a response to request " + head.requestId() + " while " + expectedId + " was in flight");
+    }
+
+    /** Records a head that is not taken for the head of the response to a request. */
+    void headRejected(String reason, ConnectionUse use, String requestId) {
+        connections.monitor().headRejected(endpoint.id(), reason, use.text(), requestId, nowMillis());
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -345,6 +345,7 @@
     private void send(Attempt current, EndpointConnection connection) {
         long nowMillis = context.nowMillis();
         history.sent(nowMillis);
+        record.sentOn(connection.nextUse());
         record.sent(nowMillis, context.signals().countUnwantedSend(current.endpoint()));
         record.origin()
                 .ifPresent(origin -> context.requestLog().continuedStreams().continued(origin, current.endpoint()));
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ExchangeRecord.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.core.outcome.Verdict;
+import org.radishpass.routing.connection.ConnectionUse;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fairness.ShareDecision;
 import org.radishpass.routing.framing.BodyFraming;
@@ -223,6 +224,13 @@
         lastAttempt().stated = stated;
     }
 
+    /** Records on which connection the request is sent. */
+    void sentOn(ConnectionUse use) {
+        if (lastAttempt() instanceof RecordedAttempt.AttemptRecord attempt) {
+            attempt.sentOn(use);
+        }
+    }
+
     /** Records the head of a response to the current attempt. */
     void headReceived(long nowMillis, ResponseHead head) {
         lastAttempt().headAfterMillis = nowMillis - receivedAtMillis;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RecordedAttempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/RecordedAttempt.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ConnectionUse;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.DirectoryOrigin;
 import org.radishpass.routing.framing.BodyFraming;
@@ -56,6 +57,7 @@
      * received; -1 for an event that did not happen.
      */
     static final class AttemptRecord extends RecordedAttempt {
+        private @Nullable ConnectionUse connectionUse;
         private final PlacementChoice choice;
         private final long chosenAtMillis;
         private final long chosenAfterMillis;
@@ -71,6 +73,11 @@
             this.directoryAgeMillis = nowMillis - origin.readAtMillis();
         }
 
+        /** Records on which connection the request is sent. */
+        void sentOn(ConnectionUse use) {
+            this.connectionUse = use;
+        }
+
         /** Records the head of the response. */
         void head(ResponseHead head) {
             this.responseHead = head;
@@ -84,6 +91,7 @@
                     + " from "
                     + origin.source() + (origin.settled() ? "" : " unsettled") + " listAge " + directoryAgeMillis
                     + " chosen " + chosenAfterMillis + " sent " + sentAfterMillis + " head " + headAfterMillis + stated
+                    + (connectionUse == null ? "" : " connection " + connectionUse.text())
                     + describeEstimate(choice.estimate())
                     + choice.holder().map(holder -> " cacheFrom " + holder.id()).orElse("")
                     + (responseHead == null ? "" : describeResponse(responseHead)) + describeEnd();
