--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ArrivalPhase.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/ArrivalPhase.java
@@ -3,16 +3,16 @@
 import java.util.Locale;
 
 /**
- * When bytes that belong to no response were received on a connection.
+ * When bytes arrived that are not the response to the request in flight.
  *
  * @since 0.16.0
  */
 public enum ArrivalPhase {
-    /** While the connection carried no request. */
+    /** No request was in flight. */
     IDLE,
-    /** Together with the end of a response. */
+    /** They came with the end of a response. */
     AFTER_RESPONSE,
-    /** While a request waited for its response. */
+    /** A request was waiting for its response. */
     BEFORE_RESPONSE;
 
     /** Returns the phase as written to logs and metrics. */
