--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ConnectionUse.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/ConnectionUse.java
@@ -7,6 +7,9 @@
  * @since 0.16.0
  */
 public final class ConnectionUse {
+    /** The use of a connection that has carried no request. */
+    public static final ConnectionUse NONE = new ConnectionUse(0, 0);
+
     private final int requestNumber;
     private final long idleMillis;
     private int skippedResponses;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/ResponseListener.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/ResponseListener.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.traffic;
+package org.radishpass.routing.connection;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
@@ -9,8 +9,10 @@
 /**
  * Receives the response to a request that was written to an endpoint. Called on the traffic event loop. No call follows
  * {@link #completed} or {@link #failed}.
+ *
+ * @since 0.16.0
  */
-interface ResponseListener {
+public interface ResponseListener {
     /** Called when the head of the response to this request was received. */
     void head(HttpResponse response, ResponseHead head);
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/dialect/RequestDialect.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/dialect/RequestDialect.java
@@ -42,4 +42,11 @@
      * @param response the response
      */
     ResponseHead decodeResponse(HttpResponse response);
+
+    /**
+     * Tells whether endpoints state the id of the request in each response to a request that has one.
+     *
+     * @since 0.16.0
+     */
+    boolean endpointsEchoIds();
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/dialect/ResponseHead.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/dialect/ResponseHead.java
@@ -12,6 +12,7 @@
  * @param requestId the id of the request to which the response belongs, or null if absent
  * @param endpointLoad the load that the endpoint reports, or null if absent
  * @param keepAliveMillis the time for which the endpoint keeps an idle connection open, in milliseconds, if stated
+ * @param ambiguous whether a header that identifies the response or proves its origin occurs several times
  * @param signed whether the head bears the endpoint's signature, without which a success is not trusted
  * @param closing whether the endpoint closes the connection after this response
  * @param leaving whether the endpoint states that it is leaving: it completes its requests and accepts no new ones
@@ -23,6 +24,7 @@
         int status,
         boolean notRun,
         @Nullable String requestId,
+        boolean ambiguous,
         @Nullable EndpointLoad endpointLoad,
         OptionalLong keepAliveMillis,
         boolean signed,
@@ -60,16 +62,16 @@
 
     /** Tells whether a success has no signature and is not trusted: the head was corrupted or truncated on the way. */
     public boolean unsignedSuccess() {
-        return status >= FIRST_SUCCESS && status <= LAST_SUCCESS && !signed;
+        return successful() && !signed;
     }
 
     /**
-     * Tells whether this can be the response to a request. A response without a request id is accepted for any request.
+     * Tells whether the status is a success.
      *
-     * @param id the id of the request
+     * @since 0.16.0
      */
-    public boolean matchesRequest(String id) {
-        return requestId == null || requestId.equals(id);
+    public boolean successful() {
+        return status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
     }
 
     /**
@@ -81,6 +83,7 @@
         private final int status;
         private boolean notRun;
         private @Nullable String requestId;
+        private boolean ambiguous;
         private @Nullable EndpointLoad endpointLoad;
         private OptionalLong keepAliveMillis = OptionalLong.empty();
         private boolean signed;
@@ -105,6 +108,16 @@
             return this;
         }
 
+        /**
+         * Sets whether a header that identifies the response or proves its origin occurs several times.
+         *
+         * @since 0.16.0
+         */
+        public Builder ambiguous(boolean repeated) {
+            this.ambiguous = repeated;
+            return this;
+        }
+
         /** Sets the load that the endpoint reports; null if absent. */
         public Builder load(@Nullable EndpointLoad load) {
             this.endpointLoad = load;
@@ -157,6 +170,7 @@
                     status,
                     notRun,
                     requestId,
+                    ambiguous,
                     endpointLoad,
                     keepAliveMillis,
                     signed,
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ResponseListener;
 import org.radishpass.routing.dialect.EndpointLoad;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -3,17 +3,13 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,12 +22,12 @@
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.connection.ConnectionCap;
 import org.radishpass.routing.connection.DesynchronizationMonitor;
+import org.radishpass.routing.connection.ResponsePipeline;
 import org.radishpass.routing.connection.RouterCount;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
-import org.radishpass.routing.framing.UndecodedByteLimit;
 import org.radishpass.routing.health.EndpointHealthTracker;
 
 /**
@@ -50,12 +46,6 @@
     private static final int KEEP_ALIVE_SECONDS = 1;
 
     private static final int KEEP_ALIVE_PROBES = 2;
-    private static final int MAX_INITIAL_LINE = 4_096;
-    private static final int MAX_HEADERS = 65_536;
-    private static final int MAX_CHUNK = 65_536;
-
-    /** The bytes of the longest head, and of what one read may add to it. */
-    private static final int MAX_UNDECODED_BYTES = 4 * MAX_HEADERS;
 
     private final EventLoop loop;
     private final Supplier<RoutingView> views;
@@ -113,10 +103,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        UndecodedByteLimit.addDecoder(
-                                channel.pipeline(),
-                                new HttpClientCodec(MAX_INITIAL_LINE, MAX_HEADERS, MAX_CHUNK, false, false, false),
-                                MAX_UNDECODED_BYTES);
+                        ResponsePipeline.add(channel.pipeline());
                     }
                 });
     }
@@ -155,22 +142,12 @@
             }
             opened.increment();
             EndpointConnection connection = new EndpointConnection(pool, connecting.channel());
-            connecting.channel().pipeline().addFirst(observer(connection)).addLast(connection);
+            connecting.channel().pipeline().addLast(connection);
             connecting.channel().closeFuture().addListener(closed -> pool.slotFreed());
             pool.connected(connection, callback);
         });
     }
 
-    private static ChannelInboundHandlerAdapter observer(EndpointConnection connection) {
-        return new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                connection.bytesReceived(((ByteBuf) message).readableBytes());
-                ctx.fireChannelRead(message);
-            }
-        };
-    }
-
     /** Returns the largest number of routers that was known recently, this router included; 0 before any is known. */
     int routerCount() {
         return routerCount.update(views.get().members().count(), clock.millis());
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -8,6 +8,7 @@
 import org.radishpass.routing.connection.ConnectionReset;
 import org.radishpass.routing.connection.ConnectionShare;
 import org.radishpass.routing.connection.ConnectionUse;
+import org.radishpass.routing.connection.ReuseSuspension;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.ServiceEndpoint;
@@ -44,7 +45,8 @@
     private final ServiceEndpoint endpoint;
     private final EndpointHealth health;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
-    private final Deque<ConnectionCallback> waiting = new ArrayDeque<>();
+    private final Deque<WaitingRequest> waiting = new ArrayDeque<>();
+    private final ReuseSuspension suspension = new ReuseSuspension();
     private final ConnectionShare share = new ConnectionShare();
 
     EndpointPool(EndpointConnections connections, ServiceEndpoint endpoint, EndpointHealth health) {
@@ -85,28 +87,32 @@
             connections.countReused();
             callback.connected(reusable);
         } else {
-            connect(waitUntilMillis, callback);
+            connect(waitUntilMillis, new WaitingRequest(callback, false));
         }
     }
 
     /**
-     * Opens a new connection, which proves that the endpoint is reachable. If this router holds as many connections as
-     * it may, closes an idle one, or else waits until one becomes idle.
+     * Opens a new connection, which proves that the endpoint is reachable and on which no late response arrives. If this
+     * router holds as many connections as it may, closes an idle one, or else waits until one may be opened.
      *
      * @param waitUntilMillis until when to wait, on the monotonic clock in milliseconds
      * @param callback receives the connection, or the reason why there is none
      */
     void connect(long waitUntilMillis, ConnectionCallback callback) {
+        connect(waitUntilMillis, new WaitingRequest(callback, true));
+    }
+
+    private void connect(long waitUntilMillis, WaitingRequest request) {
         long nowMillis = nowMillis();
         if (share.tryOpen(cap(), nowMillis)) {
-            connections.connect(this, callback);
+            connections.connect(this, request.callback());
         } else if (share.paused(nowMillis) || waiting.size() >= MAX_WAITING || waitUntilMillis <= nowMillis) {
-            refuse(callback);
+            refuse(request.callback());
         } else {
-            waiting.addLast(callback);
+            waiting.addLast(request);
             connections.schedule(waitUntilMillis - nowMillis, () -> {
-                if (waiting.remove(callback)) {
-                    refuse(callback);
+                if (waiting.remove(request)) {
+                    refuse(request.callback());
                 }
             });
             if (!idle.isEmpty()) {
@@ -186,7 +192,7 @@
     void slotFreed() {
         share.closed();
         if (!waiting.isEmpty() && share.tryOpen(cap(), nowMillis())) {
-            connections.connect(this, waiting.removeFirst());
+            connections.connect(this, waiting.removeFirst().callback());
         }
     }
 
@@ -195,26 +201,32 @@
     }
 
     private boolean mayReuse(boolean retryable, long nowMillis) {
-        if (retryable) {
-            return nowMillis - health.bytesReceivedAtMillis() <= RETRYABLE_REUSE_MILLIS;
-        }
         EndpointConnection newest = idle.peekFirst();
-        return newest != null && nowMillis - newest.usedAtMillis() <= NON_RETRYABLE_REUSE_MILLIS;
+        if (newest == null) {
+            return false;
+        }
+        long unprovenMillis = nowMillis - (retryable ? health.bytesReceivedAtMillis() : newest.usedAtMillis());
+        return unprovenMillis <= (retryable ? RETRYABLE_REUSE_MILLIS : NON_RETRYABLE_REUSE_MILLIS)
+                && suspension.mayReuse(retryable, nowMillis);
     }
 
     /**
      * Passes an idle connection to a waiting request, or returns it to the pool. Closes it if the pool is full or
-     * retired, or if this router holds more connections than it may.
+     * retired, if its reuse is suspended, if the first waiting request needs a new one, or if this router holds more
+     * connections than it may.
      */
     void release(EndpointConnection connection) {
-        if (connections.retired(endpoint.id()) || share.surplus(cap(), nowMillis()) > 0) {
+        long nowMillis = nowMillis();
+        WaitingRequest first = waiting.peekFirst();
+        boolean usable = connection.open() && !suspension.suspended(nowMillis) && (first == null || !first.needsNew());
+        if (!usable || connections.retired(endpoint.id()) || share.surplus(cap(), nowMillis) > 0) {
             connection.close();
             return;
         }
-        ConnectionCallback next = connection.open() ? waiting.pollFirst() : null;
+        WaitingRequest next = waiting.pollFirst();
         if (next != null) {
             connections.countReused();
-            next.connected(connection);
+            next.callback().connected(connection);
         } else if (idle.size() >= MAX_IDLE) {
             connection.close();
         } else {
@@ -246,9 +258,12 @@
         connections.headReceived(endpoint, head);
     }
 
-    /** Records bytes that belong to no response. */
+    /** Records bytes that belong to no response, and suspends the reuse of connections. */
     void unsolicited(ArrivalPhase phase, ConnectionUse use, String detail) {
-        connections.monitor().unsolicited(endpoint.id(), phase, use.text(), detail, nowMillis());
+        long nowMillis = nowMillis();
+        suspension.unsolicitedBytes(nowMillis);
+        closeIdle();
+        connections.monitor().unsolicited(endpoint.id(), phase, use.text(), detail, nowMillis);
     }
 
     /** Records a response to another request than the one in flight. */
@@ -262,6 +277,18 @@
 
     /** Records a head that is not taken for the head of the response to a request. */
     void headRejected(String reason, ConnectionUse use, String requestId) {
+        if (use.reused()) {
+            suspension.unsolicitedBytes(nowMillis()); // most likely the beginning of a late response
+            closeIdle();
+        }
         connections.monitor().headRejected(endpoint.id(), reason, use.text(), requestId, nowMillis());
     }
+
+    /**
+     * A request that waits for a connection.
+     *
+     * @param callback receives the connection
+     * @param needsNew whether no connection may be reused for the request
+     */
+    private record WaitingRequest(ConnectionCallback callback, boolean needsNew) {}
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -171,8 +171,8 @@
         EndpointPool pool = context.connections().pool(next.endpoint());
         long waitUntilMillis =
                 record.receivedAtMillis() + terms.route().targetLatencyMillis() / CONNECTION_WAIT_DIVISOR;
-        if (history.sends() > 0) {
-            pool.connect(waitUntilMillis, next);
+        if (history.sends() > 0 || terms.requestId().isEmpty()) {
+            pool.connect(waitUntilMillis, next); // a late response to an earlier send would bear the same id
         } else {
             pool.acquire(terms.kind().retryableAfterRun(), waitUntilMillis, next);
         }
--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/PlainDialect.java
@@ -99,10 +99,16 @@
         return ResponseHead.builder(response.status().code())
                 .notRun(response.headers().contains(NOT_RUN))
                 .requestId(response.headers().get(ID))
+                .ambiguous(response.headers().getAll(ID).size() > 1)
                 .signed(!response.headers().contains(UNSIGNED))
                 .closing(response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true))
                 .leaving(response.headers().contains(LEAVING))
                 .retryAfterMillis(backoff == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(backoff)))
                 .build();
     }
+
+    @Override
+    public boolean endpointsEchoIds() {
+        return true;
+    }
 }
