Relay connections: bytes outside a response close them, and a malformed head fails at once

Cause: a connection to another router was handed back inside the decoder's loop, and what arrived on it while it was idle stayed in the decoder and began the next response.

Change: RelayClient installs the ResponsePipeline. A connection is handed back when the read that held the response's end is over and nothing followed it. It reads on while it is idle, also when its last response had been held back. A malformed response is told as such, no longer as a lost connection.

No test of bytes outside a response on a relay yet.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayCall.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayCall.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -73,6 +74,10 @@
         return ended;
     }
 
+    HttpMethod method() {
+        return head.method();
+    }
+
     /** Tells whether another request can follow on the connection. */
     boolean connectionReusable() {
         return reusable;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayClient.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayClient.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -24,8 +23,8 @@
 import java.util.Map;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ResponsePipeline;
 import org.radishpass.routing.fleet.FleetRouter;
-import org.radishpass.routing.framing.UndecodedByteLimit;
 
 /**
  * Relays requests to other routers, and keeps idle connections to them for later requests. Confined to the traffic event
@@ -45,13 +44,6 @@
     /** The maximum number of idle connections to one router. */
     private static final int MAX_IDLE = 16;
 
-    private static final int MAX_INITIAL_LINE = 4_096;
-    private static final int MAX_HEADERS = 65_536;
-    private static final int MAX_CHUNK = 65_536;
-
-    /** The bytes of the longest head, and of what one read may add to it. */
-    private static final int MAX_UNDECODED_BYTES = 4 * MAX_HEADERS;
-
     private final RelayPeers peers;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<RelayConnection>> idle = new HashMap<>();
@@ -71,10 +63,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        UndecodedByteLimit.addDecoder(
-                                channel.pipeline(),
-                                new HttpClientCodec(MAX_INITIAL_LINE, MAX_HEADERS, MAX_CHUNK, false, false, false),
-                                MAX_UNDECODED_BYTES);
+                        ResponsePipeline.add(channel.pipeline());
                     }
                 });
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -10,10 +11,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ArrivalPhase;
+import org.radishpass.routing.connection.MessageBoundary;
+import org.radishpass.routing.connection.Surplus;
 import org.radishpass.routing.framing.EndEvidence;
 
-/** A connection to another router that carries one relayed request at a time. */
-final class RelayConnection extends ChannelInboundHandlerAdapter {
+/**
+ * A connection to another router that carries one relayed request at a time. Bytes that belong to no response close it,
+ * and a malformed one ends its request.
+ */
+final class RelayConnection extends ChannelInboundHandlerAdapter implements MessageBoundary.Listener {
     /**
      * The time until the other router must have asked for the body of a request, in milliseconds: many round trips. A router
      * that is suspended or overloaded takes longer, and another one is tried.
@@ -21,18 +28,21 @@
     private static final int CONTINUE_TIMEOUT_MILLIS = 300;
 
     private final Channel channel;
+    private final MessageBoundary boundary;
     private final Consumer<RelayConnection> whenIdle;
     private @Nullable RelayCall call;
 
     /**
      * Creates a connection without a request.
      *
-     * @param channel the connected channel
+     * @param channel the connected channel, with a {@link MessageBoundary}
      * @param whenIdle called when another request can be sent on the connection
      */
     RelayConnection(Channel channel, Consumer<RelayConnection> whenIdle) {
         this.channel = channel;
+        this.boundary = MessageBoundary.of(channel.pipeline());
         this.whenIdle = whenIdle;
+        boundary.listener(this);
     }
 
     boolean open() {
@@ -47,6 +57,7 @@
     void send(RelayCall next) {
         call = next;
         channel.config().setAutoRead(true);
+        boundary.requestSent(next.method());
         next.begin(channel);
         var unused = channel.eventLoop()
                 .schedule(
@@ -89,6 +100,22 @@
     private void finished(RelayCall ended) {
         call = null;
         if (ended.connectionReusable() && open()) {
+            channel.config().setAutoRead(true);
+            boundary.responseEnded();
+        } else {
+            close();
+        }
+    }
+
+    @Override
+    public void unsolicited(ArrivalPhase phase, int bytes, String description) {
+        // the boundary closes the connection
+    }
+
+    /** Hands the connection back only now: bytes behind a response, in the same read, would meet the next request. */
+    @Override
+    public void readEnded(Surplus surplus) {
+        if (surplus == Surplus.NONE && open()) {
             whenIdle.accept(this);
         } else {
             close();
@@ -109,7 +136,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        lost(EndEvidence.CONNECTION_LOST, "the connection to the router failed: " + cause.getMessage());
+        EndEvidence evidence = cause instanceof DecoderException ? EndEvidence.MALFORMED : EndEvidence.CONNECTION_LOST;
+        lost(evidence, "the connection to the router failed: " + cause.getMessage());
         close();
     }
 
