FakeEndpoint: send flushed bytes without waiting for acknowledgements

Cause: Nagle's algorithm may hold back a second write until the router's kernel has acknowledged the first, up to 40 ms later. Tests that send late bytes take them for delivered once they are flushed. Change: TCP_NODELAY on the connections of the fake endpoint. Conclusion: a precaution, not the mend of a fault that was observed.

--- a/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/testing/FakeEndpoint.java
@@ -127,6 +127,7 @@
     private void serve(Socket socket) {
         ReceivedRequest last = null;
         try (socket) {
+            socket.setTcpNoDelay(true); // flushed bytes do not wait until earlier ones are acknowledged
             InputStream in = socket.getInputStream();
             for (String head = readHead(in); head != null; head = readHead(in)) {
                 last = new ReceivedRequest(
