--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ConnectionUse.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/ConnectionUse.java
@@ -1,5 +1,7 @@
 package org.radishpass.routing.connection;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The use of a connection for one request, as written to the log: what was exchanged on it before, and what was skipped before the
  * response to the request.
@@ -10,6 +12,9 @@
     /** The use of a connection that has carried no request. */
     public static final ConnectionUse NONE = new ConnectionUse(0, 0);
 
+    /** The characters of an id stated by an endpoint that are logged. */
+    private static final int MAX_LOGGED_ID = 64;
+
     private final int requestNumber;
     private final long idleMillis;
     private int skippedResponses;
@@ -35,6 +40,11 @@
         skippedResponses++;
     }
 
+    /** Returns an id that an endpoint has stated, as written to logs. */
+    public static String abbreviated(@Nullable String id) {
+        return id == null ? "" : id.substring(0, Math.min(id.length(), MAX_LOGGED_ID));
+    }
+
     /** Returns the use as written to logs. */
     public String text() {
         String use = reused() ? "reused request " + requestNumber + " idle " + idleMillis : "new";
--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ReuseSuspension.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/ReuseSuspension.java
@@ -4,8 +4,8 @@
  * Decides whether connections to one endpoint may be reused after it has sent bytes that belong to no response.
  *
  * <p>Until a deadline each request gets a new connection, so that a further late response meets no request. Afterwards single
- * requests that may be retried try reuse, with a pause between them, before all do. The time to the deadline doubles
- * with each further occurrence. Times are on the monotonic clock in milliseconds.
+ * requests try reuse, with a pause between them, before all do; one that may not be retried only where no other has come.
+ * The time to the deadline doubles with each further occurrence soon after. Times are on the monotonic clock in milliseconds.
  *
  * @since 0.16.0
  */
@@ -23,7 +23,7 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private long nextLengthMillis = INITIAL_MILLIS;
+    private long lengthMillis = INITIAL_MILLIS;
     private long suspendedUntilMillis = NEVER;
     private long nextTrialAtMillis = NEVER;
     private int remainingTrials;
@@ -31,11 +31,13 @@
     /** Records bytes that belong to no response. */
     public void unsolicitedBytes(long nowMillis) {
         if (suspended(nowMillis)) {
-            return;
+            suspendedUntilMillis = Math.max(suspendedUntilMillis, nowMillis + INITIAL_MILLIS);
+        } else {
+            boolean recent = nowMillis - suspendedUntilMillis <= MAX_MILLIS;
+            lengthMillis = recent ? Math.min(MAX_MILLIS, 2 * lengthMillis) : INITIAL_MILLIS;
+            suspendedUntilMillis = nowMillis + lengthMillis;
         }
-        suspendedUntilMillis = nowMillis + nextLengthMillis;
         nextTrialAtMillis = suspendedUntilMillis;
-        nextLengthMillis = Math.min(MAX_MILLIS, 2 * nextLengthMillis);
         remainingTrials = TRIALS;
     }
 
@@ -54,14 +56,11 @@
         if (remainingTrials == 0) {
             return true;
         }
-        if (!retryable || nowMillis < nextTrialAtMillis) {
+        if (nowMillis < nextTrialAtMillis + (retryable ? 0 : TRIAL_INTERVAL_MILLIS)) {
             return false;
         }
         nextTrialAtMillis = nowMillis + TRIAL_INTERVAL_MILLIS;
         remainingTrials--;
-        if (remainingTrials == 0) {
-            nextLengthMillis = INITIAL_MILLIS;
-        }
         return true;
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/framing/ChunkedBodyChecker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/framing/ChunkedBodyChecker.java
@@ -6,8 +6,8 @@
 final class ChunkedBodyChecker {
     private static final int HEXADECIMAL = 16;
 
-    /** The digits of the largest chunk that is accepted. */
-    private static final int MAX_DIGITS = 7;
+    /** The size in bytes of the largest chunk that is accepted. */
+    private static final long MAX_SIZE = 0xfff_ffff;
 
     private enum State {
         SIZE,
@@ -76,8 +76,9 @@
     private State size(int next) {
         int digit = Character.digit(next, HEXADECIMAL);
         if (digit >= 0) {
-            require(++digits <= MAX_DIGITS);
+            digits++;
             size = size * HEXADECIMAL + digit;
+            require(size <= MAX_SIZE);
             return State.SIZE;
         }
         require(digits > 0);
--- a/radishpass-routing/src/main/java/org/radishpass/routing/framing/StatusLineDetector.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/framing/StatusLineDetector.java
@@ -22,12 +22,32 @@
      * @param to the index behind the last
      */
     public boolean find(ByteBuf bytes, int from, int to) {
-        for (int index = from; index < to; index++) {
+        return endIndex(bytes, from, to) >= 0;
+    }
+
+    /**
+     * Returns the index behind the first status line that ends in these bytes, which follow those of the last call; -1 if
+     * none does.
+     *
+     * @param bytes holds the bytes
+     * @param from the index of the first
+     * @param to the index behind the last
+     */
+    public int endIndex(ByteBuf bytes, int from, int to) {
+        int index = from;
+        while (index < to) {
+            if (matched == 0) {
+                index = bytes.indexOf(index, to, (byte) PATTERN.charAt(0));
+                if (index < 0) {
+                    return -1;
+                }
+            }
             if (accept(bytes.getByte(index))) {
-                return true;
+                return index + 1;
             }
+            index++;
         }
-        return false;
+        return -1;
     }
 
     /** Forgets the bytes seen so far. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import org.radishpass.routing.connection.ArrivalPhase;
+import org.radishpass.routing.connection.CarriedRequests;
 import org.radishpass.routing.connection.ConnectionUse;
 import org.radishpass.routing.connection.IdlePeriod;
 import org.radishpass.routing.connection.MessageBoundary;
@@ -37,6 +38,7 @@
     private boolean resetByCap;
     private int requests;
     private ConnectionUse use = ConnectionUse.NONE;
+    private final CarriedRequests carried = new CarriedRequests();
     private final IdlePeriod idlePeriod = new IdlePeriod();
 
     EndpointConnection(EndpointPool pool, Channel channel) {
@@ -93,6 +95,11 @@
         return usedBefore;
     }
 
+    /** Tells whether a response to an earlier request with this id may still arrive on the connection. */
+    boolean carried(String requestId) {
+        return carried.contains(requestId);
+    }
+
     /** Begins the use of the connection for the request that is sent next, and returns it. */
     ConnectionUse nextUse() {
         requests++;
@@ -110,6 +117,7 @@
      */
     void send(SendPermit permit, FullHttpRequest request, String id, ResponseListener listener) {
         permit.use();
+        carried.add(id);
         reader.begin(request.method(), id, use, listener);
         var unused = channel.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.radishpass.routing.connection.ArrivalPhase;
 import org.radishpass.routing.connection.ConnectionCap;
@@ -76,18 +77,19 @@
      * Provides a connection, preferably an idle one. If this router holds as many connections as it may, waits until
      * one becomes idle.
      *
+     * @param requestId the id of the request, which is not sent twice on one connection
      * @param retryable whether the request can be sent again if the endpoint closes the idle connection meanwhile
      * @param waitUntilMillis until when to wait, on the monotonic clock in milliseconds
      * @param callback receives the connection, or the reason why there is none
      */
-    void acquire(boolean retryable, long waitUntilMillis, ConnectionCallback callback) {
+    void acquire(String requestId, boolean retryable, long waitUntilMillis, ConnectionCallback callback) {
         long nowMillis = nowMillis();
-        EndpointConnection reusable = mayReuse(retryable, nowMillis) ? pollReusable(nowMillis) : null;
+        EndpointConnection reusable = mayReuse(retryable, nowMillis) ? pollReusable(requestId, nowMillis) : null;
         if (reusable != null) {
             connections.countReused();
             callback.connected(reusable);
         } else {
-            connect(waitUntilMillis, new WaitingRequest(callback, false));
+            connect(waitUntilMillis, new WaitingRequest(callback, requestId, retryable));
         }
     }
 
@@ -99,7 +101,7 @@
      * @param callback receives the connection, or the reason why there is none
      */
     void connect(long waitUntilMillis, ConnectionCallback callback) {
-        connect(waitUntilMillis, new WaitingRequest(callback, true));
+        connect(waitUntilMillis, new WaitingRequest(callback, null, false));
     }
 
     private void connect(long waitUntilMillis, WaitingRequest request) {
@@ -127,21 +129,36 @@
         connections.connect(this, callback);
     }
 
+    private void suspendReuse() {
+        suspension.unsolicitedBytes(nowMillis());
+        closeIdle();
+    }
+
     private void refuse(ConnectionCallback callback) {
         connections.countRefusedByShare();
         callback.shareUsedUp();
     }
 
-    private @Nullable EndpointConnection pollReusable(long nowMillis) {
-        for (EndpointConnection connection = idle.pollFirst(); connection != null; connection = idle.pollFirst()) {
+    private @Nullable EndpointConnection pollReusable(String requestId, long nowMillis) {
+        Optional<EndpointConnection> next = firstIdle(requestId);
+        while (next.isPresent()) {
+            EndpointConnection connection = next.get();
+            idle.remove(connection);
             if (connection.reusable(nowMillis) && connection.confirmOpen()) {
                 return connection;
             }
             connection.close();
+            next = firstIdle(requestId);
         }
         return null;
     }
 
+    private Optional<EndpointConnection> firstIdle(String requestId) {
+        return idle.stream()
+                .filter(connection -> !connection.carried(requestId))
+                .findFirst();
+    }
+
     /** Processes the failure of a connection attempt. */
     void connectFailed(ConnectFailure failure, ConnectionCallback callback) {
         boolean byCap = failure.reset() && resetByCap(true, nowMillis());
@@ -218,7 +235,9 @@
     void release(EndpointConnection connection) {
         long nowMillis = nowMillis();
         WaitingRequest first = waiting.peekFirst();
-        boolean usable = connection.open() && !suspension.suspended(nowMillis) && (first == null || !first.needsNew());
+        boolean usable = connection.open()
+                && !suspension.suspended(nowMillis)
+                && (first == null || (first.mayUse(connection) && suspension.mayReuse(first.retryable(), nowMillis)));
         if (!usable || connections.retired(endpoint.id()) || share.surplus(cap(), nowMillis) > 0) {
             connection.close();
             return;
@@ -260,10 +279,8 @@
 
     /** Records bytes that belong to no response, and suspends the reuse of connections. */
     void unsolicited(ArrivalPhase phase, ConnectionUse use, String detail) {
-        long nowMillis = nowMillis();
-        suspension.unsolicitedBytes(nowMillis);
-        closeIdle();
-        connections.monitor().unsolicited(endpoint.id(), phase, use.text(), detail, nowMillis);
+        suspendReuse();
+        connections.monitor().unsolicited(endpoint.id(), phase, use.text(), detail, nowMillis());
     }
 
     /** Records a response to another request than the one in flight. */
@@ -272,23 +289,15 @@
         unsolicited(
                 ArrivalPhase.BEFORE_RESPONSE,
                 use,
-                "a response to request " + head.requestId() + " while " + expectedId + " was in flight");
+                "a response to request " + ConnectionUse.abbreviated(head.requestId()) + " while " + expectedId
+                        + " was in flight");
     }
 
     /** Records a head that is not taken for the head of the response to a request. */
     void headRejected(String reason, ConnectionUse use, String requestId) {
         if (use.reused()) {
-            suspension.unsolicitedBytes(nowMillis()); // most likely the beginning of a late response
-            closeIdle();
+            suspendReuse(); // most likely the beginning of a late response
         }
         connections.monitor().headRejected(endpoint.id(), reason, use.text(), requestId, nowMillis());
     }
-
-    /**
-     * A request that waits for a connection.
-     *
-     * @param callback receives the connection
-     * @param needsNew whether no connection may be reused for the request
-     */
-    private record WaitingRequest(ConnectionCallback callback, boolean needsNew) {}
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -172,9 +172,9 @@
         long waitUntilMillis =
                 record.receivedAtMillis() + terms.route().targetLatencyMillis() / CONNECTION_WAIT_DIVISOR;
         if (history.sends() > 0 || terms.requestId().isEmpty()) {
-            pool.connect(waitUntilMillis, next); // a late response to an earlier send would bear the same id
+            pool.connect(waitUntilMillis, next);
         } else {
-            pool.acquire(terms.kind().retryableAfterRun(), waitUntilMillis, next);
+            pool.acquire(terms.requestId(), terms.kind().retryableAfterRun(), waitUntilMillis, next);
         }
     }
 
--- /dev/null
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/WaitingRequest.java
@@ -0,0 +1,17 @@
+package org.radishpass.routing.traffic;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request that waits for a connection to an endpoint.
+ *
+ * @param callback receives the connection
+ * @param requestId the id of a request that may be sent on a connection that has been used; otherwise null
+ * @param retryable whether the request can be sent again if its response is lost
+ */
+record WaitingRequest(ConnectionCallback callback, @Nullable String requestId, boolean retryable) {
+    /** Tells whether the request may be sent on an open connection. */
+    boolean mayUse(EndpointConnection connection) {
+        return requestId != null && !connection.carried(requestId);
+    }
+}
