--- a/radishpass-tables/src/main/java/org/radishpass/tables/vmlist/VmListClient.java
+++ b/radishpass-tables/src/main/java/org/radishpass/tables/vmlist/VmListClient.java
@@ -1,17 +1,12 @@
 package org.radishpass.tables.vmlist;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
-import org.radishpass.core.fleet.VmKind;
 import org.radishpass.core.fleet.VmListing;
-import org.radishpass.records.RecordJson;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
@@ -27,6 +22,7 @@
     private final HttpClient client;
     private final String address;
     private final Duration timeout;
+    private final VmListDecoder decoder = new VmListDecoder();
     private volatile CachedList cached = new CachedList("", List.of());
 
     /**
@@ -64,34 +60,20 @@
                     }
                     String tag = response.responseHeaders().get(HttpHeaderNames.ETAG, "");
                     return content.asByteArray()
-                            .map(VmListClient::parse)
+                            .map(this::decode)
                             .doOnNext(found -> cached = new CachedList(tag, found));
                 })
                 .timeout(timeout);
     }
 
-    private static List<VmListing> parse(byte[] bytes) {
+    private synchronized List<VmListing> decode(byte[] bytes) {
         try {
-            List<VmListing> listings = new ArrayList<>();
-            for (JsonNode vm : RecordJson.mapper().readTree(bytes).path("vms")) {
-                VmKind.byName(vm.path("kind").asText()).ifPresent(kind -> listings.add(listing(kind, vm)));
-            }
-            return listings;
+            return decoder.decode(bytes);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    private static VmListing listing(VmKind kind, JsonNode vm) {
-        return new VmListing(
-                vm.path("id").asText(),
-                vm.path("incarnation").asText(),
-                kind,
-                new DataCentre(vm.path("dataCentre").asText()),
-                new Address(vm.path("host").asText(), vm.path("port").asInt()),
-                vm.path("leaving").asBoolean());
-    }
-
     /**
      * The last list that the platform sent.
      *
