Limit the log of errors on the control thread too

Cause: TaskFailures was told of RuntimeExceptions only. Other errors of a task left it to Reactor's handler, which writes each occurrence, several times a second for a periodic task.

Change: the control thread records whatever a task throws.

--- a/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/ControlThread.java
@@ -103,7 +103,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // the process goes on after an error, so its other tasks have to, and the log must not be flooded
                 failures.recordFailure(e);
             }
         };
--- a/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/TaskFailures.java
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/thread/TaskFailures.java
@@ -23,10 +23,10 @@
     /**
      * Counts a failure of a task, and logs the failure if its number is a power of two.
      *
-     * @param failure the exception that the task threw
+     * @param failure what the task threw
      * @return whether the failure was logged
      */
-    boolean recordFailure(RuntimeException failure) {
+    boolean recordFailure(Throwable failure) {
         if (counts.size() >= MAX_DISTINCT_FAILURES) {
             counts.clear();
         }
