--- a/radishpass-peer/src/main/java/org/radishpass/peer/message/ReflectiveCodec.java
+++ b/radishpass-peer/src/main/java/org/radishpass/peer/message/ReflectiveCodec.java
@@ -25,12 +25,14 @@
     }
 
     /**
-     * Decodes bytes. The library throws unchecked exceptions on some malformed bytes, among them NullPointerException.
+     * Decodes bytes. The library throws unchecked exceptions on some malformed bytes, among them NullPointerException, and
+     * allocates any length that they state.
      */
     static @Nullable Envelope decode(byte[] bytes) throws IOException {
+        StatedLengths.check(bytes);
         try {
             return MAPPER.readValue(bytes, Envelope.class);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
             throw new IOException("malformed MessagePack: " + e.getMessage(), e);
         }
     }
