--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListCodec.java
@@ -10,6 +10,7 @@
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.core.fleet.DataCentre;
+import org.radishpass.peer.message.StatedLengths;
 import org.radishpass.routing.fleet.Incarnation;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.fleet.SoftwareVersion;
@@ -22,6 +23,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(EndpointListCodec.class);
     private static final ObjectMapper MAPPER = new MessagePackMapper();
 
+    /** Maximum number of entries of one list that are reported one by one. */
+    private static final int MAX_REPORTED_ENTRIES = 20;
+
     private EndpointListCodec() {
         // static methods only
     }
@@ -44,6 +48,7 @@
      * @throws IOException if the list is malformed
      */
     static EndpointSnapshot decode(byte[] bytes) throws IOException {
+        StatedLengths.check(bytes);
         try {
             Document document = MAPPER.readValue(bytes, Document.class);
             return new EndpointSnapshot(
@@ -53,7 +58,7 @@
                             document.settled()),
                     endpoints(document.endpoints()),
                     Set.copyOf(document.kept()));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             throw new IOException("malformed endpoint list: " + e.getMessage(), e);
         }
     }
@@ -61,13 +66,20 @@
     /** Decodes the entries. One that cannot be decoded is left out, so that it does not hide the others. */
     private static List<ServiceEndpoint> endpoints(List<Entry> entries) {
         List<ServiceEndpoint> endpoints = new ArrayList<>(entries.size());
+        int ignored = 0;
         for (Entry entry : entries) {
             try {
                 endpoints.add(entry.endpoint());
-            } catch (RuntimeException e) {
-                LOG.warn("ignoring endpoint {} of a router's list: {}", entry.name(), e.toString());
+            } catch (RuntimeException | Error e) {
+                if (ignored++ < MAX_REPORTED_ENTRIES) {
+                    String name = entry == null ? "nil" : entry.name();
+                    LOG.warn("ignoring endpoint {} of a router's list: {}", name, e.toString());
+                }
             }
         }
+        if (ignored > MAX_REPORTED_ENTRIES) {
+            LOG.warn("ignored {} endpoints of a router's list; {} were reported", ignored, MAX_REPORTED_ENTRIES);
+        }
         return endpoints;
     }
 
