--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/ConfigurationTracker.java
@@ -124,7 +124,8 @@
             return decoder.decode(content);
         } catch (MalformedDocumentException e) {
             throw e;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            // the process goes on after an error of the decoder, so the document is rejected like any other
             throw new MalformedDocumentException("the decoder of configurations failed: " + e, e);
         }
     }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/DocumentExchange.java
@@ -162,7 +162,8 @@
             } else {
                 adoptList(peer, EndpointListCodec.decode(content).withResolvedEra(era));
             }
-        } catch (IOException e) {
+        } catch (IOException | Error e) {
+            // Reactor rethrows some errors, and then the fetch would never end and this peer would not be asked again
             LOG.error(
                     "router {} sent a document named {} that cannot be decoded; it is ignored",
                     peer.id(),
--- a/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListFollower.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/control/EndpointListFollower.java
@@ -120,11 +120,11 @@
             }
         }
 
-        /** Applies a list. A failure must not end the reading of later lists. */
+        /** Applies a list. No failure may end the reading of later lists, since the process goes on after an error too. */
         private void apply(DirectoryReadResult.Listed listed, long askedAtMillis) {
             try {
                 listener.listed(listed, askedAtMillis);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.error("the endpoint list could not be applied, reading it again", e);
                 listener.listUnavailable(
                         new DirectoryReadResult.Unavailable(ReadFailure.PROCESSING, e.toString()), askedAtMillis);
