Keep bytes outside a response from the decoders of Reactor Netty's clients

Cause: a pooled connection of Reactor Netty decodes whatever arrives on it while it is idle. A whole response is dropped there, but one that breaks off in its head stays in the decoder, and the next response completes it. The responses of the store name no request, so nothing noticed: a refusal (503) was read as a table without rows. A head that begins twice inside one response had the same effect on a new connection.

Change: ResponseBoundary replaces the codec of the store's client and of all clients of HttpRuntime. Bytes without an outstanding request close the connection and are never decoded; the end of a response is passed on when the read loop that held it is over, after the connection has been closed if anything followed; a status line inside a reason or a value is malformed, and header names are validated.

Conclusion: such bytes cost the store's client a connection and no longer a wrong table. A whole late response that arrives while the next query is outstanding cannot be told by its framing.

--- a/radishpass-runtime/src/main/java/org/radishpass/runtime/http/HttpRuntime.java
+++ b/radishpass-runtime/src/main/java/org/radishpass/runtime/http/HttpRuntime.java
@@ -55,12 +55,14 @@
     }
 
     /**
-     * Returns an HTTP client that never retries a request by itself.
+     * Returns an HTTP client that never retries a request by itself, and takes nothing but what was received for a
+     * request as its response.
      *
+     * @see ResponseBoundary
      * @see HttpClient#disableRetry(boolean)
      */
     public HttpClient client() {
-        return HttpClient.create(pool)
+        return ResponseBoundary.boundedClient(HttpClient.create(pool))
                 .runOn(loops, false)
                 .disableRetry(true)
                 .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
