--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnections.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,12 +21,13 @@
 import jdk.net.ExtendedSocketOptions;
 import org.radishpass.core.fleet.Address;
 import org.radishpass.routing.connection.ConnectionCap;
+import org.radishpass.routing.connection.DesynchronizationMonitor;
+import org.radishpass.routing.connection.ResponsePipeline;
 import org.radishpass.routing.connection.RouterCount;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.fleet.EndpointDirectory;
 import org.radishpass.routing.fleet.ServiceEndpoint;
-import org.radishpass.routing.framing.UndecodedByteLimit;
 import org.radishpass.routing.health.EndpointHealthTracker;
 
 /**
@@ -46,12 +46,6 @@
     private static final int KEEP_ALIVE_SECONDS = 1;
 
     private static final int KEEP_ALIVE_PROBES = 2;
-    private static final int MAX_INITIAL_LINE = 4_096;
-    private static final int MAX_HEADERS = 65_536;
-    private static final int MAX_CHUNK = 65_536;
-
-    /** The bytes of the longest head, and of what one read may add to it. */
-    private static final int MAX_UNDECODED_BYTES = 4 * MAX_HEADERS;
 
     private final EventLoop loop;
     private final Supplier<RoutingView> views;
@@ -65,6 +59,7 @@
     private final Counter refusedByShare;
     private final Counter resetByCap;
     private final Counter unmatchedResponses;
+    private final DesynchronizationMonitor monitor;
     private final Map<String, EndpointPool> pools = new HashMap<>();
     private final Set<String> retired = new HashSet<>();
     private final RouterCount routerCount = new RouterCount();
@@ -95,6 +90,7 @@
         this.unmatchedResponses = Counter.builder("radishpass.endpoint.foreign.answers")
                 .description("answers that belonged to no waiting request and were dropped")
                 .register(metrics);
+        this.monitor = new DesynchronizationMonitor(metrics);
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -107,10 +103,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        UndecodedByteLimit.addDecoder(
-                                channel.pipeline(),
-                                new HttpClientCodec(MAX_INITIAL_LINE, MAX_HEADERS, MAX_CHUNK, false, false, false),
-                                MAX_UNDECODED_BYTES);
+                        ResponsePipeline.add(channel.pipeline());
                     }
                 });
     }
@@ -120,6 +113,11 @@
         addresses = translation;
     }
 
+    /** Returns what records bytes that belong to no response. */
+    DesynchronizationMonitor monitor() {
+        return monitor;
+    }
+
     RequestDialect dialect() {
         return dialect;
     }
