--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -235,9 +235,8 @@
     void release(EndpointConnection connection) {
         long nowMillis = nowMillis();
         WaitingRequest first = waiting.peekFirst();
-        boolean usable = connection.open()
-                && !suspension.suspended(nowMillis)
-                && (first == null || (first.mayUse(connection) && suspension.mayReuse(first.retryable(), nowMillis)));
+        boolean wanted = first == null || first.mayUse(connection, suspension, nowMillis);
+        boolean usable = connection.open() && !suspension.suspended(nowMillis) && wanted;
         if (!usable || connections.retired(endpoint.id()) || share.surplus(cap(), nowMillis) > 0) {
             connection.close();
             return;
@@ -283,7 +282,6 @@
         connections.monitor().unsolicited(endpoint.id(), phase, use.text(), detail, nowMillis());
     }
 
-    /** Records a response to another request than the one in flight. */
     void unmatchedResponse(ConnectionUse use, String expectedId, ResponseHead head) {
         connections.countUnmatchedResponse();
         unsolicited(
