--- a/radishpass-routing/src/main/java/org/radishpass/routing/framing/ChunkedBodyChecker.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/framing/ChunkedBodyChecker.java
@@ -66,10 +66,8 @@
             case AFTER_SIZE -> afterSize(next);
             case EXTENSION -> extension(next);
             case SIZE_LINE_END -> sizeLineEnd(next);
-            case DATA_END -> next == '\r' ? State.DATA_LINE_END : dataLineEnd(next);
-            case DATA_LINE_END -> dataLineEnd(next);
-            case TRAILERS -> trailers.accept(next) ? State.ENDED : State.TRAILERS;
-            case DATA, ENDED -> state;
+            case DATA_END, DATA_LINE_END -> dataEnd(next);
+            default -> trailers.accept(next) ? State.ENDED : State.TRAILERS;
         };
     }
 
@@ -113,7 +111,10 @@
         return size == 0 ? State.TRAILERS : State.DATA;
     }
 
-    private static State dataLineEnd(int next) {
+    private State dataEnd(int next) {
+        if (state == State.DATA_END && next == '\r') {
+            return State.DATA_LINE_END;
+        }
         require(next == '\n');
         return State.SIZE;
     }
