Name relayed requests, so that a response answers only its own

Cause: on a connection between two routers nothing tied a response to its request. One that came twice was taken for the response to the next relayed request, whose caller was told the success of another one.

Change: the relaying router names each request (Radishpass-Relay-Call), the other one repeats the name in each response, 100, refusals and rejections included, and a response with another name ends the call and its connection. A router of an earlier release repeats nothing: its connections carry one request each. A head that arrives before the last response has ended closes the connection, since the relaying router sends one request at a time.

Conclusion: whole second responses are told apart. One that breaks off in its head needs the decoder of the relay's connections as well.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayCall.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayCall.java
@@ -112,6 +112,12 @@
     }
 
     void received(HttpResponse response) {
+        String call = response.headers().get(RelayHeaders.CALL);
+        response.headers().remove(RelayHeaders.CALL);
+        if (call != null && !call.equals(head.headers().get(RelayHeaders.CALL))) {
+            connectionLost(EndEvidence.MALFORMED, "the router sent the response to another request");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingContinue = true;
             informational++;
@@ -124,7 +130,8 @@
             }
             return;
         }
-        reusable = sent && HttpUtil.isKeepAlive(response);
+        // without the name, a later response on this connection could not be told from one to this request
+        reusable = sent && call != null && HttpUtil.isKeepAlive(response);
         framing = BodyFraming.of(head.method(), response);
         String marked = response.headers().get(RelayHeaders.REFUSAL);
         if (marked != null && RelayHeaders.isRejection(marked)) {
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayClient.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayClient.java
@@ -55,6 +55,7 @@
     private final RelayPeers peers;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<RelayConnection>> idle = new HashMap<>();
+    private long calls;
 
     RelayClient(EventLoop loop, String localHost, RelayPeers peers) {
         this.peers = peers;
@@ -101,12 +102,14 @@
         return call;
     }
 
-    private static HttpRequest head(HttpRequest request, RelayTerms terms) {
+    private HttpRequest head(HttpRequest request, RelayTerms terms) {
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
         HttpHeaders headers = head.headers();
         headers.set(request.headers());
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         RelayHeaders.encode(terms, headers);
+        calls++;
+        headers.set(RelayHeaders.CALL, Long.toString(calls));
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         HttpUtil.set100ContinueExpected(head, true);
         return head;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayHeaders.java
@@ -20,6 +20,12 @@
     /** Marks a response that the relaying router itself gives, in place of a response of an endpoint. */
     static final String REFUSAL = "Radishpass-Relay-Refusal";
 
+    /**
+     * Names a relayed request on its connection; a router repeats it in each response to that request. Routers of releases
+     * before 0.16.0 do not.
+     */
+    static final String CALL = "Radishpass-Relay-Call";
+
     private static final String PREFIX = "Radishpass-Relay-";
     private static final String SENDER = PREFIX + "Sender";
     private static final String CONFIGURATION = PREFIX + "Configuration";
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayServerHandler.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayServerHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,6 +35,8 @@
 
     private final RelayGate gate;
     private RelayGate.@Nullable Reservation reservation;
+    private @Nullable String call;
+    private boolean responding;
     private boolean rejected;
 
     RelayServerHandler(RelayGate gate) {
@@ -56,6 +59,17 @@
     }
 
     private void accept(ChannelHandlerContext ctx, HttpRequest request) {
+        if (responding) {
+            LOG.warn(
+                    "router {} sent a request before the response to the last one; closing the connection",
+                    ctx.channel().remoteAddress());
+            rejected = true;
+            ReferenceCountUtil.release(request);
+            var unused = ctx.close();
+            return;
+        }
+        responding = true;
+        call = request.headers().get(RelayHeaders.CALL);
         if (!gate.listed(host(ctx.channel().remoteAddress()))) {
             reject(ctx, request, RelayGate.Rejection.UNKNOWN_SENDER, HttpResponseStatus.FORBIDDEN);
             return;
@@ -87,6 +101,7 @@
         ReferenceCountUtil.release(request);
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, status, ByteBufUtil.writeUtf8(ctx.alloc(), "rejected: " + reason));
+        nameCall(response);
         response.headers()
                 .set(RelayHeaders.REFUSAL, reason.name())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -105,12 +120,23 @@
             refusal.headers().set(RelayHeaders.REFUSAL, refusal.status().codeAsText());
             RelayHeaders.encodeNoEndpointSends(refusal.headers());
         }
+        if (message instanceof HttpResponse response) {
+            nameCall(response);
+        }
         if (message instanceof LastHttpContent && !informational) {
+            responding = false;
             release();
         }
         var unused = ctx.write(message, promise);
     }
 
+    /** Names the request that a response answers, if its sender did. */
+    private void nameCall(HttpResponse response) {
+        if (call != null) {
+            response.headers().set(RelayHeaders.CALL, call);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         release();
