--- a/radishpass-routing/src/test/java/org/radishpass/routing/relay/RelayedLateResponseTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/relay/RelayedLateResponseTest.java
@@ -98,7 +98,8 @@
             cut.peers(1, router);
             for (int number = 0; number < 5; number++) {
                 try (TestCaller caller = cut.caller()) {
-                    String response = caller.request("POST", "/once/", "r" + number, "x").readUntil("\r\n\r\n");
+                    String response =
+                            caller.request("POST", "/once/", "r" + number, "x").readUntil("\r\n\r\n");
                     assertThat(response).startsWith("HTTP/1.1 200");
                     assertThat(response).doesNotContain("Radishpass-Relay");
                 }
@@ -156,7 +157,8 @@
     }
 
     private void relayTo(FakeEndpoint router) {
-        cut.peers(1, TrafficFixture.router(3, router.endpoint("router").address().port()));
+        cut.peers(
+                1, TrafficFixture.router(3, router.endpoint("router").address().port()));
     }
 
     private String relayed(String id) throws Exception {
