Requests without an id: the connection tells whether they are told apart

Change: CarriedRequests answers for them: a connection that has carried a request carries none without an id. RelayedLateBytesTest keeps the name of a request in a field.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/CarriedRequests.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/CarriedRequests.java
@@ -23,8 +23,11 @@
         ids.addLast(requestId);
     }
 
-    /** Tells whether a request with this id was sent on the connection recently. */
-    public boolean contains(String requestId) {
-        return ids.contains(requestId);
+    /**
+     * Tells whether a response to an earlier request could be taken for the response to a request with this id. An empty id
+     * tells no request apart.
+     */
+    public boolean mayBeConfused(String requestId) {
+        return requestId.isEmpty() ? !ids.isEmpty() : ids.contains(requestId);
     }
 }
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointConnection.java
@@ -95,9 +95,9 @@
         return usedBefore;
     }
 
-    /** Tells whether a response to an earlier request with this id may still arrive on the connection. */
+    /** Tells whether a response to an earlier request on the connection could be taken for that to this one. */
     boolean carried(String requestId) {
-        return carried.contains(requestId);
+        return carried.mayBeConfused(requestId);
     }
 
     /** Begins the use of the connection for the request that is sent next, and returns it. */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/Exchange.java
@@ -171,7 +171,7 @@
         EndpointPool pool = context.connections().pool(next.endpoint());
         long waitUntilMillis =
                 record.receivedAtMillis() + terms.route().targetLatencyMillis() / CONNECTION_WAIT_DIVISOR;
-        if (history.sends() > 0 || terms.requestId().isEmpty()) {
+        if (history.sends() > 0) {
             pool.connect(waitUntilMillis, next);
         } else {
             pool.acquire(terms.requestId(), terms.kind().retryableAfterRun(), waitUntilMillis, next);
--- a/radishpass-routing/src/test/java/org/radishpass/routing/relay/RelayedLateBytesTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/relay/RelayedLateBytesTest.java
@@ -7,7 +7,6 @@
 import java.io.OutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,6 +28,9 @@
 
     RelayedLateBytesTest() throws Exception {}
 
+    /** The header line with the name of the current request. */
+    private volatile String callName = "";
+
     @BeforeEach
     void loseLinks() throws Exception {
         FakeEndpoint closed = new FakeEndpoint("a", (request, out) -> request.reset());
@@ -90,18 +92,17 @@
     /** Returns a router that answers odd ids with 200, and late bytes behind it, and even ones with 500. */
     private FakeEndpoint router(long delayMillis, String late) throws IOException {
         AtomicInteger current = new AtomicInteger();
-        AtomicReference<String> name = new AtomicReference<>("");
         return new FakeEndpoint("router", (request, out) -> {
             if (request.firstOnConnection()) {
                 connections.incrementAndGet();
             }
             if (request.line().endsWith("HTTP/1.1")) {
                 current.set(Integer.parseInt(request.header(PlainDialect.ID)));
-                name.set(RelayHeaders.CALL + ": " + request.header(RelayHeaders.CALL) + "\r\n");
-                write(out, "HTTP/1.1 100 Continue\r\n" + name.get() + "\r\n");
+                callName = RelayHeaders.CALL + ": " + request.header(RelayHeaders.CALL) + "\r\n";
+                write(out, "HTTP/1.1 100 Continue\r\n" + callName + "\r\n");
             } else {
                 last = request;
-                answer(current.get(), name.get(), delayMillis, late, out); // this was the body
+                answer(current.get(), callName, delayMillis, late, out); // this was the body
             }
         });
     }
