Messages on a connection get a package of their own

Change: boundary, reader, owner and monitor are in org.radishpass.routing.exchange, with their tests; IdlePeriod, ConnectionUse, CarriedRequests and ReuseSuspension stay. Only packages change.

--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/package-info.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/connection/package-info.java
@@ -1,6 +1,5 @@
 /**
- * Decisions on connections to endpoints: how many one router may hold, which idle ones may be reused, and to which request a
- * response belongs.
+ * Decisions on connections to endpoints: how many one router may hold, and which idle ones may be reused.
  *
  * @since 0.8.0
  */
--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/DesynchronizationMonitor.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/exchange/DesynchronizationMonitor.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ResponseListener.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/exchange/ResponseListener.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ResponseOwner.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/exchange/ResponseOwner.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import org.radishpass.routing.dialect.ResponseHead;
 
--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ResponsePipeline.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/exchange/ResponsePipeline.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/connection/ResponseReader.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/exchange/ResponseReader.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpContent;
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.radishpass.routing.connection.ConnectionUse;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
 import org.radishpass.routing.framing.BodyFraming;
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayClient.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayClient.java
@@ -23,7 +23,7 @@
 import java.util.Map;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
-import org.radishpass.routing.connection.ResponsePipeline;
+import org.radishpass.routing.exchange.ResponsePipeline;
 import org.radishpass.routing.fleet.FleetRouter;
 
 /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayConnection.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/relay/RelayConnection.java
@@ -11,9 +11,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.radishpass.routing.connection.ArrivalPhase;
-import org.radishpass.routing.connection.MessageBoundary;
-import org.radishpass.routing.connection.Surplus;
+import org.radishpass.routing.exchange.ArrivalPhase;
+import org.radishpass.routing.exchange.MessageBoundary;
+import org.radishpass.routing.exchange.Surplus;
 import org.radishpass.routing.framing.EndEvidence;
 
 /**
--- a/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
+++ b/radishpass-routing/src/main/java/org/radishpass/routing/traffic/EndpointPool.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
-import org.radishpass.routing.connection.ArrivalPhase;
 import org.radishpass.routing.connection.ConnectionCap;
 import org.radishpass.routing.connection.ConnectionReset;
 import org.radishpass.routing.connection.ConnectionShare;
@@ -12,6 +11,7 @@
 import org.radishpass.routing.connection.ReuseSuspension;
 import org.radishpass.routing.dialect.RequestDialect;
 import org.radishpass.routing.dialect.ResponseHead;
+import org.radishpass.routing.exchange.ArrivalPhase;
 import org.radishpass.routing.fleet.ServiceEndpoint;
 import org.radishpass.routing.health.EndpointHealth;
 
--- a/radishpass-routing/src/test/java/org/radishpass/routing/connection/MessageBoundaryTest.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/exchange/MessageBoundaryTest.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/radishpass-routing/src/test/java/org/radishpass/routing/connection/ResponseRecorder.java
+++ b/radishpass-routing/src/test/java/org/radishpass/routing/exchange/ResponseRecorder.java
@@ -1,4 +1,4 @@
-package org.radishpass.routing.connection;
+package org.radishpass.routing.exchange;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
